--- /dev/null
+++ b/packages/radishd/src/radishd/__init__.py
@@ -0,0 +1,1 @@
+"""The radishstack daemon: entry and target roles, on anyio."""
--- /dev/null
+++ b/packages/radishd/src/radishd/connection/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one connection between two processes."""
--- /dev/null
+++ b/packages/radishd/src/radishd/connection/inbox.py
@@ -0,0 +1,41 @@
+"""What has arrived for one stream, until its request takes it."""
+
+import collections
+
+import anyio
+from radishstack import result
+from radishstack.connection import frame
+
+
+class Inbox:
+    """A queue between a connection's reader and one request."""
+
+    __slots__ = ("_items", "_wake")
+
+    def __init__(self) -> None:
+        """Starts empty."""
+        self._items: collections.deque[object] = collections.deque()
+        self._wake: anyio.Event | None = None
+
+    def put(self, item: object) -> None:
+        """Adds an item; never blocks. The peer's window bounds the number."""
+        self._items.append(item)
+        if self._wake is not None:
+            self._wake.set()
+
+    def take_ready(self) -> object | None:
+        """Returns an item that is there already, or None."""
+        return self._items.popleft() if self._items else None
+
+    async def take(self) -> object:
+        """Waits for the next item."""
+        while not self._items:
+            self._wake = anyio.Event()
+            await self._wake.wait()
+        self._wake = None
+        return self._items.popleft()
+
+
+LINK_LOST = result.Failure(result.LINK_LOST, "the connection was cut")
+
+Item = frame.Body | result.Failure
--- /dev/null
+++ b/packages/radishd/src/radishd/connection/link.py
@@ -0,0 +1,172 @@
+"""The calling side of a connection: many streams on one socket."""
+
+import itertools
+
+import anyio
+import anyio.abc
+from radishstack import result
+from radishstack.connection import frame
+
+from radishd.connection import inbox as inbox_lib
+from radishd.connection import writer as writer_lib
+from radishd.process import clock
+from radishd.process import logs
+from radishd.process import settings as settings_lib
+
+RECEIVE_BYTES = 65_536
+MS_PER_S = 1000.0
+_SOCKET_ERRORS = (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError)
+
+
+class Link:
+    """One connection to a target process."""
+
+    def __init__(self, name: str, stream: anyio.abc.SocketStream) -> None:
+        """Wraps a connected socket.
+
+        Args:
+            name: The target.
+            stream: The socket.
+        """
+        self.name = name
+        self._stream = stream
+        self.writer = writer_lib.Writer(stream)
+        self.inboxes: dict[int, inbox_lib.Inbox] = {}
+        self.lost = False
+        self._ids = itertools.count(1)
+
+    def open(self) -> tuple[int, inbox_lib.Inbox]:
+        """Opens a stream; its id is never used again on this connection."""
+        inbox = inbox_lib.Inbox()
+        return self.adopt(inbox), inbox
+
+    def adopt(self, inbox: inbox_lib.Inbox) -> int:
+        """Opens a stream whose frames go to an inbox that exists."""
+        stream_id = next(self._ids)
+        self.inboxes[stream_id] = inbox
+        return stream_id
+
+    def close(self, stream_id: int) -> None:
+        """Ends a stream here and there; its late frames are dropped.
+
+        The peer forgets a run only on this word, since the end it sent may
+        have been lost with a connection.
+        """
+        if self.inboxes.pop(stream_id, None) is not None and not self.lost:
+            self.send(stream_id, frame.Cancel())
+
+    def send(self, stream_id: int, body: frame.Body) -> None:
+        """Sends a frame."""
+        self.writer.write(frame.encode(stream_id, body))
+
+    async def run(self) -> None:
+        """Reads and writes until the connection ends, then tells all."""
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._write)
+                await self._read()
+                tasks.cancel_scope.cancel()
+        finally:
+            self.lost = True
+            self.writer.close()
+            for inbox in self.inboxes.values():
+                inbox.put(inbox_lib.LINK_LOST)
+            with anyio.CancelScope(shield=True):
+                await anyio.aclose_forcefully(self._stream)
+
+    async def _write(self) -> None:
+        try:
+            await self.writer.run()
+        except _SOCKET_ERRORS:
+            return
+        finally:
+            await anyio.aclose_forcefully(self._stream)
+
+    async def _read(self) -> None:
+        splitter = frame.Splitter()
+        while True:
+            try:
+                data = await self._stream.receive(RECEIVE_BYTES)
+            except (anyio.EndOfStream, *_SOCKET_ERRORS):
+                return
+            messages = splitter.feed(data)
+            if isinstance(messages, result.Failure):
+                self._bad_frame(messages)
+                return
+            for message in messages:
+                decoded = frame.decode(message)
+                if isinstance(decoded, result.Failure):
+                    self._bad_frame(decoded)
+                    return
+                inbox = self.inboxes.get(decoded.stream)
+                if inbox is not None:
+                    inbox.put(decoded.body)
+
+    def _bad_frame(self, failure: result.Failure) -> None:
+        logs.error(
+            "bad_frame", failure.code, target=self.name, reason=failure.message
+        )
+
+
+class Links:
+    """The connections of one process to target processes."""
+
+    def __init__(
+        self,
+        tasks: anyio.abc.TaskGroup,
+        *,
+        process: bytes,
+        connect_timeout_ms: int,
+    ) -> None:
+        """Starts with none.
+
+        Args:
+            tasks: Where connections run.
+            process: Identity of this process.
+            connect_timeout_ms: How long connecting may take.
+        """
+        self._tasks = tasks
+        self._process = process
+        self._connect_timeout_s = connect_timeout_ms / MS_PER_S
+        self._links: dict[str, Link] = {}
+        self._locks: dict[str, anyio.Lock] = {}
+        self.version = 0
+
+    async def get(self, name: str, address: str) -> result.Outcome[Link]:
+        """Returns the connection to a target process, opening it if need be.
+
+        Args:
+            name: The target.
+            address: ``ip:port`` in the version the caller holds.
+
+        Returns:
+            The connection, or a failure that proves nothing was sent.
+        """
+        link = self._links.get(address)
+        if link is not None and not link.lost:
+            return link
+        lock = self._locks.setdefault(address, anyio.Lock())
+        async with lock:
+            link = self._links.get(address)
+            if link is not None and not link.lost:
+                return link
+            return await self._connect(name, address)
+
+    async def _connect(self, name: str, address: str) -> result.Outcome[Link]:
+        host, port = settings_lib.split_address(address)
+        try:
+            with anyio.fail_after(self._connect_timeout_s):
+                stream = await anyio.connect_tcp(host, port)
+        except (OSError, TimeoutError) as error:
+            return result.Failure(
+                result.TARGET_UNREACHABLE, f"{name} at {address}: {error}"
+            )
+        link = Link(name, stream)
+        self._links[address] = link
+        link.send(0, frame.Hello(self._process, self.version, clock.now_ms()))
+        self._tasks.start_soon(link.run)
+        return link
+
+    def open_count(self) -> int:
+        """Returns how many connections are open."""
+        return sum(not link.lost for link in self._links.values())
--- /dev/null
+++ b/packages/radishd/src/radishd/connection/listener.py
@@ -0,0 +1,278 @@
+"""The serving side of connections to a target process."""
+
+import functools
+import itertools
+from typing import TYPE_CHECKING
+
+import anyio
+import anyio.abc
+from radishstack import attempt as attempt_lib
+from radishstack import result
+from radishstack import target_event as event_lib
+from radishstack.connection import frame
+
+from radishd.connection import writer as writer_lib
+from radishd.process import clock
+from radishd.process import logs
+from radishd.process import settings as settings_lib
+from radishd.request import serving as serving_lib
+
+if TYPE_CHECKING:
+    from radishd import target as target_lib
+
+RECEIVE_BYTES = 65_536
+_SOCKET_ERRORS = (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError)
+_seal_ids = itertools.count(1)
+
+
+class Connection:
+    """One connection of another process."""
+
+    def __init__(
+        self,
+        process: "target_lib.TargetProcess",
+        stream: anyio.abc.SocketStream,
+    ) -> None:
+        """Wraps an accepted socket."""
+        self.process = process
+        self.stream = stream
+        self.writer = writer_lib.Writer(stream)
+        self.attempts: dict[int, bytes] = {}
+        self.highest_stream = -1
+        self.clock_offset_ms: int | None = None
+
+    def to_own_clock(self, sent_at_ms: int, at_ms: int) -> int:
+        """Converts a time on the peer's clock to this process's clock.
+
+        The smallest difference seen between arrival and sending is taken as
+        the offset. A frame that was held up on its way shows a larger one,
+        so its age is seen and its deadline is not prolonged.
+
+        Args:
+            sent_at_ms: When the frame was sent, on the peer's clock.
+            at_ms: The time to convert, on the peer's clock.
+
+        Returns:
+            The time here, never earlier than it truly was.
+        """
+        offset_ms = clock.now_ms() - sent_at_ms
+        if self.clock_offset_ms is None or offset_ms < self.clock_offset_ms:
+            self.clock_offset_ms = offset_ms
+        return at_ms + self.clock_offset_ms
+
+    async def run(self) -> None:
+        """Reads and writes until the connection ends."""
+        hello = frame.Hello(
+            self.process.identity,
+            self.process.configuration.held.version,
+            clock.now_ms(),
+        )
+        self.writer.write(frame.encode(0, hello))
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._write)
+                await self._read()
+                tasks.cancel_scope.cancel()
+        finally:
+            self.writer.close()
+            for stream, attempt_id in list(self.attempts.items()):
+                reader = serving_lib.ReaderId(self.writer, stream)
+                self.process.reader_left(attempt_id, reader, cut=True)
+            with anyio.CancelScope(shield=True):
+                await anyio.aclose_forcefully(self.stream)
+
+    async def _write(self) -> None:
+        try:
+            await self.writer.run()
+        except _SOCKET_ERRORS:
+            return
+        finally:
+            await anyio.aclose_forcefully(self.stream)
+
+    async def _read(self) -> None:
+        splitter = frame.Splitter()
+        while True:
+            try:
+                data = await self.stream.receive(RECEIVE_BYTES)
+            except (anyio.EndOfStream, *_SOCKET_ERRORS):
+                return
+            messages = splitter.feed(data)
+            if isinstance(messages, result.Failure):
+                self._end_bad(messages)
+                return
+            for message in messages:
+                decoded = frame.decode(message)
+                failure = decoded
+                if isinstance(decoded, frame.Frame):
+                    failure = _take(decoded.body, self, decoded.stream)
+                if isinstance(failure, result.Failure):
+                    self._end_bad(failure)
+                    return
+
+    def _end_bad(self, failure: result.Failure) -> None:
+        """A bad frame ends its connection and nothing else."""
+        logs.error("bad_frame", failure.code, reason=failure.message)
+        self.process.metrics.refusals.inc({"code": str(failure.code.number)})
+
+    def open_stream(self, stream: int) -> result.Failure | None:
+        """Checks the id of a new stream; ids only grow."""
+        if stream <= self.highest_stream:
+            return result.Failure(
+                result.STREAM_REUSED, f"stream {stream} was used before"
+            )
+        self.highest_stream = stream
+        if len(self.attempts) >= self.process.own.max_streams:
+            return result.Failure(
+                result.STREAMS_EXHAUSTED,
+                f"{len(self.attempts)} streams are open",
+            )
+        return None
+
+
+@functools.singledispatch
+def _take(
+    body: object, connection: Connection, stream: int
+) -> result.Failure | None:
+    return result.Failure(
+        result.FRAME_MALFORMED,
+        f"{type(body).__name__} on stream {stream} is not for a target",
+    )
+
+
+@_take.register
+def _take_hello(
+    body: frame.Hello, connection: Connection, stream: int
+) -> result.Failure | None:
+    connection.to_own_clock(body.sent_at_ms, body.sent_at_ms)
+    return connection.open_stream(stream)
+
+
+@_take.register
+def _take_submit(
+    body: frame.Submit, connection: Connection, stream: int
+) -> result.Failure | None:
+    failure = connection.open_stream(stream)
+    if failure is not None:
+        return failure
+    attempt = attempt_lib.Attempt(
+        attempt_id=body.attempt_id,
+        request_id=body.request_id,
+        version=body.version,
+        service=body.service,
+        customer=body.customer,
+        adapter=body.adapter,
+        key=body.key,
+        digest=body.digest,
+        accepted_at_ms=connection.to_own_clock(
+            body.sent_at_ms, body.accepted_at_ms
+        ),
+        deadline_at_ms=connection.to_own_clock(
+            body.sent_at_ms, body.deadline_at_ms
+        ),
+        method=body.method,
+        path=body.path,
+        content_type=body.content_type,
+        body=body.body,
+        streams=body.streams,
+    )
+    connection.attempts[stream] = body.attempt_id
+    reader = serving_lib.ReaderId(connection.writer, stream)
+    connection.process.submit(attempt, reader)
+    return None
+
+
+@_take.register
+def _take_attach(
+    body: frame.Attach, connection: Connection, stream: int
+) -> result.Failure | None:
+    failure = connection.open_stream(stream)
+    if failure is not None:
+        return failure
+    connection.attempts[stream] = body.attempt_id
+    reader = serving_lib.ReaderId(connection.writer, stream)
+    connection.process.attach(body, reader)
+    return None
+
+
+@_take.register
+def _take_ack(
+    body: frame.Ack, connection: Connection, stream: int
+) -> result.Failure | None:
+    attempt_id = connection.attempts.get(stream)
+    if attempt_id is None:
+        return _unknown(connection, stream)
+    serving = connection.process.serving_of(attempt_id)
+    if serving is None:
+        connection.attempts.pop(stream, None)
+        return None
+    reader = serving_lib.ReaderId(connection.writer, stream)
+    serving.ack(reader, body.acked, connection.process.load())
+    return None
+
+
+@_take.register
+def _take_cancel(
+    body: frame.Cancel, connection: Connection, stream: int
+) -> result.Failure | None:
+    del body
+    attempt_id = connection.attempts.pop(stream, None)
+    if attempt_id is None:
+        return _unknown(connection, stream)
+    reader = serving_lib.ReaderId(connection.writer, stream)
+    connection.process.reader_left(attempt_id, reader, cut=False)
+    return None
+
+
+@_take.register
+def _take_seal(
+    body: frame.Seal, connection: Connection, stream: int
+) -> result.Failure | None:
+    failure = connection.open_stream(stream)
+    if failure is not None:
+        return failure
+    seal_id = next(_seal_ids)
+    connection.process.seals[seal_id] = (connection.writer, stream)
+    connection.process.handle(
+        event_lib.SealAsked((body.service, body.key), body.asker, seal_id)
+    )
+    return None
+
+
+def _unknown(connection: Connection, stream: int) -> result.Failure | None:
+    """A frame for a stream that has ended is late; for no stream, bad."""
+    if stream <= connection.highest_stream:
+        return None
+    return result.Failure(
+        result.STREAM_UNKNOWN, f"stream {stream} was never opened"
+    )
+
+
+async def listen(
+    process: "target_lib.TargetProcess",
+    *,
+    task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
+) -> None:
+    """Accepts connections until cancelled.
+
+    Args:
+        process: The target process.
+        task_status: Told once it listens.
+    """
+    host, port = settings_lib.split_address(process.own.listen)
+    listener = await anyio.create_tcp_listener(local_host=host, local_port=port)
+    count = 0
+
+    async def serve(stream: anyio.abc.SocketStream) -> None:
+        nonlocal count
+        if count >= process.own.max_connections:
+            await anyio.aclose_forcefully(stream)
+            return
+        count += 1
+        try:
+            await Connection(process, stream).run()
+        finally:
+            count -= 1
+
+    async with listener:
+        task_status.started()
+        await listener.serve(serve)
--- /dev/null
+++ b/packages/radishd/src/radishd/process/admin.py
@@ -0,0 +1,70 @@
+"""The admin port: health, readiness, metrics and status, never for callers."""
+
+from collections.abc import Callable
+import json
+from typing import Any
+
+import aioprometheus
+
+from radishd.process import metrics as metrics_lib
+from radishd.process import web
+
+JSON_TYPE = b"application/json"
+
+
+def make_app(
+    metrics: metrics_lib.Metrics,
+    *,
+    ready: Callable[[], str],
+    status: Callable[[], dict[str, Any]],
+    refresh: Callable[[], None],
+) -> web.App:
+    """Makes the application of the admin port.
+
+    Args:
+        metrics: What ``/metrics`` renders.
+        ready: Returns why the process is not ready, empty if it is.
+        status: Returns what ``/status`` answers.
+        refresh: Called before ``/metrics`` to set the gauges.
+
+    Returns:
+        The application.
+    """
+
+    async def app(
+        scope: web.Scope, receive: web.Receive, send: web.Send
+    ) -> None:
+        del receive
+        if scope["type"] != "http":
+            return
+        match scope["path"]:
+            case "/healthz":
+                code, kind, body = 200, b"text/plain", b"ok\n"
+            case "/readyz":
+                reason = ready()
+                code = 503 if reason else 200
+                kind, body = b"text/plain", f"{reason or 'ok'}\n".encode()
+            case "/metrics":
+                refresh()
+                accepts = [
+                    value.decode("latin-1")
+                    for name, value in scope["headers"]
+                    if name == b"accept"
+                ]
+                body, headers = aioprometheus.render(metrics.registry, accepts)
+                code, kind = 200, headers["Content-Type"].encode()
+            case "/status":
+                code, kind = 200, JSON_TYPE
+                body = json.dumps(status()).encode()
+            case _:
+                code, kind, body = 404, b"text/plain", b"no such path\n"
+        headers = [
+            (b"content-type", kind),
+            (b"content-length", str(len(body)).encode()),
+        ]
+        await send(
+            {"type": "http.response.start", "status": code, "headers": headers}
+        )
+        await send({"type": "http.response.body", "body": body})
+
+    return app
--- /dev/null
+++ b/packages/radishd/src/radishd/process/configuration.py
@@ -0,0 +1,234 @@
+"""Following the configuration in force, and getting changes accepted."""
+
+from collections.abc import Callable
+import random
+import secrets
+
+import anyio
+from radishstack import result
+from radishstack.version import commit as commit_lib
+from radishstack.version import holder as holder_lib
+from radishstack.version import operation as operation_lib
+from radishstack.version import publish
+
+from radishd.process import clock
+from radishd.process import logs
+from radishd.process import store as store_lib
+
+RETRY_FIRST_MS = 100
+RETRY_MAX_MS = 5_000
+MS_PER_S = 1000.0
+
+Listener = Callable[[holder_lib.Held], None]
+
+
+class Configuration:
+    """The version in force in this process, and who is told of a new one."""
+
+    def __init__(self) -> None:
+        """Holds nothing yet."""
+        self.holder = holder_lib.Holder()
+        self._listeners: list[Listener] = []
+        self._raised = anyio.Event()
+
+    @property
+    def held(self) -> holder_lib.Held:
+        """The version in force here."""
+        return self.holder.held
+
+    def listen(self, listener: Listener) -> None:
+        """Adds a function that is called with every newer version."""
+        self._listeners.append(listener)
+
+    def offer(self, held: holder_lib.Held) -> None:
+        """Takes a version, and tells the listeners if it is newer."""
+        if not self.holder.offer(held):
+            return
+        for listener in self._listeners:
+            listener(self.held)
+        self._raised.set()
+        self._raised = anyio.Event()
+        logs.info("config_in_force", config_version=held.version)
+
+    async def wait_for(self, version: int, timeout_ms: int) -> bool:
+        """Waits until a version is in force here.
+
+        Args:
+            version: The version.
+            timeout_ms: How long to wait.
+
+        Returns:
+            Whether it is.
+        """
+        with anyio.move_on_after(timeout_ms / MS_PER_S):
+            while self.held.version < version:
+                await self._raised.wait()
+        return self.held.version >= version
+
+
+async def follow(
+    configuration: Configuration,
+    store: store_lib.Store,
+    random_source: random.Random,
+) -> None:
+    """Keeps the configuration up to the store's until cancelled.
+
+    Args:
+        configuration: Where new versions go.
+        store: The object API.
+        random_source: Spreads the retries of many processes.
+    """
+    revision: int | None = None
+    failures = 0
+    while True:
+        failure = await _follow_once(configuration, store, revision)
+        if isinstance(failure, result.Failure):
+            failures += 1
+            revision = None
+            if failures == 1:
+                logs.warn("config_unavailable", reason=failure.message)
+            base_ms = min(RETRY_FIRST_MS * 2**failures, RETRY_MAX_MS)
+            pause_ms = base_ms * random_source.uniform(0.5, 1.5)
+            await anyio.sleep(pause_ms / MS_PER_S)
+            continue
+        failures = 0
+        revision = failure
+
+
+async def _follow_once(
+    configuration: Configuration,
+    store: store_lib.Store,
+    revision: int | None,
+) -> result.Outcome[int]:
+    read = await store_lib.read_root(store, watch=revision)
+    if isinstance(read, result.Failure):
+        return read
+    if isinstance(read, str):
+        return revision or 0
+    revision, root = read
+    if root.version > configuration.held.version:
+        held = await store_lib.catch_up(store, configuration.held, root)
+        if isinstance(held, result.Failure):
+            return held
+        configuration.offer(held)
+    return revision
+
+
+async def read_now(
+    store: store_lib.Store,
+) -> result.Outcome[holder_lib.Held]:
+    """Reads the version in force from the store, for an operator."""
+    read = await store_lib.read_root(store)
+    if isinstance(read, result.Failure):
+        return read
+    return await store_lib.catch_up(store, holder_lib.EMPTY, read[1])
+
+
+async def propose(
+    store: store_lib.Store,
+    *,
+    operations: tuple[operation_lib.Operation, ...],
+    base: holder_lib.Held,
+    operator: str,
+    reason: str,
+) -> result.Outcome[publish.Accepted]:
+    """Gets a change accepted.
+
+    Args:
+        store: The object API.
+        operations: The change.
+        base: The version the operator looked at.
+        operator: Who.
+        reason: Why.
+
+    Returns:
+        The version from which it is in force, or why it was refused.
+    """
+    proposal = publish.Proposal(
+        write_id=secrets.token_hex(12),
+        operator=operator,
+        reason=reason,
+        base=base,
+        operations=operations,
+    )
+    publisher = publish.Publisher(proposal, now_ms=clock.unix_ms())
+    step: publish.Next = publisher.start()
+    while not isinstance(step, publish.Accepted | result.Failure):
+        event = await _perform(step, store)
+        if isinstance(event, result.Failure):
+            return _uncertain(event, publisher)
+        step = publisher.handle(event)
+    if isinstance(step, publish.Accepted):
+        await _snapshot_if_due(store)
+    return step
+
+
+def _uncertain(
+    failure: result.Failure, publisher: publish.Publisher
+) -> result.Failure:
+    if publisher.commit is None:
+        return failure
+    return result.Failure(
+        result.CHANGE_UNCERTAIN,
+        f"{failure.message}; look for write id "
+        f"{publisher.proposal.write_id} in the audit trail before proposing "
+        "again",
+    )
+
+
+async def _perform(
+    step: publish.Step, store: store_lib.Store
+) -> result.Outcome[publish.Event]:
+    match step:
+        case publish.CatchUp(held=held):
+            return await _catch_up_for(held, store)
+        case publish.WriteCommit(name=name, data=data):
+            return await store.put(name, data, expected=None)
+        case publish.UpdateRoot(expected_revision=revision, data=data):
+            return await store.put(
+                commit_lib.ROOT_NAME, data, expected=revision
+            )
+
+
+async def _catch_up_for(
+    base: holder_lib.Held, store: store_lib.Store
+) -> result.Outcome[publish.CaughtUp]:
+    read = await store_lib.read_root(store)
+    if isinstance(read, result.Failure):
+        return read
+    revision, root = read
+    held = await store_lib.catch_up(store, base, root)
+    if isinstance(held, result.Failure):
+        return held
+    since = await store_lib.read_chain(store, root.write_id, after=base.version)
+    if isinstance(since, result.Failure):
+        return since
+    return publish.CaughtUp(revision, root, held, since)
+
+
+async def _snapshot_if_due(store: store_lib.Store) -> None:
+    """Writes a snapshot once enough commits have gathered.
+
+    Whoever commits next tries again if this is cut short: until the root
+    names the parts, they are only objects nobody reads.
+    """
+    read = await store_lib.read_root(store)
+    if isinstance(read, result.Failure | str):
+        return
+    revision, root = read
+    if not commit_lib.snapshot_is_due(root):
+        return
+    held = await store_lib.catch_up(store, holder_lib.EMPTY, root)
+    if isinstance(held, result.Failure):
+        return
+    parts = commit_lib.encode_snapshot(held.document, held.write_id)
+    for name, data in parts.items():
+        written = await store.put(name, data, expected=None)
+        if not isinstance(written, publish.Written):
+            return
+    compacted = commit_lib.compact(root, tuple(parts))
+    await store.put(
+        commit_lib.ROOT_NAME,
+        commit_lib.encode_root(compacted),
+        expected=revision,
+    )
--- /dev/null
+++ b/packages/radishd/src/radishd/process/control.py
@@ -0,0 +1,118 @@
+"""Datagrams between processes: probes and their reports, digests."""
+
+from collections.abc import Callable
+import itertools
+
+import anyio
+import anyio.abc
+from radishstack import load as load_lib
+from radishstack import result
+from radishstack.connection import frame
+
+from radishd.process import metrics as metrics_lib
+from radishd.process import settings as settings_lib
+
+MS_PER_S = 1000.0
+UDP_IP_HEADER_BYTES = 28
+MAX_NONCE = 2**32
+
+Address = tuple[str, int]
+ProbeHandler = Callable[[frame.Probe], load_lib.Load]
+DigestHandler = Callable[[frame.Digest, Address], None]
+
+
+class Control:
+    """One UDP socket of a process."""
+
+    def __init__(
+        self, socket: anyio.abc.UDPSocket, metrics: metrics_lib.Metrics
+    ) -> None:
+        """Wraps a bound socket."""
+        self._socket = socket
+        self._metrics = metrics
+        self._sending = anyio.Lock()
+        self._nonces = itertools.count(1)
+        self._waiting: dict[int, tuple[Address, anyio.Event]] = {}
+        self._reports: dict[int, load_lib.Load] = {}
+        self.on_probe: ProbeHandler | None = None
+        self.on_digest: DigestHandler | None = None
+        self.bytes_sent = 0
+        self.bytes_received = 0
+
+    async def run(self) -> None:
+        """Answers and sorts datagrams until cancelled."""
+        async for data, (host, port) in self._socket:
+            self.bytes_received += len(data) + UDP_IP_HEADER_BYTES
+            datagram = frame.decode_datagram(data)
+            if isinstance(datagram, result.Failure):
+                continue
+            await self._handle(datagram, (host, port))
+
+    async def _handle(self, datagram: frame.Datagram, sender: Address) -> None:
+        match datagram.body:
+            case frame.Probe() if self.on_probe is not None:
+                report = self.on_probe(datagram.body)
+                await self.send(sender, datagram.nonce, report)
+            case load_lib.Load():
+                waiting = self._waiting.get(datagram.nonce)
+                # Only who was asked may answer; a datagram is easily forged.
+                if waiting is not None and waiting[0] == sender:
+                    self._reports[datagram.nonce] = datagram.body
+                    waiting[1].set()
+            case frame.Digest() if self.on_digest is not None:
+                self.on_digest(datagram.body, sender)
+
+    async def send(
+        self, address: Address, nonce: int, body: frame.DatagramBody
+    ) -> None:
+        """Sends one datagram; one that cannot be sent is lost like any."""
+        data = frame.encode_datagram(nonce, body)
+        self.bytes_sent += len(data) + UDP_IP_HEADER_BYTES
+        try:
+            async with self._sending:
+                await self._socket.sendto(data, *address)
+        except OSError:
+            return
+
+    async def probe(
+        self, address: Address, adapter: str, version: int, timeout_ms: int
+    ) -> load_lib.Load | None:
+        """Asks a target process for its load.
+
+        Args:
+            address: Where its control socket is.
+            adapter: The adapter of interest, empty for none.
+            version: Configuration version held here.
+            timeout_ms: How long to wait.
+
+        Returns:
+            Its word, or None without one in time.
+        """
+        nonce = next(self._nonces) % MAX_NONCE
+        event = anyio.Event()
+        self._waiting[nonce] = (address, event)
+        try:
+            await self.send(address, nonce, frame.Probe(adapter, version))
+            with anyio.move_on_after(timeout_ms / MS_PER_S):
+                await event.wait()
+            report = self._reports.pop(nonce, None)
+        finally:
+            del self._waiting[nonce]
+        outcome = "answered" if report is not None else "lost"
+        self._metrics.probes.inc({"outcome": outcome})
+        return report
+
+
+async def open_control(address: str, metrics: metrics_lib.Metrics) -> Control:
+    """Binds the control socket of a process.
+
+    Args:
+        address: ``ip:port``.
+        metrics: Where probes are counted.
+
+    Returns:
+        The control, to be run.
+    """
+    host, port = settings_lib.split_address(address)
+    socket = await anyio.create_udp_socket(local_host=host, local_port=port)
+    return Control(socket, metrics)
--- /dev/null
+++ b/packages/radishd/src/radishd/process/engine.py
@@ -0,0 +1,143 @@
+"""Orders to one engine, and its own word on itself."""
+
+import dataclasses
+import json
+
+import httpcore
+from radishstack import result
+
+from radishd.process import store as store_lib
+
+MS_PER_S = 1000.0
+OK = 200
+INCARNATION_HEADER = b"x-engine-incarnation"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Seen:
+    """What an engine says of itself."""
+
+    incarnation: str
+    resident: frozenset[str]
+
+
+class Engine:
+    """The HTTP port of one engine."""
+
+    def __init__(
+        self,
+        pool: httpcore.AsyncConnectionPool,
+        url: str,
+        *,
+        load_timeout_ms: int,
+        call_timeout_ms: int,
+    ) -> None:
+        """Opens no connection yet."""
+        self._pool = pool
+        self._url = url
+        self._load_timeout_s = load_timeout_ms / MS_PER_S
+        self._call_timeout_s = call_timeout_ms / MS_PER_S
+
+    async def _call(
+        self, method: str, path: str, body: object, timeout_s: float
+    ) -> result.Outcome[httpcore.Response]:
+        timeouts = dict.fromkeys(store_lib.TIMEOUT_NAMES, timeout_s)
+        try:
+            return await self._pool.request(
+                method,
+                f"{self._url}{path}",
+                headers={"Content-Type": "application/json"},
+                content=json.dumps(body).encode(),
+                extensions={"timeout": timeouts},
+            )
+        except store_lib.NETWORK_ERRORS as error:
+            return result.Failure(
+                result.TARGET_FAILED, f"{path}: {type(error).__name__} {error}"
+            )
+
+    async def look(self) -> result.Outcome[Seen]:
+        """Asks which adapters are resident, in which incarnation."""
+        response = await self._call(
+            "GET", "/v1/models", {}, self._call_timeout_s
+        )
+        if isinstance(response, result.Failure):
+            return response
+        if response.status != OK:
+            return result.Failure(
+                result.TARGET_FAILED, f"/v1/models: {response.status}"
+            )
+        try:
+            listed = json.loads(response.content)["data"]
+            names = frozenset(str(one["id"]) for one in listed)
+        except (ValueError, KeyError, TypeError) as error:
+            return result.Failure(
+                result.TARGET_FAILED, f"/v1/models: {error!r}"
+            )
+        resident = frozenset(name for name in names if "@" in name)
+        return Seen(_incarnation(response), resident)
+
+    async def load(
+        self, adapter: str, source: str, order: int
+    ) -> result.Failure | None:
+        """Orders a load.
+
+        Args:
+            adapter: ``name@version``, its name at the engine.
+            source: Where the weight store keeps it.
+            order: Fencing number.
+
+        Returns:
+            None once it is loaded, or why that is not known.
+        """
+        body = {
+            "lora_name": adapter,
+            "lora_path": source,
+            "fencing_number": order,
+        }
+        return await self._order(
+            "/v1/load_lora_adapter", body, self._load_timeout_s
+        )
+
+    async def unload(self, adapter: str, order: int) -> result.Failure | None:
+        """Orders an unload.
+
+        Args:
+            adapter: ``name@version``.
+            order: Fencing number.
+
+        Returns:
+            None once it is unloaded, or why that is not known.
+        """
+        body = {"lora_name": adapter, "fencing_number": order}
+        return await self._order(
+            "/v1/unload_lora_adapter", body, self._call_timeout_s
+        )
+
+    async def _order(
+        self, path: str, body: object, timeout_s: float
+    ) -> result.Failure | None:
+        response = await self._call("POST", path, body, timeout_s)
+        if isinstance(response, result.Failure):
+            return response
+        if response.status != OK:
+            return result.Failure(
+                result.ORDER_REFUSED,
+                f"{path}: {response.status} {response.content[:200]!r}",
+            )
+        return None
+
+    async def cancel(self, request_id: str) -> None:
+        """Cancels a request's generation; best effort."""
+        await self._call(
+            "POST",
+            "/v1/cancel",
+            {"request_id": request_id},
+            self._call_timeout_s,
+        )
+
+
+def _incarnation(response: httpcore.Response) -> str:
+    for name, value in response.headers:
+        if name.lower() == INCARNATION_HEADER:
+            return value.decode("latin-1")
+    return "unnamed"
--- /dev/null
+++ b/packages/radishd/src/radishd/process/metrics.py
@@ -0,0 +1,56 @@
+"""The metrics of a process; ``docs/OPERATORS.md`` explains each."""
+
+import aioprometheus
+
+
+class Metrics:
+    """All metrics of one process, in one registry."""
+
+    def __init__(self, **labels: str) -> None:
+        """Registers the metrics.
+
+        Args:
+            **labels: Labels of every sample, for example ``name``.
+        """
+        self.registry = aioprometheus.Registry()
+
+        registry = self.registry
+
+        def counter(name: str, doc: str) -> aioprometheus.Counter:
+            return aioprometheus.Counter(
+                f"radishstack_{name}", doc, labels, registry
+            )
+
+        def gauge(name: str, doc: str) -> aioprometheus.Gauge:
+            return aioprometheus.Gauge(
+                f"radishstack_{name}", doc, labels, registry
+            )
+
+        self.requests = counter("requests_total", "Requests by result code")
+        self.retries = counter("retries_total", "Retries by reason")
+        self.resumes = counter("resumes_total", "Streams resumed after a cut")
+        self.cut = counter("cut_total", "Answers cut short, by reason")
+        self.probes = counter("probes_total", "Probes by outcome")
+        self.loads = counter("loads_total", "Adapter loads by outcome")
+        self.unloads = counter("unloads_total", "Adapter unloads by outcome")
+        self.refusals = counter("refusals_total", "Refusals by code")
+        self.stalled = counter(
+            "stalled_total", "Attempts that waited for a load"
+        )
+        self.stall_ms = counter(
+            "stall_ms_total", "Milliseconds attempts waited for a load"
+        )
+        self.store_calls = counter(
+            "store_calls_total", "Calls of the object API by outcome"
+        )
+        self.control_bytes = counter(
+            "control_bytes_total", "Bytes of probes and digests by direction"
+        )
+        self.version = gauge("config_version", "Configuration version held")
+        self.in_flight = gauge("in_flight", "Requests or runs in flight")
+        self.queued = gauge("queued", "Attempts queued")
+        self.resident = gauge("resident_adapters", "Adapters resident")
+        self.kept_bytes = gauge("kept_bytes", "Bytes of answers kept for keys")
+        self.broken = counter(
+            "invariants_broken_total", "Broken invariants by code"
+        )
--- /dev/null
+++ b/packages/radishd/src/radishd/process/settings.py
@@ -0,0 +1,220 @@
+"""Settings of one process, read from YAML and checked whole."""
+
+import dataclasses
+import enum
+import functools
+import pathlib
+from typing import Annotated
+from typing import Any
+
+import pydantic
+import pydantic.dataclasses
+from radishstack import result
+from radishstack.version import document as document_lib
+import yaml
+
+_settings = functools.partial(
+    pydantic.dataclasses.dataclass,
+    frozen=True,
+    slots=True,
+    kw_only=True,
+    config=pydantic.ConfigDict(extra="forbid"),
+)
+
+Address = document_lib.Address
+Url = Annotated[
+    str, pydantic.Field(pattern=r"^http://\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")
+]
+DurationMs = Annotated[int, pydantic.Field(ge=1, le=3_600_000)]
+Size = Annotated[int, pydantic.Field(ge=1)]
+
+
+class Role(enum.StrEnum):
+    """What a process is."""
+
+    ENTRY = "entry"
+    TARGET = "target"
+
+
+@_settings()
+class PlatformSettings:
+    """Where the platform is.
+
+    Attributes:
+        url: Object API and VM list.
+        call_timeout_ms: Timeout of one call.
+        watch_ms: How long one watch waits.
+        vms_poll_ms: How long one watch of the VM list waits.
+    """
+
+    url: Url
+    call_timeout_ms: DurationMs = 3_000
+    watch_ms: DurationMs = 20_000
+    vms_poll_ms: DurationMs = 5_000
+
+
+@_settings()
+class EntrySettings:
+    """Settings of the entry role.
+
+    Attributes:
+        listen: Where callers connect.
+        admin: Where health, metrics and status are served.
+        control: Where probes and digests are sent from, UDP.
+        max_body_bytes: Largest request body.
+        max_header_bytes: Largest request header section.
+        max_connections: Callers' connections at once.
+        max_in_flight: Requests at once.
+        probe_timeout_ms: How long a probe may take before it is given up.
+        connect_timeout_ms: How long connecting to a target may take.
+        unready_ms: How long a drain keeps serving while it tells the
+            balancer that it is not ready.
+        drain_ms: How long a drain waits for requests in flight.
+    """
+
+    listen: Address = "127.0.0.1:8080"
+    admin: Address = "127.0.0.1:9080"
+    control: Address = "127.0.0.1:7080"
+    max_body_bytes: Size = 4 * 1024 * 1024
+    max_header_bytes: Annotated[int, pydantic.Field(ge=1024, le=65_536)] = (
+        16_384
+    )
+    max_connections: Size = 4_096
+    max_in_flight: Size = 2_048
+    probe_timeout_ms: DurationMs = 40
+    connect_timeout_ms: DurationMs = 500
+    unready_ms: DurationMs = 2_000
+    drain_ms: DurationMs = 30_000
+
+
+@_settings()
+class TargetSettings:
+    """Settings of the target role.
+
+    Attributes:
+        kind: Engine or plain service.
+        listen: Where entry daemons connect, TCP, and probe, UDP.
+        admin: Where health, metrics and status are served.
+        url: The engine or plain service itself.
+        slot_count: Adapter slots of the engine.
+        max_running: Requests the target runs at once.
+        max_queued: Requests queued at most.
+        max_parallel_loads: Loads ordered at once.
+        max_connections: Connections of other processes at once.
+        max_streams: Streams of one connection at once.
+        poll_ms: How often the engine is asked for its state.
+        load_timeout_ms: How long a load may take.
+        run_timeout_ms: How long the target may be silent in an answer.
+        resume_ms: How long a run waits for a reader that was cut off.
+        keep_bytes: Bytes of one answer kept for its key.
+        keep_total_bytes: Bytes of all answers kept for their keys.
+        max_answer_bytes: Largest answer that is not a stream.
+        quarantine_ms: How long after a start unknown keys are not run.
+        site_loads_per_s: The weight store's rate, shared by the site.
+        site_targets: How many target processes share it.
+        drain_ms: How long a drain waits for runs in flight.
+    """
+
+    kind: document_lib.TargetKind
+    listen: Address
+    admin: Address
+    url: Url
+    slot_count: Size = 8
+    max_running: Size = 16
+    max_queued: Size = 512
+    max_parallel_loads: Size = 2
+    max_connections: Size = 1_024
+    max_streams: Size = 4_096
+    poll_ms: DurationMs = 500
+    load_timeout_ms: DurationMs = 30_000
+    run_timeout_ms: DurationMs = 60_000
+    resume_ms: DurationMs = 5_000
+    keep_bytes: Size = 256 * 1024
+    keep_total_bytes: Size = 64 * 1024 * 1024
+    max_answer_bytes: Size = 16 * 1024 * 1024
+    quarantine_ms: Annotated[int, pydantic.Field(ge=0, le=3_600_000)] = (
+        document_lib.DEFAULT_RETRY_WINDOW_MS
+    )
+    site_loads_per_s: Annotated[float, pydantic.Field(gt=0)] = 4.0
+    site_targets: Size = 9
+    drain_ms: DurationMs = 30_000
+
+
+@_settings()
+class Settings:
+    """Settings of one process.
+
+    Attributes:
+        role: Entry or target.
+        name: Name of the VM; for a target also its name in the document.
+        failure_domain: ``region/domain``.
+        platform: Where the platform is.
+        entry: Required for the role entry.
+        target: Required for the role target.
+        log_level: Lowest level that is logged.
+    """
+
+    role: Role
+    name: document_lib.Name
+    failure_domain: Annotated[
+        str, pydantic.Field(pattern=r"^[a-z0-9-]+/[a-z0-9-]+$")
+    ]
+    platform: PlatformSettings
+    entry: EntrySettings | None = None
+    target: TargetSettings | None = None
+    log_level: Annotated[
+        str, pydantic.Field(pattern="^(DEBUG|INFO|WARNING|ERROR)$")
+    ] = "INFO"
+
+
+_SETTINGS = pydantic.TypeAdapter(Settings)
+
+
+def parse(raw: object) -> Settings | tuple[document_lib.Problem, ...]:
+    """Builds settings from plain data.
+
+    Args:
+        raw: What the YAML parser returned.
+
+    Returns:
+        The settings, or every problem with path, value and mend.
+    """
+    try:
+        settings = _SETTINGS.validate_python(raw)
+    except pydantic.ValidationError as error:
+        return document_lib.explain(error)
+    if settings.role is Role.ENTRY and settings.entry is None:
+        return dataclasses.replace(settings, entry=EntrySettings())
+    if settings.role is Role.TARGET and settings.target is None:
+        return (
+            document_lib.Problem(
+                "target", "(missing)", "add the settings of the target role"
+            ),
+        )
+    return settings
+
+
+def read(path: pathlib.Path) -> result.Outcome[Settings]:
+    """Reads a settings file.
+
+    Args:
+        path: The YAML file.
+
+    Returns:
+        The settings, or a failure whose message has a line per problem.
+    """
+    try:
+        raw: Any = yaml.safe_load(path.read_text(encoding="utf-8"))
+    except (OSError, yaml.YAMLError) as error:
+        return result.Failure(result.SETTINGS_INVALID, f"{path}: {error}")
+    settings = parse(raw)
+    if isinstance(settings, tuple):
+        lines = "\n".join(str(problem) for problem in settings)
+        return result.Failure(result.SETTINGS_INVALID, lines)
+    return settings
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Splits ``ip:port``."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- /dev/null
+++ b/packages/radishd/src/radishd/process/store.py
@@ -0,0 +1,324 @@
+"""The platform's object API and VM list, over HTTP."""
+
+import dataclasses
+import json
+import urllib.parse
+
+import anyio
+import httpcore
+from radishstack import result
+from radishstack.version import commit as commit_lib
+from radishstack.version import document as document_lib
+from radishstack.version import holder as holder_lib
+from radishstack.version import publish
+
+from radishd.process import metrics as metrics_lib
+from radishd.process import settings as settings_lib
+
+MS_PER_S = 1000.0
+OK = 200
+NOT_MODIFIED = 304
+NOT_FOUND = 404
+PRECONDITION_FAILED = 412
+TIMEOUT_NAMES = ("connect", "read", "write", "pool")
+NETWORK_ERRORS = (
+    OSError,
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.TimeoutException,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stored:
+    """One object; revision 0 stands for one that does not exist."""
+
+    value: bytes
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Vm:
+    """One VM of the platform's list.
+
+    Attributes:
+        name: Its name, which its processes have in their settings.
+        control: Where it takes datagrams, ``ip:port``.
+        failure_domain: ``region/domain``.
+        leaving: Whether the platform is about to take it away.
+    """
+
+    name: str
+    control: str
+    failure_domain: str
+    leaving: bool
+
+
+ABSENT = Stored(b"", 0)
+UNCHANGED = "unchanged"
+
+
+class Store:
+    """Calls of the platform; every failure is a value."""
+
+    def __init__(
+        self,
+        settings: settings_lib.PlatformSettings,
+        metrics: metrics_lib.Metrics | None = None,
+    ) -> None:
+        """Opens no connection yet."""
+        self._settings = settings
+        self._metrics = metrics
+        self._pool = httpcore.AsyncConnectionPool(max_connections=16)
+
+    async def aclose(self) -> None:
+        """Closes the connections."""
+        await self._pool.aclose()
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        *,
+        headers: dict[str, str] | None = None,
+        body: bytes = b"",
+        wait_ms: int = 0,
+    ) -> result.Outcome[httpcore.Response]:
+        timeout_s = (self._settings.call_timeout_ms + wait_ms) / MS_PER_S
+        timeouts = dict.fromkeys(TIMEOUT_NAMES, timeout_s)
+        try:
+            with anyio.fail_after(timeout_s):
+                response = await self._pool.request(
+                    method,
+                    f"{self._settings.url}{path}",
+                    headers=headers or {},
+                    content=body,
+                    extensions={"timeout": timeouts},
+                )
+        except (*NETWORK_ERRORS, TimeoutError) as error:
+            self._count("lost")
+            return result.Failure(
+                result.STORE_UNAVAILABLE,
+                f"{method} {path}: {type(error).__name__} {error}".rstrip(),
+            )
+        self._count(str(response.status))
+        return response
+
+    def _count(self, outcome: str) -> None:
+        if self._metrics is not None:
+            self._metrics.store_calls.inc({"outcome": outcome})
+
+    async def get(
+        self, name: str, *, watch: int | None = None
+    ) -> result.Outcome[Stored | str]:
+        """Reads an object.
+
+        Args:
+            name: Its name.
+            watch: Wait until its revision differs from this one.
+
+        Returns:
+            The object, ``ABSENT``, or ``UNCHANGED`` after a watch in vain.
+        """
+        path = f"/objects/{urllib.parse.quote(name)}"
+        wait_ms = 0
+        if watch is not None:
+            wait_ms = self._settings.watch_ms
+            path += f"?watch={watch}&timeout_ms={wait_ms}"
+        response = await self._call("GET", path, wait_ms=wait_ms)
+        if isinstance(response, result.Failure):
+            return response
+        if response.status == OK:
+            return Stored(response.content, _revision(response))
+        if response.status == NOT_FOUND:
+            return ABSENT
+        if response.status == NOT_MODIFIED:
+            return UNCHANGED
+        return result.Failure(
+            result.STORE_UNAVAILABLE, f"GET {name}: {response.status}"
+        )
+
+    async def put(
+        self, name: str, value: bytes, *, expected: int | None
+    ) -> publish.Written | publish.Conflicted | publish.Uncertain:
+        """Writes an object.
+
+        Args:
+            name: Its name.
+            value: Its new value.
+            expected: Revision it must still have, 0 to create it, None to
+                write in any case.
+
+        Returns:
+            Whether it took effect, as far as is known.
+        """
+        headers = {}
+        if expected == 0:
+            headers["If-None-Match"] = "*"
+        elif expected is not None:
+            headers["If-Match"] = str(expected)
+        path = f"/objects/{urllib.parse.quote(name)}"
+        response = await self._call("PUT", path, headers=headers, body=value)
+        if isinstance(response, result.Failure):
+            return publish.Uncertain()
+        if response.status == OK:
+            return publish.Written()
+        if response.status == PRECONDITION_FAILED:
+            return publish.Conflicted()
+        return publish.Uncertain()
+
+    async def list_vms(
+        self, *, watch: int | None = None
+    ) -> result.Outcome[tuple[int, tuple[Vm, ...]] | str]:
+        """Reads the platform's list of VMs.
+
+        Args:
+            watch: Wait until the list's revision differs from this one.
+
+        Returns:
+            Revision and VMs, or ``UNCHANGED``.
+        """
+        path, wait_ms = "/vms", 0
+        if watch is not None:
+            wait_ms = self._settings.vms_poll_ms
+            path += f"?watch={watch}&timeout_ms={wait_ms}"
+        response = await self._call("GET", path, wait_ms=wait_ms)
+        if isinstance(response, result.Failure):
+            return response
+        if response.status == NOT_MODIFIED:
+            return UNCHANGED
+        if response.status != OK:
+            return result.Failure(
+                result.STORE_UNAVAILABLE, f"GET /vms: {response.status}"
+            )
+        try:
+            vms = tuple(
+                Vm(
+                    name=str(raw["name"]),
+                    control=str(raw["control"]),
+                    failure_domain=str(raw["failure_domain"]),
+                    leaving=raw.get("state") == "leaving",
+                )
+                for raw in json.loads(response.content)["vms"]
+            )
+        except (ValueError, KeyError, TypeError) as error:
+            return result.Failure(result.STORE_CORRUPT, f"/vms: {error!r}")
+        return _revision(response), vms
+
+
+def _revision(response: httpcore.Response) -> int:
+    for name, value in response.headers:
+        if name.lower() == b"etag":
+            return int(value)
+    return 0
+
+
+async def read_root(
+    store: Store, *, watch: int | None = None
+) -> result.Outcome[tuple[int, commit_lib.Root] | str]:
+    """Reads the configuration's root.
+
+    Args:
+        store: The object API.
+        watch: Wait until its revision differs from this one.
+
+    Returns:
+        Revision and root, or ``UNCHANGED``.
+    """
+    stored = await store.get(commit_lib.ROOT_NAME, watch=watch)
+    if not isinstance(stored, Stored):
+        return stored
+    if stored.revision == 0:
+        return 0, commit_lib.EMPTY_ROOT
+    root = commit_lib.decode_root(stored.value)
+    if isinstance(root, result.Failure):
+        return root
+    return stored.revision, root
+
+
+async def read_commit(
+    store: Store, name: str
+) -> result.Outcome[commit_lib.Commit]:
+    """Reads one commit by its object name."""
+    stored = await store.get(name)
+    if isinstance(stored, result.Failure):
+        return stored
+    if not isinstance(stored, Stored) or stored.revision == 0:
+        return result.Failure(result.STORE_CORRUPT, f"{name} is missing")
+    return commit_lib.decode_commit(stored.value)
+
+
+async def read_snapshot(
+    store: Store, root: commit_lib.Root
+) -> result.Outcome[document_lib.Document]:
+    """Reads the root's snapshot."""
+    parts = []
+    for name in root.snapshot_parts:
+        stored = await store.get(name)
+        if isinstance(stored, result.Failure):
+            return stored
+        if not isinstance(stored, Stored) or stored.revision == 0:
+            return result.Failure(result.STORE_CORRUPT, f"{name} is missing")
+        parts.append(stored.value)
+    return commit_lib.decode_snapshot(parts)
+
+
+async def catch_up(
+    store: Store, held: holder_lib.Held, root: commit_lib.Root
+) -> result.Outcome[holder_lib.Held]:
+    """Reads what is needed to hold the root's version.
+
+    Args:
+        store: The object API.
+        held: What is held.
+        root: What is in force.
+
+    Returns:
+        The root's version, or what was held if that is not older.
+    """
+    while True:
+        plan = holder_lib.plan_catch_up(held, root)
+        if plan is None:
+            return held
+        if isinstance(plan, holder_lib.ReadSnapshot):
+            document = await read_snapshot(store, root)
+            if isinstance(document, result.Failure):
+                return document
+            held = holder_lib.Held(
+                plan.version, root.snapshot_write_id, document
+            )
+            continue
+        for name in plan.names:
+            commit = await read_commit(store, name)
+            if isinstance(commit, result.Failure):
+                return commit
+            followed = holder_lib.follow(held, commit)
+            if isinstance(followed, result.Failure):
+                return followed
+            held = followed
+
+
+async def read_chain(
+    store: Store, write_id: str, *, after: int, limit: int = 100_000
+) -> result.Outcome[tuple[commit_lib.Commit, ...]]:
+    """Walks the commits back from one to a version.
+
+    Args:
+        store: The object API.
+        write_id: Where to start, empty for nothing.
+        after: The version that is not read any more.
+        limit: Commits read at most.
+
+    Returns:
+        The commits after ``after``, oldest first.
+    """
+    commits: list[commit_lib.Commit] = []
+    while write_id and len(commits) < limit:
+        commit = await read_commit(store, commit_lib.commit_name(write_id))
+        if isinstance(commit, result.Failure):
+            return commit
+        if commit.version <= after:
+            break
+        commits.append(commit)
+        write_id = commit.parent_id
+    return tuple(reversed(commits))
--- /dev/null
+++ b/packages/radishd/src/radishd/request/engine_call.py
@@ -0,0 +1,209 @@
+"""One request at the target itself: the engine or the plain service."""
+
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+import contextlib
+import dataclasses
+import json
+
+import httpcore
+from radishstack import attempt as attempt_lib
+from radishstack import result
+
+from radishd.process import store as store_lib
+
+MS_PER_S = 1000.0
+EVENT_STREAM = "text/event-stream"
+DONE_EVENT = b"data: [DONE]"
+EVENT_END = b"\n\n"
+DATA_PREFIX = b"data:"
+OK = 200
+FIRST_SERVER_ERROR = 500
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limits:
+    """Bounds of one call.
+
+    Attributes:
+        silence_ms: How long the target may send nothing.
+        max_answer_bytes: Largest answer that is read whole.
+    """
+
+    silence_ms: int
+    max_answer_bytes: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Head:
+    """Status and content type of an answer."""
+
+    status: int
+    content_type: str
+
+
+Part = Head | bytes | result.Failure
+Report = Callable[[str], bool]
+
+
+async def call(
+    pool: httpcore.AsyncConnectionPool,
+    url: str,
+    attempt: attempt_lib.Attempt,
+    limits: Limits,
+    report: Report,
+) -> AsyncIterator[Part]:
+    """Runs an attempt and yields its answer.
+
+    Args:
+        pool: Connections to the target.
+        url: Its base URL.
+        attempt: What to run.
+        limits: Bounds of the call.
+        report: Told what the engine says it runs on, before any of the
+            answer is passed on; returns whether to go on.
+
+    Yields:
+        The head, then the pieces; a failure ends it early.
+    """
+    timeout_s = limits.silence_ms / MS_PER_S
+    headers = [
+        (b"Content-Type", attempt.content_type.encode("latin-1")),
+        (b"X-Request-Id", attempt.request_id.encode("latin-1")),
+    ]
+    if attempt.key:
+        headers.append((b"Idempotency-Key", attempt.key.encode("latin-1")))
+    try:
+        async with pool.stream(
+            attempt.method,
+            f"{url}{attempt.path}",
+            headers=headers,
+            content=attempt.body,
+            extensions={
+                "timeout": dict.fromkeys(store_lib.TIMEOUT_NAMES, timeout_s)
+            },
+        ) as response:
+            parts = _read(response, attempt, limits, report)
+            async with contextlib.aclosing(parts):
+                async for part in parts:
+                    yield part
+    except store_lib.NETWORK_ERRORS as error:
+        yield result.Failure(
+            result.TARGET_FAILED,
+            f"the target was lost: {type(error).__name__} {error}".rstrip(),
+        )
+
+
+def _content_type(response: httpcore.Response) -> str:
+    for name, value in response.headers:
+        if name.lower() == b"content-type":
+            return value.decode("latin-1")
+    return "application/octet-stream"
+
+
+async def _read(
+    response: httpcore.Response,
+    attempt: attempt_lib.Attempt,
+    limits: Limits,
+    report: Report,
+) -> AsyncIterator[Part]:
+    head = Head(response.status, _content_type(response))
+    if attempt.adapter and head.content_type.startswith(EVENT_STREAM):
+        parts = _read_events(response, head, attempt, report)
+    else:
+        parts = _read_whole(response, head, attempt, limits, report)
+    async with contextlib.aclosing(parts):
+        async for part in parts:
+            yield part
+
+
+async def _read_whole(
+    response: httpcore.Response,
+    head: Head,
+    attempt: attempt_lib.Attempt,
+    limits: Limits,
+    report: Report,
+) -> AsyncIterator[Part]:
+    pieces = []
+    size_bytes = 0
+    async for piece in response.aiter_stream():
+        size_bytes += len(piece)
+        if size_bytes > limits.max_answer_bytes:
+            yield result.Failure(
+                result.TARGET_FAILED,
+                f"the answer is larger than {limits.max_answer_bytes} bytes",
+            )
+            return
+        pieces.append(piece)
+    body = b"".join(pieces)
+    if attempt.adapter:
+        if head.status >= FIRST_SERVER_ERROR:
+            yield result.Failure(
+                result.TARGET_FAILED, f"the engine answered {head.status}"
+            )
+            return
+        if head.status == OK and not report(_model_of(body)):
+            return
+    yield head
+    yield body
+
+
+async def _read_events(
+    response: httpcore.Response,
+    head: Head,
+    attempt: attempt_lib.Attempt,
+    report: Report,
+) -> AsyncIterator[Part]:
+    """Passes events on as they come, whole answers only.
+
+    The first event is parsed and holds the adapter that ran. Later ones are
+    only searched for its name, and parsed where it is missing.
+    """
+    name = json.dumps(attempt.adapter).encode()
+    stream = response.aiter_stream()
+    first = b""
+    async for piece in stream:
+        first += piece
+        if EVENT_END in first:
+            break
+    if not report(_model_of_event(first)):
+        return
+    yield head
+    yield first
+    tail = first[-len(DONE_EVENT) - 8 :]
+    async for piece in stream:
+        if name not in piece and not _same_model(piece, attempt, report):
+            return
+        yield piece
+        tail = (tail + piece)[-len(DONE_EVENT) - 8 :]
+    if DONE_EVENT not in tail:
+        yield result.Failure(
+            result.TARGET_FAILED, "the engine ended the stream in the middle"
+        )
+
+
+def _model_of(body: bytes) -> str:
+    try:
+        value = json.loads(body)
+    except ValueError:
+        return ""
+    return str(value.get("model", "")) if isinstance(value, dict) else ""
+
+
+def _model_of_event(data: bytes) -> str:
+    line = data.partition(EVENT_END)[0].strip()
+    return _model_of(line.removeprefix(DATA_PREFIX))
+
+
+def _same_model(
+    piece: bytes, attempt: attempt_lib.Attempt, report: Report
+) -> bool:
+    """Parses a piece that does not name the adapter literally."""
+    for event in piece.split(EVENT_END):
+        line = event.strip()
+        if not line.startswith(DATA_PREFIX) or line == DONE_EVENT:
+            continue
+        model = _model_of_event(line)
+        if model and model != attempt.adapter:
+            return report(model)
+    return True
--- /dev/null
+++ b/packages/radishd/src/radishd/request/intake.py
@@ -0,0 +1,198 @@
+"""Reading a caller's request: bounded, checked, nothing run yet."""
+
+import dataclasses
+import json
+import secrets
+import urllib.parse
+
+from radishstack import result
+from radishstack.request import resolve
+
+from radishd.process import web
+
+REQUEST_ID_BYTES = 8
+MAX_REQUEST_ID_CHARS = 128
+COMPLETION_PATHS = ("/v1/chat/completions", "/v1/completions")
+SERVICE_PREFIX = "/v1/services/"
+PLAIN_METHODS = ("GET", "POST", "PUT", "PATCH", "DELETE")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Intake:
+    """A caller's request, read whole.
+
+    Attributes:
+        asked: What decides where it goes.
+        method: HTTP method.
+        path: Path and query for the target.
+        content_type: Content type of the body.
+        body: The body.
+        fields: The body's JSON object, empty for a plain service.
+        streams: Whether the caller wants a stream of events.
+    """
+
+    asked: resolve.Asked
+    method: str
+    path: str
+    content_type: str
+    body: bytes
+    fields: dict[str, object]
+    streams: bool
+
+
+def headers_of(scope: web.Scope) -> dict[str, str]:
+    """Returns the request's headers by lower-case name."""
+    return {
+        name.decode("latin-1").lower(): value.decode("latin-1")
+        for name, value in scope["headers"]
+    }
+
+
+def request_id_of(headers: dict[str, str]) -> str:
+    """Returns the caller's request id, or a new one."""
+    given = headers.get("x-request-id", "")
+    if given.isascii() and given.isprintable() and given:
+        return given[:MAX_REQUEST_ID_CHARS]
+    return secrets.token_hex(REQUEST_ID_BYTES)
+
+
+async def read_body(
+    receive: web.Receive, headers: dict[str, str], limit_bytes: int
+) -> result.Outcome[bytes]:
+    """Reads a body of bounded size.
+
+    Args:
+        receive: The ASGI channel.
+        headers: The request's headers.
+        limit_bytes: Largest body.
+
+    Returns:
+        The body, or a failure if it is too large or the caller left.
+    """
+    too_large = result.Failure(
+        result.BODY_TOO_LARGE,
+        f"the body may have at most {limit_bytes} bytes",
+    )
+    length = headers.get("content-length", "0")
+    if length.isdecimal() and int(length) > limit_bytes:
+        return too_large
+    parts = []
+    size_bytes = 0
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            return result.Failure(result.CANCELLED, "the caller has left")
+        part = message.get("body", b"")
+        size_bytes += len(part)
+        if size_bytes > limit_bytes:
+            return too_large
+        parts.append(part)
+        if not message.get("more_body"):
+            return b"".join(parts)
+
+
+def check_route(scope: web.Scope) -> result.Failure | None:
+    """Checks method and path before the body is read."""
+    path, method = scope["path"], scope["method"]
+    if path in COMPLETION_PATHS:
+        return None if method == "POST" else _unsupported(method, "POST")
+    if path == "/v1/models":
+        return None if method == "GET" else _unsupported(method, "GET")
+    if path.startswith(SERVICE_PREFIX):
+        if method in PLAIN_METHODS:
+            return None
+        return _unsupported(method, ", ".join(PLAIN_METHODS))
+    return result.Failure(result.PATH_UNKNOWN, f"there is nothing at {path!r}")
+
+
+def check_headers(scope: web.Scope, limit_bytes: int) -> result.Failure | None:
+    """Checks the size of the header section."""
+    size_bytes = sum(len(name) + len(value) for name, value in scope["headers"])
+    if size_bytes <= limit_bytes:
+        return None
+    return result.Failure(
+        result.HEADERS_TOO_LARGE,
+        f"the headers have {size_bytes} bytes, at most {limit_bytes} are "
+        "allowed",
+    )
+
+
+def _unsupported(method: str, allowed: str) -> result.Failure:
+    return result.Failure(
+        result.METHOD_UNSUPPORTED, f"{method} is not served here; use {allowed}"
+    )
+
+
+def parse(
+    scope: web.Scope, headers: dict[str, str], request_id: str, body: bytes
+) -> result.Outcome[Intake]:
+    """Makes sense of a request whose route is known.
+
+    Args:
+        scope: The ASGI scope.
+        headers: Its headers.
+        request_id: Its id.
+        body: Its body.
+
+    Returns:
+        The request, or what is wrong with it.
+    """
+    model, service, fields, streams = "", "", {}, False
+    path = scope["path"]
+    if path.startswith(SERVICE_PREFIX):
+        service, _, rest = path.removeprefix(SERVICE_PREFIX).partition("/")
+        path = f"/{urllib.parse.quote(rest)}"
+        query = scope["query_string"].decode("latin-1")
+        if query:
+            path = f"{path}?{query}"
+    else:
+        parsed = _parse_completion(body)
+        if isinstance(parsed, result.Failure):
+            return parsed
+        fields = parsed
+        model = fields["model"]
+        streams = fields.get("stream", False) is True
+    asked = resolve.Asked(
+        request_id=request_id,
+        model=model,
+        service=service,
+        key=headers.get("idempotency-key", ""),
+        timeout_text=headers.get("x-request-timeout-ms", ""),
+        headers=headers,
+    )
+    return Intake(
+        asked=asked,
+        method=scope["method"],
+        path=path,
+        content_type=headers.get("content-type", "application/json"),
+        body=body,
+        fields=fields,
+        streams=streams,
+    )
+
+
+def _parse_completion(body: bytes) -> result.Outcome[dict[str, object]]:
+    try:
+        fields = json.loads(body)
+    except (ValueError, RecursionError) as error:
+        return result.Failure(
+            result.BODY_MALFORMED, f"the body is not JSON: {str(error)[:100]}"
+        )
+    if not isinstance(fields, dict):
+        return result.Failure(
+            result.BODY_MALFORMED, "the body must be a JSON object"
+        )
+    if not isinstance(fields.get("model"), str):
+        return result.Failure(
+            result.BODY_MALFORMED,
+            "the body needs a text field model: a service, an adapter or "
+            "adapter@version",
+        )
+    return fields
+
+
+def body_for(intake: Intake, adapter: str) -> bytes:
+    """Returns the body for the target, its model field exact."""
+    if not adapter:
+        return intake.body
+    return json.dumps({**intake.fields, "model": adapter}).encode()
--- /dev/null
+++ b/packages/radishd/src/radishd/target.py
@@ -0,0 +1,616 @@
+"""The target role: the one process that gives its target work and orders."""
+
+import contextlib
+import functools
+import random
+import secrets
+from typing import Any
+
+import anyio
+import anyio.abc
+import httpcore
+from radishstack import attempt as attempt_lib
+from radishstack import invariant
+from radishstack import load as load_lib
+from radishstack import result
+from radishstack import target as target_lib
+from radishstack import target_event as event_lib
+from radishstack.connection import frame
+from radishstack.process import ledger as ledger_lib
+from radishstack.process import load_budget
+from radishstack.version import document as document_lib
+from radishstack.version import holder as holder_lib
+
+from radishd.connection import link as link_lib
+from radishd.connection import listener as listener_lib
+from radishd.process import admin
+from radishd.process import clock
+from radishd.process import configuration as configuration_lib
+from radishd.process import control as control_lib
+from radishd.process import engine as engine_lib
+from radishd.process import logs
+from radishd.process import metrics as metrics_lib
+from radishd.process import settings as settings_lib
+from radishd.process import store as store_lib
+from radishd.process import web
+from radishd.request import engine_call
+from radishd.request import serving as serving_lib
+
+MS_PER_S = 1000.0
+TICK_MS = 50
+SEAL_TIMEOUT_MS = 1_000
+VERSION_WAIT_MS = 1_000
+LOOKS_BEFORE_LOST = 2
+PROCESS_ID_BYTES = 8
+ORDERS_PER_MS = 1_000
+LEAVE_LIST_MS = 1_000
+
+
+class TargetProcess:
+    """Drives the decisions of one target with real sockets and clocks."""
+
+    def __init__(
+        self,
+        settings: settings_lib.Settings,
+        tasks: anyio.abc.TaskGroup,
+        *,
+        metrics: metrics_lib.Metrics,
+        random_source: random.Random,
+    ) -> None:
+        """Builds the process; nothing listens yet.
+
+        Args:
+            settings: Its settings, of the role target.
+            tasks: Where its work runs.
+            metrics: Its metrics.
+            random_source: Its random source.
+        """
+        own = settings.target
+        self.settings = settings
+        self.own = own
+        self.tasks = tasks
+        self.metrics = metrics
+        self.identity = secrets.token_bytes(PROCESS_ID_BYTES)
+        self.configuration = configuration_lib.Configuration()
+        self.store = store_lib.Store(settings.platform, metrics)
+        self.pool = httpcore.AsyncConnectionPool(
+            max_connections=4 * own.max_running + 16,
+            max_keepalive_connections=own.max_running,
+        )
+        self.engine = engine_lib.Engine(
+            self.pool,
+            own.url,
+            load_timeout_ms=own.load_timeout_ms,
+            call_timeout_ms=settings.platform.call_timeout_ms,
+        )
+        self.links = link_lib.Links(
+            tasks, process=self.identity, connect_timeout_ms=500
+        )
+        self.machine = target_lib.Target(
+            target_lib.TargetSettings(
+                name=settings.name,
+                kind=own.kind,
+                slot_count=own.slot_count,
+                max_running=own.max_running,
+                max_queued=own.max_queued,
+                max_parallel_loads=own.max_parallel_loads,
+                quarantine_ms=own.quarantine_ms,
+                # Orders of an earlier process in this slot must be older.
+                first_order=clock.unix_ms() * ORDERS_PER_MS,
+            ),
+            now_ms=clock.now_ms(),
+            random_source=random_source,
+            budget=load_budget.BudgetSettings(
+                site_rate_per_s=own.site_loads_per_s, sharers=own.site_targets
+            ),
+        )
+        self.servings: dict[bytes, serving_lib.Serving] = {}
+        self.owners: dict[bytes, bytes] = {}
+        self.kept_bytes = 0
+        self.seals: dict[int, tuple[Any, int]] = {}
+        self.configuration.listen(self._version_raised)
+
+    def _version_raised(self, held: holder_lib.Held) -> None:
+        self.links.version = held.version
+        self.handle(event_lib.VersionHeld(held))
+
+    def handle(self, event: event_lib.Event) -> None:
+        """Feeds an event to the decisions and performs what they say."""
+        try:
+            actions = self.machine.handle(event, clock.now_ms())
+        except invariant.InvariantBrokenError as error:
+            self.metrics.broken.inc({"code": str(error.code.number)})
+            logs.error("invariant_broken", error.code, detail=error.detail)
+            raise
+        for action in actions:
+            _perform(action, self)
+
+    def load(self, adapter: str = "") -> load_lib.Load:
+        """Returns this target's word on itself."""
+        return self.machine.report(adapter, self.identity, clock.now_ms())
+
+    def submit(
+        self, attempt: attempt_lib.Attempt, reader: serving_lib.ReaderId
+    ) -> None:
+        """Takes an attempt from a connection."""
+        if attempt.attempt_id not in self.owners:
+            keep_bytes = self.own.keep_bytes if attempt.key else 0
+            serving = serving_lib.Serving(keep_bytes=keep_bytes)
+            serving.attach(reader, 0)
+            self.servings[attempt.attempt_id] = serving
+            self.owners[attempt.attempt_id] = attempt.attempt_id
+        if attempt.version > self.configuration.held.version:
+            self.tasks.start_soon(self._submit_later, attempt)
+            return
+        self.handle(event_lib.Submitted(attempt))
+
+    async def _submit_later(self, attempt: attempt_lib.Attempt) -> None:
+        """Waits for the version an attempt was resolved against."""
+        await self.configuration.wait_for(attempt.version, VERSION_WAIT_MS)
+        if attempt.attempt_id in self.servings:
+            self.handle(event_lib.Submitted(attempt))
+
+    def attach(self, body: frame.Attach, reader: serving_lib.ReaderId) -> None:
+        """Resumes a run for a reader whose connection was cut."""
+        owner_id = self.owners.get(body.attempt_id, b"")
+        serving = self.servings.get(owner_id)
+        if serving is None or not serving.attach(reader, body.next_number):
+            failure = result.Failure(
+                result.RUN_UNKNOWN, "this process does not hold that run"
+            )
+            refusal = serving_lib.refusal_of(failure, self.load())
+            reader.writer.write(frame.encode(reader.stream, refusal))
+            return
+        serving.orphaned_at_ms = 0
+        serving.flush(self.load())
+
+    def serving_of(self, attempt_id: bytes) -> serving_lib.Serving | None:
+        """Returns the run that an attempt reads."""
+        return self.servings.get(self.owners.get(attempt_id, b""))
+
+    def reader_left(
+        self, attempt_id: bytes, reader: serving_lib.ReaderId, *, cut: bool
+    ) -> None:
+        """Notes that a reader is gone.
+
+        Args:
+            attempt_id: What it read.
+            reader: The reader.
+            cut: Whether its connection was cut, so that it may come back.
+        """
+        owner_id = self.owners.get(attempt_id, b"")
+        serving = self.servings.get(owner_id)
+        if serving is None:
+            return
+        serving.detach(reader)
+        if serving.run.readers:
+            return
+        if cut:
+            serving.orphaned_at_ms = clock.now_ms()
+        else:
+            self._abandon(owner_id, serving)
+
+    def _abandon(self, owner_id: bytes, serving: serving_lib.Serving) -> None:
+        if serving.run.ended is None:
+            self.handle(event_lib.Cancelled(owner_id))
+        elif not serving.run.keep_bytes:
+            self._drop(owner_id)
+
+    def _drop(self, owner_id: bytes) -> None:
+        serving = self.servings.pop(owner_id, None)
+        self.owners.pop(owner_id, None)
+        if serving is not None and serving.run.keep_bytes:
+            self.kept_bytes -= serving.kept_bytes
+            for alias in [a for a, o in self.owners.items() if o == owner_id]:
+                del self.owners[alias]
+
+    async def run_attempt(
+        self, attempt: attempt_lib.Attempt, serving: serving_lib.Serving
+    ) -> None:
+        """Runs a dispatched attempt to its end."""
+        try:
+            failure: result.Failure | None = None
+            with serving.scope:
+                failure = await self._pump(attempt, serving)
+            if serving.failure is not None:
+                failure = serving.failure
+            serving.run.end(failure)
+            serving.flush(self.load(attempt.adapter))
+        finally:
+            self._run_ended(attempt, serving)
+
+    def _run_ended(
+        self, attempt: attempt_lib.Attempt, serving: serving_lib.Serving
+    ) -> None:
+        failure = serving.run.ended.failure if serving.run.ended else None
+        logs.info(
+            "run_ended",
+            request_id=attempt.request_id,
+            customer=attempt.customer,
+            adapter=attempt.adapter,
+            target=self.settings.name,
+            config_version=attempt.version,
+            code=failure.code.number if failure else 0,
+        )
+        if attempt.key:
+            self._keep(serving)
+        elif not serving.run.readers and not serving.orphaned_at_ms:
+            self._drop(attempt.attempt_id)
+        self.handle(event_lib.RunEnded(attempt.attempt_id))
+
+    def _keep(self, serving: serving_lib.Serving) -> None:
+        """Keeps the answer of a key, within the bound of all kept ones."""
+        serving.kept_bytes = serving.run.bytes_held
+        self.kept_bytes += serving.kept_bytes
+        for other in self.servings.values():
+            if self.kept_bytes <= self.own.keep_total_bytes:
+                return
+            if other.kept_bytes and not other.run.readers:
+                self.kept_bytes -= other.kept_bytes
+                other.kept_bytes = 0
+                other.run.forget_chunks()
+
+    async def _pump(
+        self, attempt: attempt_lib.Attempt, serving: serving_lib.Serving
+    ) -> result.Failure | None:
+        limits = engine_call.Limits(
+            self.own.run_timeout_ms, self.own.max_answer_bytes
+        )
+
+        def report(adapter: str) -> bool:
+            self.handle(event_lib.Reported(attempt.attempt_id, adapter))
+            return serving.failure is None
+
+        parts = engine_call.call(
+            self.pool, self.own.url, attempt, limits, report
+        )
+        load = self.load(attempt.adapter)
+        async with contextlib.aclosing(parts):
+            async for part in parts:
+                match part:
+                    case bytes():
+                        serving.run.append(part)
+                        serving.flush(load)
+                        await serving.wait_for_room()
+                    case engine_call.Head():
+                        serving.run.status = part.status
+                        serving.run.content_type = part.content_type
+                        serving.head_known = True
+                    case result.Failure():
+                        return part
+        return None
+
+    async def run_load(self, action: event_lib.StartLoad) -> None:
+        """Performs a load order and finds out what became of it."""
+        source = self._source_of(action.adapter)
+        failure = await self.engine.load(action.adapter, source, action.order)
+        if failure is not None and await self._is_resident(action):
+            # The answer to the order was lost and the load took effect.
+            failure = None
+        outcome = "failed" if failure else "loaded"
+        self.metrics.loads.inc({"outcome": outcome})
+        if failure is None:
+            self.handle(event_lib.Loaded(action.adapter, action.incarnation))
+            return
+        logs.warn("load_failed", adapter=action.adapter, reason=failure.message)
+        self.handle(
+            event_lib.LoadFailed(
+                action.adapter, action.incarnation, failure.message
+            )
+        )
+
+    async def run_unload(self, action: event_lib.StartUnload) -> None:
+        """Performs an unload order and finds out what became of it."""
+        failure = await self.engine.unload(action.adapter, action.order)
+        if failure is not None and not await self._is_resident(action):
+            failure = None
+        outcome = "failed" if failure else "unloaded"
+        self.metrics.unloads.inc({"outcome": outcome})
+        event_type = (
+            event_lib.Unloaded if failure is None else event_lib.UnloadFailed
+        )
+        self.handle(event_type(action.adapter, action.incarnation))
+
+    async def _is_resident(
+        self, action: event_lib.StartLoad | event_lib.StartUnload
+    ) -> bool:
+        seen = await self.engine.look()
+        if isinstance(seen, result.Failure):
+            return isinstance(action, event_lib.StartUnload)
+        return action.adapter in seen.resident
+
+    def _source_of(self, exact: str) -> str:
+        name, _, version_text = exact.partition("@")
+        adapter = self.configuration.held.document.adapters.get(name)
+        if adapter is None:
+            return ""
+        for entry in adapter.versions:
+            if str(entry.version) == version_text:
+                return entry.source
+        return ""
+
+    async def ask_priors(self, action: event_lib.AskPriors) -> None:
+        """Asks former homes about a key and reports their worst answer."""
+        answers: list[ledger_lib.Sealing] = []
+
+        async def ask(name: str) -> None:
+            answers.append(await self._ask_prior(name, action.key))
+
+        async with anyio.create_task_group() as tasks:
+            for name in action.targets:
+                tasks.start_soon(ask, name)
+        worst = ledger_lib.Sealing.SEALED
+        if ledger_lib.Sealing.RAN in answers:
+            worst = ledger_lib.Sealing.RAN
+        elif ledger_lib.Sealing.UNKNOWN in answers:
+            worst = ledger_lib.Sealing.UNKNOWN
+        self.handle(event_lib.PriorsAnswered(action.attempt_id, worst))
+
+    async def _ask_prior(
+        self, name: str, key: ledger_lib.Key
+    ) -> ledger_lib.Sealing:
+        target = self.configuration.held.document.targets.get(name)
+        if target is None:
+            return ledger_lib.Sealing.UNKNOWN
+        link = await self.links.get(name, target.address)
+        if isinstance(link, result.Failure):
+            return ledger_lib.Sealing.UNKNOWN
+        stream, inbox = link.open()
+        try:
+            link.send(stream, frame.Seal(*key, self.settings.name))
+            with anyio.move_on_after(SEAL_TIMEOUT_MS / MS_PER_S):
+                answer = await inbox.take()
+                if isinstance(answer, frame.Sealed) and answer.answer in (0, 1):
+                    return ledger_lib.Sealing(answer.answer)
+        finally:
+            link.close(stream)
+        return ledger_lib.Sealing.UNKNOWN
+
+    async def watch_engine(self) -> None:
+        """Asks the engine for its state, again and again."""
+        misses = 0
+        while True:
+            asked_at_ms = clock.now_ms()
+            seen = await self.engine.look()
+            if isinstance(seen, result.Failure):
+                misses += 1
+                if misses == LOOKS_BEFORE_LOST:
+                    logs.warn("engine_lost", reason=seen.message)
+                    self.handle(event_lib.EngineLost())
+            else:
+                misses = 0
+                self.handle(
+                    event_lib.EngineSeen(
+                        seen.incarnation, seen.resident, asked_at_ms
+                    )
+                )
+            await anyio.sleep(self.own.poll_ms / MS_PER_S)
+
+    async def tick(self) -> None:
+        """Lets time pass for the decisions."""
+        while True:
+            await anyio.sleep(TICK_MS / MS_PER_S)
+            self.handle(event_lib.Ticked())
+            oldest_ms = clock.now_ms() - self.own.resume_ms
+            for owner_id, serving in list(self.servings.items()):
+                if 0 < serving.orphaned_at_ms < oldest_ms:
+                    serving.orphaned_at_ms = 0
+                    self._abandon(owner_id, serving)
+
+    async def watch_vms(self) -> None:
+        """Learns from the platform's list that this VM leaves."""
+        revision: int | None = None
+        while True:
+            listed = await self.store.list_vms(watch=revision)
+            if isinstance(listed, result.Failure):
+                revision = None
+                await anyio.sleep(LEAVE_LIST_MS / MS_PER_S)
+                continue
+            if isinstance(listed, str):
+                continue
+            revision, vms = listed
+            if any(vm.leaving and vm.name == self.settings.name for vm in vms):
+                self.handle(event_lib.LeavingLearned())
+
+    def ready(self) -> str:
+        """Returns why the process is not ready, empty if it is."""
+        if self.configuration.held.version == 0:
+            return "no configuration yet"
+        if self.machine.leaving:
+            return "leaving"
+        if not self.machine.engine_up:
+            return "the engine does not answer"
+        return ""
+
+    def refresh(self) -> None:
+        """Sets the gauges."""
+        machine = self.machine
+        self.metrics.version.set({}, self.configuration.held.version)
+        self.metrics.in_flight.set({}, len(machine.running))
+        self.metrics.queued.set({}, len(machine.queue))
+        self.metrics.resident.set({}, len(machine.residency.slots))
+        self.metrics.kept_bytes.set({}, self.kept_bytes)
+
+    def status(self) -> dict[str, Any]:
+        """Returns what ``radishctl status`` shows."""
+        machine = self.machine
+        return {
+            "role": "target",
+            "name": self.settings.name,
+            "failure_domain": self.settings.failure_domain,
+            "config_version": self.configuration.held.version,
+            "ready": self.ready() or "ok",
+            "incarnation": machine.residency.incarnation,
+            "queued": len(machine.queue),
+            "running": len(machine.running),
+            "resident": {
+                name: slot.standing.name.lower()
+                for name, slot in sorted(machine.residency.slots.items())
+            },
+            "keys": len(machine.ledger.records),
+        }
+
+    async def drain(self) -> int:
+        """Takes no new work and waits for what runs.
+
+        Returns:
+            How many runs were cut at the limit.
+        """
+        self.handle(event_lib.LeavingLearned())
+        with anyio.move_on_after(self.own.drain_ms / MS_PER_S):
+            while not self.machine.idle or self._unread():
+                await anyio.sleep(TICK_MS / MS_PER_S)
+        for running in self.machine.running.values():
+            self.metrics.cut.inc({"reason": "drain"})
+            logs.error(
+                "run_cut",
+                result.CUT_AT_SHUTDOWN,
+                request_id=running.attempt.request_id,
+                adapter=running.attempt.adapter,
+            )
+        return len(self.machine.running)
+
+    def _unread(self) -> bool:
+        return any(
+            serving.run.readers or serving.orphaned_at_ms
+            for serving in self.servings.values()
+        )
+
+
+@functools.singledispatch
+def _perform(action: object, process: TargetProcess) -> None:
+    raise TypeError(f"unknown action {action!r}")
+
+
+@_perform.register
+def _dispatch(action: event_lib.Dispatch, process: TargetProcess) -> None:
+    serving = process.servings[action.attempt.attempt_id]
+    serving.dispatched = True
+    process.tasks.start_soon(process.run_attempt, action.attempt, serving)
+
+
+@_perform.register
+def _refuse(action: event_lib.Refuse, process: TargetProcess) -> None:
+    process.metrics.refusals.inc({"code": str(action.failure.code.number)})
+    serving = process.servings.get(action.attempt_id)
+    if serving is not None:
+        serving.refuse(action.failure, process.load())
+    process._drop(action.attempt_id)
+
+
+@_perform.register
+def _join(action: event_lib.Join, process: TargetProcess) -> None:
+    if action.attempt_id == action.owner_id:
+        return
+    own = process.servings.pop(action.attempt_id, None)
+    owner = process.servings.get(action.owner_id)
+    if own is None:
+        return
+    if owner is None or not owner.run.whole:
+        failure = result.Failure(
+            result.ANSWER_NOT_KEPT,
+            "this key ran, and its answer was too large to keep",
+        )
+        own.refuse(failure, process.load())
+        process.owners.pop(action.attempt_id, None)
+        return
+    process.owners[action.attempt_id] = action.owner_id
+    for reader in list(own.run.readers):
+        owner.attach(reader, 0)
+    owner.flush(process.load())
+
+
+@_perform.register
+def _ask_priors(action: event_lib.AskPriors, process: TargetProcess) -> None:
+    process.tasks.start_soon(process.ask_priors, action)
+
+
+@_perform.register
+def _answer_seal(action: event_lib.AnswerSeal, process: TargetProcess) -> None:
+    writer, stream = process.seals.pop(action.seal_id)
+    writer.write(frame.encode(stream, frame.Sealed(int(action.answer))))
+
+
+@_perform.register
+def _start_load(action: event_lib.StartLoad, process: TargetProcess) -> None:
+    process.tasks.start_soon(process.run_load, action)
+
+
+@_perform.register
+def _start_unload(
+    action: event_lib.StartUnload, process: TargetProcess
+) -> None:
+    process.tasks.start_soon(process.run_unload, action)
+
+
+@_perform.register
+def _abort(action: event_lib.Abort, process: TargetProcess) -> None:
+    serving = process.servings.get(action.attempt_id)
+    if serving is not None:
+        serving.failure = action.failure
+        serving.scope.cancel()
+
+
+@_perform.register
+def _forget(action: event_lib.Forget, process: TargetProcess) -> None:
+    for attempt_id in action.attempt_ids:
+        process._drop(attempt_id)
+
+
+async def run(
+    settings: settings_lib.Settings,
+    *,
+    stop: anyio.Event,
+    random_source: random.Random | None = None,
+    task_status: anyio.abc.TaskStatus[TargetProcess] = (
+        anyio.TASK_STATUS_IGNORED
+    ),
+) -> None:
+    """Runs a target process until it is told to stop, then drains it.
+
+    Args:
+        settings: Its settings.
+        stop: Set to start the drain.
+        random_source: Its random source.
+        task_status: Given the process once it listens.
+    """
+    own = settings.target
+    metrics = metrics_lib.Metrics(name=settings.name)
+    async with anyio.create_task_group() as tasks:
+        process = TargetProcess(
+            settings,
+            tasks,
+            metrics=metrics,
+            random_source=random_source or random.Random(),
+        )
+        control = await control_lib.open_control(own.listen, metrics)
+        control.on_probe = lambda probe: process.load(probe.adapter)
+        tasks.start_soon(control.run)
+        tasks.start_soon(
+            configuration_lib.follow,
+            process.configuration,
+            process.store,
+            random.Random(),
+        )
+        tasks.start_soon(process.tick)
+        tasks.start_soon(process.watch_vms)
+        if own.kind is document_lib.TargetKind.ENGINE:
+            tasks.start_soon(process.watch_engine)
+        app = admin.make_app(
+            metrics,
+            ready=process.ready,
+            status=process.status,
+            refresh=process.refresh,
+        )
+        server = web.make_server(app, *settings_lib.split_address(own.admin))
+        await tasks.start(functools.partial(web.serve, server))
+        await tasks.start(listener_lib.listen, process)
+        logs.info("listening", role="target", address=own.listen)
+        task_status.started(process)
+        await stop.wait()
+        cut = await process.drain()
+        logs.info("drained", cut=cut)
+        tasks.cancel_scope.cancel()
+    with anyio.CancelScope(shield=True):
+        await process.store.aclose()
+        await process.pool.aclose()
--- /dev/null
+++ b/packages/radishstack/src/radishstack/process/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one process."""
--- /dev/null
+++ b/packages/radishstack/src/radishstack/process/fair_queue.py
@@ -0,0 +1,160 @@
+"""The queue of a target: priority classes, fair shares, deadlines."""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import dataclasses
+
+AGING_MS = 10_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Waiting:
+    """One queued attempt.
+
+    Attributes:
+        attempt_id: The attempt.
+        customer: Whose it is.
+        share: The customer's weight.
+        service: Service name, for its bound.
+        rank: Priority class, 0 the most urgent.
+        stall_weight: How much a load stall matters to it, 0 to 1.
+        adapter: What it needs, empty for a plain service.
+        enqueued_at_ms: Since when it waits.
+        deadline_at_ms: When its caller stops waiting.
+    """
+
+    attempt_id: bytes
+    customer: str
+    share: float
+    service: str
+    rank: int
+    stall_weight: float
+    adapter: str
+    enqueued_at_ms: int
+    deadline_at_ms: int
+
+
+class FairQueue:
+    """Start-time fair queueing between customers, within priority classes.
+
+    Each customer has a virtual time that grows by the work it was given over
+    its share; the customer furthest behind goes next. One customer's flood
+    then lengthens its own queue and nobody else's.
+    """
+
+    def __init__(self) -> None:
+        """Starts empty."""
+        self._entries: dict[bytes, Waiting] = {}
+        self._by_customer: dict[str, dict[bytes, Waiting]] = {}
+        self._by_service: dict[str, int] = {}
+        self._by_adapter: dict[str, dict[bytes, Waiting]] = {}
+        self._virtual: dict[str, float] = {}
+        self._floor = 0.0
+
+    def __len__(self) -> int:
+        """How many attempts wait."""
+        return len(self._entries)
+
+    def __contains__(self, attempt_id: bytes) -> bool:
+        """Whether an attempt waits."""
+        return attempt_id in self._entries
+
+    def __iter__(self) -> Iterator[Waiting]:
+        """Iterates over all that wait, oldest first."""
+        return iter(tuple(self._entries.values()))
+
+    def count_customer(self, customer: str) -> int:
+        """Returns how many attempts of a customer wait."""
+        return len(self._by_customer.get(customer, ()))
+
+    def count_service(self, service: str) -> int:
+        """Returns how many attempts of a service wait."""
+        return self._by_service.get(service, 0)
+
+    def waiting_for(self, adapter: str) -> tuple[Waiting, ...]:
+        """Returns the attempts that wait for an adapter, oldest first."""
+        return tuple(self._by_adapter.get(adapter, {}).values())
+
+    def adapters(self) -> tuple[str, ...]:
+        """Returns the adapters that attempts wait for."""
+        return tuple(adapter for adapter in self._by_adapter if adapter)
+
+    def push(self, waiting: Waiting) -> None:
+        """Adds an attempt."""
+        customer = waiting.customer
+        own = self._by_customer.setdefault(customer, {})
+        if not own:
+            # A customer that comes back from idleness starts level with the
+            # others instead of spending all the turns it never asked for.
+            behind = self._virtual.get(customer, 0.0)
+            self._virtual[customer] = max(behind, self._floor)
+        own[waiting.attempt_id] = waiting
+        self._entries[waiting.attempt_id] = waiting
+        self._by_service[waiting.service] = (
+            self.count_service(waiting.service) + 1
+        )
+        by_adapter = self._by_adapter.setdefault(waiting.adapter, {})
+        by_adapter[waiting.attempt_id] = waiting
+
+    def remove(self, attempt_id: bytes) -> Waiting | None:
+        """Takes an attempt out without giving it a turn."""
+        waiting = self._entries.pop(attempt_id, None)
+        if waiting is None:
+            return None
+        del self._by_customer[waiting.customer][attempt_id]
+        if not self._by_customer[waiting.customer]:
+            del self._by_customer[waiting.customer]
+        self._by_service[waiting.service] -= 1
+        by_adapter = self._by_adapter[waiting.adapter]
+        del by_adapter[attempt_id]
+        if not by_adapter:
+            del self._by_adapter[waiting.adapter]
+        return waiting
+
+    def pop(
+        self, can_run: Callable[[Waiting], bool], now_ms: int
+    ) -> Waiting | None:
+        """Gives the next turn.
+
+        Args:
+            can_run: Whether an attempt could be dispatched now.
+            now_ms: Now; waiting raises the class step by step, so that no
+                class starves.
+
+        Returns:
+            The attempt whose turn it is, or None if none can run.
+        """
+        best: Waiting | None = None
+        best_order: tuple[int, float, int] | None = None
+        for customer, own in self._by_customer.items():
+            for waiting in own.values():
+                order = (
+                    effective_rank(waiting, now_ms),
+                    self._virtual[customer],
+                    waiting.enqueued_at_ms,
+                )
+                if best_order is not None and order >= best_order:
+                    continue
+                if can_run(waiting):
+                    best, best_order = waiting, order
+        if best is None:
+            return None
+        self.remove(best.attempt_id)
+        self._floor = max(self._floor, self._virtual[best.customer])
+        self._virtual[best.customer] += 1.0 / best.share
+        if len(self._virtual) > 4 * len(self._by_customer) + 64:
+            self._forget_idle()
+        return best
+
+    def _forget_idle(self) -> None:
+        self._virtual = {
+            customer: value
+            for customer, value in self._virtual.items()
+            if customer in self._by_customer or value > self._floor
+        }
+
+
+def effective_rank(waiting: Waiting, now_ms: int) -> int:
+    """Returns the class of an attempt after what it has waited."""
+    waited_ms = now_ms - waiting.enqueued_at_ms
+    return max(0, waiting.rank - waited_ms // AGING_MS)
--- /dev/null
+++ b/packages/radishstack/src/radishstack/process/ledger.py
@@ -0,0 +1,258 @@
+"""Which idempotency keys have run here: at most once, in memory.
+
+A key has one home among the configured targets, and its home alone may run
+it. What the home cannot know, after a restart or from a former home that
+does not answer, is answered as unknown and never run.
+"""
+
+import dataclasses
+import enum
+
+from radishstack import invariant
+from radishstack import result
+
+MAX_RECORDS = 100_000
+SEAL_EXTRA_MS = 600_000
+
+Key = tuple[str, str]
+
+
+class KeyState(enum.Enum):
+    """What the ledger knows of a key."""
+
+    ASKING = "asking"
+    QUEUED = "queued"
+    STARTED = "started"
+    ENDED = "ended"
+    REFUSED = "refused"
+    SEALED = "sealed"
+
+
+class Sealing(enum.IntEnum):
+    """The answer to a seal request; the number goes on the wire."""
+
+    SEALED = 0
+    RAN = 1
+    UNKNOWN = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Record:
+    """One key.
+
+    Attributes:
+        state: What is known.
+        digest: Digest of the body it was used with.
+        attempt_id: The attempt that owns it.
+        at_ms: Since when it is in this state.
+        keep_until_ms: When it may be forgotten, once it is at rest.
+        sealed_for: Target that asked for a seal.
+        window_ms: How long it is remembered after it ended.
+    """
+
+    state: KeyState
+    digest: bytes
+    attempt_id: bytes
+    at_ms: int
+    keep_until_ms: int = 0
+    sealed_for: str = ""
+    window_ms: int = 0
+
+
+class Verdict(enum.Enum):
+    """What to do with a submission of a key."""
+
+    CLAIM = "claim"
+    JOIN = "join"
+    REUSED = "reused"
+    QUARANTINED = "quarantined"
+    LATE = "late"
+    FULL = "full"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Judgement:
+    """A verdict with the record it rests on."""
+
+    verdict: Verdict
+    record: Record | None = None
+
+
+_AT_REST = (KeyState.ENDED, KeyState.REFUSED, KeyState.SEALED)
+_MAY_CLAIM = (KeyState.REFUSED, KeyState.SEALED)
+
+
+class Ledger:
+    """The keys of one target process."""
+
+    def __init__(
+        self, *, quarantine_until_ms: int, max_records: int = MAX_RECORDS
+    ) -> None:
+        """Starts empty.
+
+        Args:
+            quarantine_until_ms: Until when a key without a record may have
+                run before this process started.
+            max_records: Bound on records; above it new keys are refused,
+                since forgetting one early could run it twice.
+        """
+        self.quarantine_until_ms = quarantine_until_ms
+        self.max_records = max_records
+        self.records: dict[Key, Record] = {}
+        self._starts: dict[Key, int] = {}
+
+    def judge(
+        self, key: Key, *, digest: bytes, accepted_at_ms: int, now_ms: int
+    ) -> Judgement:
+        """Decides on a submission, without changing anything.
+
+        Args:
+            key: Service and idempotency key.
+            digest: Digest of its body.
+            accepted_at_ms: When the entry accepted it, on this clock.
+            now_ms: Now.
+
+        Returns:
+            The judgement.
+        """
+        record = self.records.get(key)
+        if record is None:
+            if now_ms < self.quarantine_until_ms:
+                return Judgement(Verdict.QUARANTINED)
+            if len(self.records) >= self.max_records:
+                return Judgement(Verdict.FULL)
+            return Judgement(Verdict.CLAIM)
+        if record.state is KeyState.SEALED:
+            return Judgement(Verdict.CLAIM, record)
+        if record.state is KeyState.REFUSED:
+            # A caller was told that the key did not run. A copy that was
+            # accepted before that, and arrives late, would make it a lie.
+            if accepted_at_ms <= record.at_ms:
+                return Judgement(Verdict.LATE, record)
+            return Judgement(Verdict.CLAIM, record)
+        if record.digest != digest:
+            return Judgement(Verdict.REUSED, record)
+        return Judgement(Verdict.JOIN, record)
+
+    def claim(
+        self,
+        key: Key,
+        *,
+        state: KeyState,
+        attempt_id: bytes,
+        digest: bytes,
+        window_ms: int,
+        now_ms: int,
+    ) -> None:
+        """Gives a key to an attempt, asking or queued."""
+        record = self.records.get(key)
+        own = record is not None and record.attempt_id == attempt_id
+        invariant.require(
+            record is None or own or record.state in _MAY_CLAIM,
+            result.DISPATCHED_TWICE,
+            f"claim of {key} in state {record.state if record else None}",
+        )
+        self.records[key] = Record(
+            state, digest, attempt_id, now_ms, window_ms=window_ms
+        )
+
+    def start(self, key: Key, attempt_id: bytes, now_ms: int) -> None:
+        """Marks a key as started, right before its dispatch."""
+        record = self.records.get(key)
+        invariant.require(
+            record is not None and record.attempt_id == attempt_id,
+            result.DISPATCHED_TWICE,
+            f"start of {key} by an attempt that does not own it",
+        )
+        invariant.require(
+            record.state is KeyState.QUEUED,
+            result.REFUSED_AND_RUN
+            if record.state is KeyState.REFUSED
+            else result.DISPATCHED_TWICE,
+            f"start of {key} in state {record.state}",
+        )
+        self._starts[key] = self._starts.get(key, 0) + 1
+        invariant.require(
+            self._starts[key] <= 1,
+            result.DISPATCHED_TWICE,
+            f"{key} started {self._starts[key]} times",
+        )
+        self.records[key] = dataclasses.replace(
+            record, state=KeyState.STARTED, at_ms=now_ms
+        )
+
+    def end(self, key: Key, now_ms: int) -> None:
+        """Marks a key as ended and keeps it for its retry window."""
+        record = self.records[key]
+        self.records[key] = dataclasses.replace(
+            record,
+            state=KeyState.ENDED,
+            at_ms=now_ms,
+            keep_until_ms=now_ms + record.window_ms,
+        )
+
+    def refuse(self, key: Key, now_ms: int) -> None:
+        """Marks a claimed key as not run; a later submission may run."""
+        record = self.records[key]
+        invariant.require(
+            record.state in (KeyState.ASKING, KeyState.QUEUED),
+            result.REFUSED_AND_RUN,
+            f"refusal of {key} in state {record.state}",
+        )
+        self.records[key] = dataclasses.replace(
+            record,
+            state=KeyState.REFUSED,
+            at_ms=now_ms,
+            keep_until_ms=now_ms + record.window_ms,
+        )
+
+    def seal(
+        self, key: Key, *, asker: str, window_ms: int, now_ms: int
+    ) -> Sealing:
+        """Answers a new home that wants to run a key.
+
+        Once this says ``SEALED`` the key cannot start here before the asker
+        itself has been asked.
+
+        Args:
+            key: Service and idempotency key.
+            asker: The target that wants to run it.
+            window_ms: The service's retry window.
+            now_ms: Now.
+
+        Returns:
+            Whether it is sealed, ran here, or cannot be known.
+        """
+        record = self.records.get(key)
+        if record is None and now_ms < self.quarantine_until_ms:
+            return Sealing.UNKNOWN
+        if record is not None:
+            if record.state in (KeyState.STARTED, KeyState.ENDED):
+                return Sealing.RAN
+            if record.state in (KeyState.ASKING, KeyState.QUEUED):
+                return Sealing.UNKNOWN
+        self.records[key] = Record(
+            KeyState.SEALED,
+            b"",
+            b"",
+            now_ms,
+            keep_until_ms=now_ms + window_ms + SEAL_EXTRA_MS,
+            sealed_for=asker,
+        )
+        return Sealing.SEALED
+
+    def expire(self, now_ms: int) -> list[bytes]:
+        """Forgets keys at rest whose time is over.
+
+        Returns:
+            The attempts whose kept answers may go with them.
+        """
+        over = [
+            (key, record)
+            for key, record in self.records.items()
+            if record.state in _AT_REST and record.keep_until_ms <= now_ms
+        ]
+        for key, _ in over:
+            del self.records[key]
+            self._starts.pop(key, None)
+        return [record.attempt_id for _, record in over if record.attempt_id]
--- /dev/null
+++ b/packages/radishstack/src/radishstack/process/popularity.py
@@ -0,0 +1,45 @@
+"""How often adapters are asked for, with exponential decay."""
+
+import math
+
+DEFAULT_HALF_LIFE_MS = 60_000
+FORGET_BELOW = 0.01
+SWEEP_ABOVE = 4_096
+
+
+class Popularity:
+    """Decayed counts of requests by adapter."""
+
+    __slots__ = ("_decay_per_ms", "_heat")
+
+    def __init__(self, half_life_ms: int = DEFAULT_HALF_LIFE_MS) -> None:
+        """Starts with no counts.
+
+        Args:
+            half_life_ms: After how long a count is worth half.
+        """
+        self._decay_per_ms = math.log(2) / half_life_ms
+        self._heat: dict[str, tuple[float, int]] = {}
+
+    def touch(self, adapter: str, now_ms: int) -> None:
+        """Counts one request."""
+        self._heat[adapter] = (self.heat(adapter, now_ms) + 1.0, now_ms)
+        if len(self._heat) > SWEEP_ABOVE:
+            self._sweep(now_ms)
+
+    def heat(self, adapter: str, now_ms: int) -> float:
+        """Returns the decayed count of an adapter."""
+        entry = self._heat.get(adapter)
+        if entry is None:
+            return 0.0
+        value, at_ms = entry
+        return value * math.exp((at_ms - now_ms) * self._decay_per_ms)
+
+    def _sweep(self, now_ms: int) -> None:
+        cold = [
+            adapter
+            for adapter in self._heat
+            if self.heat(adapter, now_ms) < FORGET_BELOW
+        ]
+        for adapter in cold:
+            del self._heat[adapter]
--- /dev/null
+++ b/packages/radishstack/src/radishstack/process/residency.py
@@ -0,0 +1,235 @@
+"""Which adapters an engine holds, and who is served by them.
+
+The target process is the only one that gives its engine orders, so this is
+the truth about it, but for what the engine does on its own: it restarts
+cold, loads fail, answers to orders are lost. ``reconcile`` takes the engine's
+own list against that.
+"""
+
+import dataclasses
+import enum
+
+from radishstack import invariant
+from radishstack import result
+
+BACKOFF_FIRST_MS = 500
+BACKOFF_MAX_MS = 30_000
+LOAD_ESTIMATE_FIRST_MS = 500
+LOAD_ESTIMATE_WEIGHT = 0.3
+
+
+class Standing(enum.IntEnum):
+    """Where an adapter stands at a target; the number goes on the wire."""
+
+    ABSENT = 0
+    LOADING = 1
+    RESIDENT = 2
+    CLOSING = 3
+    FAILED = 4
+
+
+@dataclasses.dataclass(slots=True)
+class Slot:
+    """One occupied adapter slot.
+
+    Attributes:
+        standing: Loading, resident or closing.
+        since_ms: Since when.
+        grants: Attempts that run on it, from dispatch to last byte.
+        order: Fencing number of the order that led here.
+    """
+
+    standing: Standing
+    since_ms: int
+    grants: int = 0
+    order: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Grant:
+    """The right to run on an adapter; void once the engine restarts."""
+
+    adapter: str
+    incarnation: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Backoff:
+    """Failed loads of an adapter in a row, and until when none is tried."""
+
+    failures: int
+    until_ms: int
+
+
+class Residency:
+    """The adapter slots of one engine."""
+
+    def __init__(self, slot_count: int) -> None:
+        """Starts with an engine that has not been seen.
+
+        Args:
+            slot_count: How many adapters the engine holds at most.
+        """
+        self.slot_count = slot_count
+        self.incarnation = ""
+        self.slots: dict[str, Slot] = {}
+        self.backoffs: dict[str, Backoff] = {}
+        self.load_estimate_ms = float(LOAD_ESTIMATE_FIRST_MS)
+        self.order = 0
+
+    def standing(self, adapter: str, now_ms: int) -> Standing:
+        """Returns where an adapter stands."""
+        slot = self.slots.get(adapter)
+        if slot is not None:
+            return slot.standing
+        backoff = self.backoffs.get(adapter)
+        if backoff is not None and now_ms < backoff.until_ms:
+            return Standing.FAILED
+        return Standing.ABSENT
+
+    def grant(self, adapter: str) -> Grant:
+        """Grants a place on a resident adapter.
+
+        Args:
+            adapter: ``name@version``.
+
+        Returns:
+            The grant, to be released exactly once.
+        """
+        slot = self.slots.get(adapter)
+        invariant.require(
+            slot is not None and slot.standing is Standing.RESIDENT,
+            result.DISPATCH_WRONG_ADAPTER,
+            f"{adapter} is not resident",
+        )
+        slot.grants += 1
+        return Grant(adapter, self.incarnation)
+
+    def release(self, grant: Grant) -> None:
+        """Releases a grant; one of an earlier incarnation is void already."""
+        if grant.incarnation != self.incarnation:
+            return
+        slot = self.slots.get(grant.adapter)
+        invariant.require(
+            slot is not None and slot.grants > 0,
+            result.GRANT_MISCOUNTED,
+            f"release of {grant.adapter} without a grant",
+        )
+        slot.grants -= 1
+
+    def free_slots(self) -> int:
+        """Returns how many slots are empty."""
+        return self.slot_count - len(self.slots)
+
+    def loading_count(self) -> int:
+        """Returns how many loads are under way."""
+        return sum(
+            slot.standing is Standing.LOADING for slot in self.slots.values()
+        )
+
+    def begin_load(self, adapter: str, now_ms: int) -> int:
+        """Takes a slot for a load.
+
+        Returns:
+            The fencing number of the order.
+        """
+        invariant.require(
+            adapter not in self.slots and self.free_slots() > 0,
+            result.GRANT_MISCOUNTED,
+            f"no slot to load {adapter} into",
+        )
+        self.order += 1
+        self.slots[adapter] = Slot(Standing.LOADING, now_ms, order=self.order)
+        return self.order
+
+    def loaded(self, adapter: str, now_ms: int) -> None:
+        """Takes the engine's word that a load is done."""
+        slot = self.slots.get(adapter)
+        if slot is None or slot.standing is not Standing.LOADING:
+            return
+        took_ms = now_ms - slot.since_ms
+        self.load_estimate_ms += LOAD_ESTIMATE_WEIGHT * (
+            took_ms - self.load_estimate_ms
+        )
+        slot.standing = Standing.RESIDENT
+        slot.since_ms = now_ms
+        self.backoffs.pop(adapter, None)
+
+    def load_failed(self, adapter: str, now_ms: int) -> Backoff:
+        """Frees the slot of a failed load and backs off.
+
+        Returns:
+            The backoff; without it a broken adapter would eat the load
+            budget of all others.
+        """
+        slot = self.slots.get(adapter)
+        if slot is not None and slot.standing is Standing.LOADING:
+            del self.slots[adapter]
+        failures = self.backoffs.get(adapter, Backoff(0, 0)).failures + 1
+        pause_ms = min(BACKOFF_FIRST_MS * 2 ** (failures - 1), BACKOFF_MAX_MS)
+        backoff = Backoff(failures, now_ms + pause_ms)
+        self.backoffs[adapter] = backoff
+        return backoff
+
+    def close(self, adapter: str, now_ms: int) -> int:
+        """Closes an idle adapter to grants; its unload order comes next.
+
+        Returns:
+            The fencing number of the unload order.
+        """
+        slot = self.slots.get(adapter)
+        invariant.require(
+            slot is not None
+            and slot.standing is Standing.RESIDENT
+            and slot.grants == 0,
+            result.UNLOAD_WHILE_SERVING,
+            f"unload of {adapter} with {slot.grants if slot else 'no'} grants",
+        )
+        self.order += 1
+        slot.standing = Standing.CLOSING
+        slot.since_ms = now_ms
+        slot.order = self.order
+        return self.order
+
+    def unloaded(self, adapter: str) -> None:
+        """Takes the engine's word that an unload is done."""
+        slot = self.slots.get(adapter)
+        if slot is not None and slot.standing is Standing.CLOSING:
+            del self.slots[adapter]
+
+    def unload_failed(self, adapter: str, now_ms: int) -> None:
+        """Opens an adapter again whose unload order was refused."""
+        slot = self.slots.get(adapter)
+        if slot is not None and slot.standing is Standing.CLOSING:
+            slot.standing = Standing.RESIDENT
+            slot.since_ms = now_ms
+
+    def restart(self, incarnation: str, now_ms: int) -> None:
+        """Voids everything: the engine runs anew, with nothing loaded."""
+        del now_ms
+        self.incarnation = incarnation
+        self.slots.clear()
+
+    def reconcile(self, resident: frozenset[str], now_ms: int) -> list[str]:
+        """Takes the engine's own list of resident adapters.
+
+        An order's answer can be lost, and a load can finish after it was
+        given up; then the engine and this table differ. Adapters with orders
+        under way are left to those.
+
+        Args:
+            resident: What the engine says it holds.
+            now_ms: Now.
+
+        Returns:
+            Adapters that were thought resident and are not.
+        """
+        lost = []
+        for adapter, slot in list(self.slots.items()):
+            if slot.standing is Standing.RESIDENT and adapter not in resident:
+                del self.slots[adapter]
+                lost.append(adapter)
+        for adapter in sorted(resident):
+            if adapter not in self.slots and self.free_slots() > 0:
+                self.slots[adapter] = Slot(Standing.RESIDENT, now_ms)
+        return lost
--- /dev/null
+++ b/packages/radishstack/src/radishstack/request/exchange.py
@@ -0,0 +1,397 @@
+"""One caller's request at an entry daemon, from its tries to its answer.
+
+Which reply is right depends on what is proven. A refusal by a target process
+proves that the attempt did not run; a connection that never opened proves it
+too; a lost connection proves nothing.
+"""
+
+import dataclasses
+import functools
+
+from radishstack import invariant
+from radishstack import result
+from radishstack.process import retry_budget
+from radishstack.request import resolve
+from radishstack.request import sequence
+
+MAX_TRIES = 4
+MAX_RESUMES = 8
+RETRY_SOON_MS = 500
+MIN_LEFT_MS = 5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refused:
+    """The target process refused the attempt."""
+
+    failure: result.Failure
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unsent:
+    """No connection to the target process could be opened."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lost:
+    """The connection was cut after the attempt was sent."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Started:
+    """The target answered; its chunks follow."""
+
+    status: int
+    content_type: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Arrived:
+    """A chunk has come."""
+
+    number: int
+    payload: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndArrived:
+    """The explicit end has come."""
+
+    total: int
+    failure: result.Failure | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Expired:
+    """The caller's deadline has passed."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerLeft:
+    """The caller has closed its connection."""
+
+
+Event = (
+    Refused
+    | Unsent
+    | Lost
+    | Started
+    | Arrived
+    | EndArrived
+    | Expired
+    | CallerLeft
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Send:
+    """Submit a new attempt to a target."""
+
+    target: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Resume:
+    """Attach to the same attempt again, from a chunk on."""
+
+    target: str
+    next_number: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rehome:
+    """Find the home of the key in a newer version and call ``rehomed``."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ForwardHead:
+    """Send the caller the status line and headers."""
+
+    status: int
+    content_type: str
+    target: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Forward:
+    """Send the caller a piece of the answer."""
+
+    payload: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Finish:
+    """The answer is whole."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """Answer the caller with a failure; in mid-answer, end it as cut."""
+
+    failure: result.Failure
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CancelAttempt:
+    """Tell the target process that nobody reads any more."""
+
+
+Action = (
+    Send
+    | Resume
+    | Rehome
+    | ForwardHead
+    | Forward
+    | Finish
+    | Reply
+    | CancelAttempt
+)
+Actions = list[Action]
+
+
+class Exchange:
+    """The state of one request."""
+
+    def __init__(
+        self,
+        resolution: resolve.Resolution,
+        candidates: list[str],
+        budget: retry_budget.RetryBudget,
+        *,
+        deadline_at_ms: int,
+    ) -> None:
+        """Starts a request.
+
+        Args:
+            resolution: What it asks for.
+            candidates: Targets to try, the best first.
+            budget: The daemon's retries.
+            deadline_at_ms: When the caller stops waiting.
+        """
+        self.resolution = resolution
+        self.untried = list(candidates)
+        self.budget = budget
+        self.deadline_at_ms = deadline_at_ms
+        self.target = ""
+        self.tries = 0
+        self.resumes = 0
+        self.rehomes = 0
+        self.head_sent = False
+        self.done = False
+        self.sequence = sequence.Sequence()
+        self.last_failure: result.Failure | None = None
+
+    @property
+    def keyed(self) -> bool:
+        """Whether it may run at most once."""
+        return bool(self.resolution.key)
+
+    def start(self) -> Actions:
+        """Returns the first actions."""
+        self.budget.earn()
+        return self._try_next(0)
+
+    def handle(self, event: Event, now_ms: int) -> Actions:
+        """Takes an event.
+
+        Args:
+            event: What happened.
+            now_ms: Monotonic clock.
+
+        Returns:
+            What to do, in order; empty once the request is done.
+        """
+        if self.done:
+            return []
+        return _handle(event, self, now_ms)
+
+    def rehomed(self, candidates: list[str], now_ms: int) -> Actions:
+        """Takes the home of the key in a newer version, if there is one."""
+        if self.done:
+            return []
+        if not candidates:
+            return self._reply(self.last_failure)
+        self.untried = list(candidates)
+        return self._try_next(now_ms)
+
+    def _try_next(self, now_ms: int) -> Actions:
+        if not self.untried:
+            return self._reply(
+                self.last_failure
+                or result.Failure(
+                    result.NO_TARGET,
+                    f"no target of {self.resolution.service.name} is usable",
+                    RETRY_SOON_MS,
+                )
+            )
+        self.target = self.untried.pop(0)
+        self.tries += 1
+        self.sequence = sequence.Sequence()
+        return [Send(self.target)]
+
+    def _retry(self, failure: result.Failure, now_ms: int) -> Actions:
+        """Tries the next candidate, if there is one and it is allowed."""
+        self.last_failure = failure
+        if not self.untried or self.tries >= MAX_TRIES:
+            return self._reply(failure)
+        if now_ms + MIN_LEFT_MS >= self.deadline_at_ms:
+            return self._reply(failure)
+        if not self.budget.spend():
+            return self._reply(
+                result.Failure(
+                    result.RETRIES_EXHAUSTED,
+                    f"{failure.message}; this entry has no retries left",
+                    failure.retry_after_ms or RETRY_SOON_MS,
+                    failure.proof,
+                )
+            )
+        return self._try_next(now_ms)
+
+    def _reply(self, failure: result.Failure) -> Actions:
+        invariant.require(not self.done, result.REPLY_TWICE, failure.message)
+        self.done = True
+        return [Reply(failure)]
+
+    def unproven(self, failure: result.Failure) -> result.Failure:
+        """Marks a failure of the entry's own making.
+
+        Only the ledger of its home can say that a key did not run; an
+        earlier copy of a keyed request may have.
+        """
+        if self.keyed and failure.executed is result.Executed.NO:
+            return dataclasses.replace(failure, proof=result.Executed.UNKNOWN)
+        return failure
+
+
+@functools.singledispatch
+def _handle(event: object, exchange: Exchange, now_ms: int) -> Actions:
+    raise TypeError(f"unknown event {event!r}")
+
+
+@_handle.register
+def _refused(event: Refused, exchange: Exchange, now_ms: int) -> Actions:
+    failure = event.failure
+    if exchange.head_sent:
+        return exchange._reply(_cut(failure.message))
+    if exchange.keyed:
+        if failure.code is result.NOT_HOME and exchange.rehomes == 0:
+            exchange.rehomes += 1
+            exchange.last_failure = failure
+            return [Rehome()]
+        return exchange._reply(failure)
+    if failure.code.elsewhere and failure.executed is result.Executed.NO:
+        return exchange._retry(failure, now_ms)
+    return exchange._reply(failure)
+
+
+@_handle.register
+def _unsent(event: Unsent, exchange: Exchange, now_ms: int) -> Actions:
+    del event
+    failure = exchange.unproven(
+        result.Failure(
+            result.HOME_UNREACHABLE
+            if exchange.keyed
+            else result.TARGET_UNREACHABLE,
+            f"{exchange.target} cannot be reached",
+            RETRY_SOON_MS,
+        )
+    )
+    if exchange.keyed:
+        return exchange._reply(failure)
+    return exchange._retry(failure, now_ms)
+
+
+@_handle.register
+def _lost(event: Lost, exchange: Exchange, now_ms: int) -> Actions:
+    del event
+    exchange.resumes += 1
+    if exchange.resumes <= MAX_RESUMES and now_ms < exchange.deadline_at_ms:
+        return [Resume(exchange.target, exchange.sequence.expected)]
+    return resume_failed(exchange, now_ms)
+
+
+def resume_failed(exchange: Exchange, now_ms: int) -> Actions:
+    """Goes on after the run could not be found or reached again.
+
+    Args:
+        exchange: The request.
+        now_ms: Monotonic clock.
+
+    Returns:
+        Another try where running twice is allowed and nothing of the answer
+        went out; otherwise the truth, that the outcome is unknown.
+    """
+    if exchange.done:
+        return []
+    if exchange.head_sent:
+        return exchange._reply(_cut(f"{exchange.target} was lost"))
+    failure = result.Failure(
+        result.OUTCOME_UNKNOWN,
+        f"{exchange.target} was lost while it had the request; whether it ran "
+        "is not known",
+        RETRY_SOON_MS,
+    )
+    if exchange.keyed:
+        return exchange._reply(failure)
+    return exchange._retry(failure, now_ms)
+
+
+def _cut(reason: str) -> result.Failure:
+    return result.Failure(
+        result.ANSWER_CUT, f"the answer was cut: {reason}", RETRY_SOON_MS
+    )
+
+
+@_handle.register
+def _started(event: Started, exchange: Exchange, now_ms: int) -> Actions:
+    del now_ms
+    if exchange.head_sent:
+        return []
+    exchange.head_sent = True
+    return [ForwardHead(event.status, event.content_type, exchange.target)]
+
+
+@_handle.register
+def _arrived(event: Arrived, exchange: Exchange, now_ms: int) -> Actions:
+    del now_ms
+    match exchange.sequence.take(event.number):
+        case sequence.Verdict.TAKE:
+            return [Forward(event.payload)]
+        case sequence.Verdict.SKIP:
+            return []
+    return [CancelAttempt(), *exchange._reply(_cut("a chunk is missing"))]
+
+
+@_handle.register
+def _end_arrived(event: EndArrived, exchange: Exchange, now_ms: int) -> Actions:
+    whole = exchange.sequence.end(event.total)
+    if event.failure is not None:
+        if not exchange.head_sent and not exchange.keyed:
+            # Nothing of the answer went out, and running twice is allowed.
+            return exchange._retry(event.failure, now_ms)
+        return exchange._reply(event.failure)
+    if not whole:
+        return exchange._reply(_cut("chunks are missing at its end"))
+    exchange.done = True
+    return [Finish()]
+
+
+@_handle.register
+def _expired(event: Expired, exchange: Exchange, now_ms: int) -> Actions:
+    del event, now_ms
+    if exchange.head_sent:
+        failure = _cut("its deadline passed")
+    else:
+        failure = result.Failure(
+            result.OUTCOME_UNKNOWN,
+            "the deadline passed before the target answered",
+            RETRY_SOON_MS,
+        )
+    return [CancelAttempt(), *exchange._reply(failure)]
+
+
+@_handle.register
+def _caller_left(event: CallerLeft, exchange: Exchange, now_ms: int) -> Actions:
+    del event, now_ms
+    exchange.done = True
+    return [CancelAttempt()]
--- /dev/null
+++ b/packages/radishstack/src/radishstack/request/run.py
@@ -0,0 +1,190 @@
+"""One run at a target process: its chunks, and who reads them.
+
+A run belongs to a request, not to a connection: when a connection is cut the
+run goes on, and its reader resumes it at the next chunk over another one.
+"""
+
+from collections.abc import Iterator
+import dataclasses
+
+from radishstack import invariant
+from radishstack import result
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ended:
+    """How a run ended.
+
+    Attributes:
+        status: HTTP status the target answered.
+        content_type: Content type of the answer.
+        total: How many chunks it has.
+        failure: Why it is not whole, or None.
+    """
+
+    status: int
+    content_type: str
+    total: int
+    failure: result.Failure | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class Reader:
+    """One reader's place in a run.
+
+    Attributes:
+        next_number: The next chunk to send.
+        acked: Chunks before this one have reached the caller's side.
+        ended: Whether the end was sent.
+    """
+
+    next_number: int = 0
+    acked: int = 0
+    ended: bool = False
+
+
+class Run:
+    """The chunks of one answer, from the target to its readers."""
+
+    __slots__ = (
+        "bytes_held",
+        "chunks",
+        "content_type",
+        "ended",
+        "first_held",
+        "keep_bytes",
+        "overflowed",
+        "readers",
+        "status",
+        "total",
+    )
+
+    def __init__(self, *, keep_bytes: int) -> None:
+        """Starts an empty run.
+
+        Args:
+            keep_bytes: Up to how many bytes of the answer are kept for a
+                later resubmission of its key; 0 keeps only what its readers
+                have not acknowledged.
+        """
+        self.keep_bytes = keep_bytes
+        self.chunks: list[bytes] = []
+        self.first_held = 0
+        self.total = 0
+        self.bytes_held = 0
+        self.overflowed = False
+        self.status = 0
+        self.content_type = ""
+        self.ended: Ended | None = None
+        self.readers: dict[object, Reader] = {}
+
+    def append(self, payload: bytes) -> None:
+        """Adds a chunk that the target produced."""
+        invariant.require(
+            self.ended is None,
+            result.CHUNK_ORDER_BROKEN,
+            "a chunk after the end",
+        )
+        self.chunks.append(payload)
+        self.total += 1
+        self.bytes_held += len(payload)
+
+    def end(self, failure: result.Failure | None) -> None:
+        """Ends the run; it cannot end twice."""
+        invariant.require(
+            self.ended is None, result.CHUNK_ORDER_BROKEN, "a second end"
+        )
+        self.ended = Ended(self.status, self.content_type, self.total, failure)
+
+    def attach(self, reader_id: object, next_number: int) -> bool:
+        """Adds a reader from a chunk on.
+
+        Args:
+            reader_id: Who reads, unique among its readers.
+            next_number: The first chunk it lacks.
+
+        Returns:
+            Whether all it lacks is still held.
+        """
+        if not self.first_held <= next_number <= self.total:
+            return False
+        self.readers[reader_id] = Reader(next_number, next_number)
+        return True
+
+    def detach(self, reader_id: object) -> None:
+        """Removes a reader, if it is one."""
+        self.readers.pop(reader_id, None)
+
+    def unsent(
+        self, reader_id: object, window_chunks: int
+    ) -> Iterator[tuple[int, bytes]]:
+        """Yields what a reader may be sent now, and counts it as sent.
+
+        Args:
+            reader_id: The reader.
+            window_chunks: How many chunks may be unacknowledged.
+
+        Yields:
+            Chunk numbers and payloads, in order.
+        """
+        reader = self.readers[reader_id]
+        limit = min(self.total, reader.acked + window_chunks)
+        while reader.next_number < limit:
+            number = reader.next_number
+            reader.next_number += 1
+            yield number, self.chunks[number - self.first_held]
+
+    def end_is_due(self, reader_id: object) -> bool:
+        """Whether a reader has every chunk and lacks only the end."""
+        reader = self.readers[reader_id]
+        return (
+            self.ended is not None
+            and not reader.ended
+            and reader.next_number == self.total
+        )
+
+    def mark_ended(self, reader_id: object) -> None:
+        """Notes that a reader was sent the end.
+
+        It stays attached until it closes its stream: the end may be lost
+        with its connection, and the reader then comes back for it.
+        """
+        self.readers[reader_id].ended = True
+
+    def forget_chunks(self) -> None:
+        """Drops the chunks of a run that ended, to make room."""
+        self.chunks.clear()
+        self.first_held = self.total
+        self.bytes_held = 0
+        self.overflowed = True
+
+    def ack(self, reader_id: object, acked: int) -> None:
+        """Takes a reader's word that chunks before ``acked`` arrived."""
+        reader = self.readers.get(reader_id)
+        if reader is None or not reader.acked < acked <= reader.next_number:
+            return
+        reader.acked = acked
+        self._trim()
+
+    def _trim(self) -> None:
+        if self.bytes_held <= self.keep_bytes and not self.overflowed:
+            return
+        self.overflowed = True
+        lowest = min(reader.acked for reader in self.readers.values())
+        drop = lowest - self.first_held
+        if drop <= 0:
+            return
+        self.bytes_held -= sum(map(len, self.chunks[:drop]))
+        del self.chunks[:drop]
+        self.first_held = lowest
+
+    def backlog_chunks(self) -> int:
+        """Returns how many chunks the slowest reader has not acknowledged."""
+        if not self.readers:
+            return self.total - self.first_held
+        return self.total - min(r.acked for r in self.readers.values())
+
+    @property
+    def whole(self) -> bool:
+        """Whether the answer is still held from its first chunk."""
+        return self.first_held == 0 and not self.overflowed
--- /dev/null
+++ b/packages/radishstack/src/radishstack/version/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one version of the configuration."""
--- /dev/null
+++ b/packages/radishstack/src/radishstack/version/document.py
@@ -0,0 +1,614 @@
+"""The document: one deployment's customers, services, adapters and targets."""
+
+import dataclasses
+import enum
+import functools
+from typing import Annotated
+from typing import Any
+
+import pydantic
+import pydantic.dataclasses
+
+NAME_PATTERN = r"^[a-z0-9][a-z0-9._-]{0,62}$"
+ADDRESS_PATTERN = r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$"
+MAX_TIMEOUT_MS = 600_000
+DEFAULT_TIMEOUT_MS = 30_000
+DEFAULT_RETRY_WINDOW_MS = 120_000
+MAX_PLACEMENTS_PER_SERVICE = 64
+
+Name = Annotated[str, pydantic.Field(pattern=NAME_PATTERN)]
+Address = Annotated[str, pydantic.Field(pattern=ADDRESS_PATTERN)]
+Share = Annotated[float, pydantic.Field(ge=0.0, le=1.0)]
+TimeoutMs = Annotated[int, pydantic.Field(ge=1, le=MAX_TIMEOUT_MS)]
+Count = Annotated[int, pydantic.Field(ge=1, le=1_000_000)]
+
+_CONFIG = pydantic.ConfigDict(extra="forbid")
+_entity = functools.partial(
+    pydantic.dataclasses.dataclass,
+    frozen=True,
+    slots=True,
+    kw_only=True,
+    config=_CONFIG,
+)
+
+
+class ServiceKind(enum.StrEnum):
+    """What a service's requests run on."""
+
+    MODEL = "model"
+    PLAIN = "plain"
+
+
+class TargetKind(enum.StrEnum):
+    """What stands behind a target process."""
+
+    ENGINE = "engine"
+    PLAIN = "plain"
+
+
+class Priority(enum.StrEnum):
+    """Priority class of a service, the most urgent first."""
+
+    URGENT = "urgent"
+    NORMAL = "normal"
+    BACKGROUND = "background"
+
+
+@_entity()
+class Customer:
+    """Whose requests share the targets fairly.
+
+    Attributes:
+        name: Unique name.
+        share: Weight of its fair share, relative to the other customers.
+        max_in_flight: Bound on its requests at one target, queued or running.
+    """
+
+    name: Name
+    share: Annotated[float, pydantic.Field(gt=0.0, le=1000.0)] = 1.0
+    max_in_flight: Count = 64
+
+
+@_entity()
+class AdapterVersion:
+    """One immutable version of an adapter.
+
+    Attributes:
+        version: Number, unique within the adapter.
+        source: Where the weight store keeps it.
+    """
+
+    version: Annotated[int, pydantic.Field(ge=1)]
+    source: Annotated[str, pydantic.Field(min_length=1, max_length=512)]
+
+
+@_entity()
+class Adapter:
+    """A LoRA adapter of one service.
+
+    Attributes:
+        name: Unique name.
+        service: The service its requests belong to.
+        base_model: The base model it was trained on.
+        versions: Its versions.
+        current: The version a request without one gets.
+    """
+
+    name: Name
+    service: Name
+    base_model: Name
+    versions: Annotated[
+        tuple[AdapterVersion, ...], pydantic.Field(min_length=1)
+    ]
+    current: int
+
+
+@_entity()
+class Target:
+    """An engine or a plain service, behind its target process.
+
+    Attributes:
+        name: Unique name; a replaced VM keeps the name of its slot.
+        kind: Engine or plain service.
+        address: Where its target process listens, ``ip:port``.
+        failure_domain: ``region/domain``.
+        base_model: The engine's base model.
+    """
+
+    name: Name
+    kind: TargetKind
+    address: Address
+    failure_domain: str
+    base_model: Name | None = None
+
+
+@_entity()
+class Service:
+    """What callers call.
+
+    Attributes:
+        name: Unique name.
+        customer: Whose it is.
+        kind: Model or plain.
+        targets: Names of the targets that may run it.
+        adapter: Adapter of requests that name only the service.
+        idempotent: Whether a request may run more than once.
+        priority: Priority class.
+        stall_weight: 0 favours batch efficiency, 1 favours no load stalls.
+        warm: Adapters to keep resident on their first ``warm_targets``.
+        warm_targets: On how many targets a warm adapter is kept.
+        timeout_ms: Deadline of a request that names none.
+        max_timeout_ms: Longest deadline a caller may ask for.
+        max_queued: Bound on its queued requests at one target.
+        retry_window_ms: How long a key is remembered after it ran.
+    """
+
+    name: Name
+    customer: Name
+    kind: ServiceKind = ServiceKind.MODEL
+    targets: Annotated[tuple[Name, ...], pydantic.Field(min_length=1)]
+    adapter: Name | None = None
+    idempotent: bool = True
+    priority: Priority = Priority.NORMAL
+    stall_weight: Share = 0.5
+    warm: tuple[Name, ...] = ()
+    warm_targets: Annotated[int, pydantic.Field(ge=1, le=16)] = 1
+    timeout_ms: TimeoutMs = DEFAULT_TIMEOUT_MS
+    max_timeout_ms: TimeoutMs = MAX_TIMEOUT_MS
+    max_queued: Count = 256
+    retry_window_ms: Annotated[int, pydantic.Field(ge=1_000, le=3_600_000)] = (
+        DEFAULT_RETRY_WINDOW_MS
+    )
+
+
+@_entity()
+class Rule:
+    """Sends some of a service's requests to an adapter.
+
+    Rules of a service are tried by ascending ``position``; the first that
+    matches decides.
+
+    Attributes:
+        name: Unique name.
+        service: The service it belongs to.
+        position: Order among the service's rules.
+        header: Lower-case request header that must equal ``equals``.
+        equals: The value the header must have.
+        share: Share of the remaining requests it takes, by request id.
+        adapter: The adapter it sends them to.
+        version: The version, or the adapter's current one.
+    """
+
+    name: Name
+    service: Name
+    position: Annotated[int, pydantic.Field(ge=0, le=10_000)]
+    header: Annotated[str, pydantic.Field(pattern=r"^[a-z0-9-]+$")] | None = (
+        None
+    )
+    equals: str | None = None
+    share: Annotated[float, pydantic.Field(gt=0.0, le=1.0)] = 1.0
+    adapter: Name
+    version: int | None = None
+
+
+@_entity()
+class Placement:
+    """Targets that a service had until a version replaced them.
+
+    Attributes:
+        targets: The former targets.
+        until_version: The version from which they were no longer in force.
+        until_at_ms: When that version was accepted, Unix time.
+    """
+
+    targets: tuple[Name, ...]
+    until_version: int
+    until_at_ms: int
+
+
+@_entity()
+class Document:
+    """One whole deployment; immutable, a change makes a new one.
+
+    Attributes:
+        customers: By name, as are the others.
+        services: Services.
+        adapters: Adapters.
+        targets: Targets.
+        rules: Rules.
+        placements: Former targets of non-idempotent services, newest last;
+            kept by the system, not by operators.
+    """
+
+    customers: dict[Name, Customer] = dataclasses.field(default_factory=dict)
+    services: dict[Name, Service] = dataclasses.field(default_factory=dict)
+    adapters: dict[Name, Adapter] = dataclasses.field(default_factory=dict)
+    targets: dict[Name, Target] = dataclasses.field(default_factory=dict)
+    rules: dict[Name, Rule] = dataclasses.field(default_factory=dict)
+    placements: dict[Name, tuple[Placement, ...]] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+Entity = Customer | Service | Adapter | Target | Rule
+
+KINDS: dict[str, type] = {
+    "customers": Customer,
+    "services": Service,
+    "adapters": Adapter,
+    "targets": Target,
+    "rules": Rule,
+}
+KIND_OF: dict[type, str] = {kind: name for name, kind in KINDS.items()}
+
+_DOCUMENT = pydantic.TypeAdapter(Document)
+_PLACEMENTS = pydantic.TypeAdapter(dict[str, tuple[Placement, ...]])
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Problem:
+    """One thing wrong with a document or with settings.
+
+    Attributes:
+        path: Where, for example ``services.booking.timeout_ms``.
+        value: What stands there, shortened.
+        mend: What to write instead.
+    """
+
+    path: str
+    value: str
+    mend: str
+
+    def __str__(self) -> str:
+        """One line for a person."""
+        return f"{self.path}: {self.value}: {self.mend}"
+
+
+def shorten(value: object, limit: int = 60) -> str:
+    """Renders a value for a message, at most ``limit`` characters."""
+    text = repr(value)
+    return text if len(text) <= limit else text[: limit - 1] + "…"
+
+
+def explain(error: pydantic.ValidationError) -> tuple[Problem, ...]:
+    """Turns a validation error into problems with path, value and mend."""
+    return tuple(_explain_one(detail) for detail in error.errors())
+
+
+def _explain_one(detail: Any) -> Problem:
+    path = ".".join(str(part) for part in detail["loc"]) or "(whole)"
+    mend = detail["msg"]
+    match detail["type"]:
+        case "unexpected_keyword_argument" | "extra_forbidden":
+            mend = "unknown key; remove it or correct its spelling"
+        case "missing" | "missing_argument" | "missing_keyword_only_argument":
+            return Problem(path, "(missing)", "add this key")
+        case "string_pattern_mismatch":
+            mend = f"write a text that matches {detail['ctx']['pattern']}"
+    return Problem(path, shorten(detail["input"]), mend)
+
+
+def parse(raw: object) -> Document | tuple[Problem, ...]:
+    """Builds a document from plain data and checks it as a whole.
+
+    Entities may be given as lists, as the console writes them, or as
+    mappings by name.
+
+    Args:
+        raw: What a YAML or JSON parser returned.
+
+    Returns:
+        The document, or every problem found.
+    """
+    if not isinstance(raw, dict):
+        return (
+            Problem("(whole)", shorten(raw), "write a mapping of entities"),
+        )
+    keyed: dict[str, object] = {}
+    problems: list[Problem] = []
+    for kind, value in raw.items():
+        keyed[kind] = _key_by_name(str(kind), value, problems)
+    try:
+        document = _DOCUMENT.validate_python(keyed)
+    except pydantic.ValidationError as error:
+        return (*problems, *explain(error))
+    problems.extend(check(document))
+    return tuple(problems) or document
+
+
+def _key_by_name(kind: str, value: object, problems: list[Problem]) -> object:
+    if kind not in KINDS or not isinstance(value, list | tuple):
+        return value
+    keyed: dict[object, object] = {}
+    for index, item in enumerate(value):
+        name = item.get("name") if isinstance(item, dict) else None
+        if not isinstance(name, str):
+            problems.append(
+                Problem(f"{kind}.{index}", shorten(item), "give it a name")
+            )
+            continue
+        if name in keyed:
+            problems.append(
+                Problem(
+                    f"{kind}.{index}.name",
+                    shorten(name),
+                    "duplicate name; use each name once",
+                )
+            )
+        keyed[name] = item
+    return keyed
+
+
+def check(document: Document) -> list[Problem]:
+    """Checks what no single entity shows: references and dead rules.
+
+    Args:
+        document: A document whose entities are valid each.
+
+    Returns:
+        Every problem, empty if there is none.
+    """
+    problems: list[Problem] = []
+    for kind in KINDS:
+        for name, entity in getattr(document, kind).items():
+            if entity.name != name:
+                problems.append(
+                    Problem(
+                        f"{kind}.{name}.name",
+                        shorten(entity.name),
+                        f"write {name}, the key it stands under",
+                    )
+                )
+            problems.extend(check_entity(entity, document))
+    problems.extend(_check_rule_order(document))
+    return problems
+
+
+@functools.singledispatch
+def check_entity(entity: object, document: Document) -> list[Problem]:
+    """Checks one entity's references into the document."""
+    del entity, document
+    return []
+
+
+def _dangling(path: str, name: str, kind: str) -> Problem:
+    return Problem(
+        path, shorten(name), f"no such entry in {kind}; add it or name another"
+    )
+
+
+@check_entity.register
+def _check_service(service: Service, document: Document) -> list[Problem]:
+    path = f"services.{service.name}"
+    problems = []
+    if service.customer not in document.customers:
+        problems.append(
+            _dangling(f"{path}.customer", service.customer, "customers")
+        )
+    for index, name in enumerate(service.targets):
+        problems.extend(
+            _check_service_target(
+                f"{path}.targets.{index}", service, name, document
+            )
+        )
+    if len(set(service.targets)) != len(service.targets):
+        problems.append(
+            Problem(
+                f"{path}.targets",
+                shorten(service.targets),
+                "name each target once",
+            )
+        )
+    for field, name in [
+        ("adapter", service.adapter),
+        *((f"warm.{index}", name) for index, name in enumerate(service.warm)),
+    ]:
+        problems.extend(
+            _check_own_adapter(f"{path}.{field}", name, service.name, document)
+        )
+    if service.kind is ServiceKind.PLAIN and (service.adapter or service.warm):
+        problems.append(
+            Problem(
+                f"{path}.adapter",
+                shorten(service.adapter),
+                "a plain service has no adapters; remove it",
+            )
+        )
+    if service.timeout_ms > service.max_timeout_ms:
+        problems.append(
+            Problem(
+                f"{path}.timeout_ms",
+                shorten(service.timeout_ms),
+                f"write at most max_timeout_ms, {service.max_timeout_ms}",
+            )
+        )
+    return problems
+
+
+def _check_service_target(
+    path: str, service: Service, name: str, document: Document
+) -> list[Problem]:
+    target = document.targets.get(name)
+    if target is None:
+        return [_dangling(path, name, "targets")]
+    wanted = (
+        TargetKind.ENGINE
+        if service.kind is ServiceKind.MODEL
+        else TargetKind.PLAIN
+    )
+    if target.kind is not wanted:
+        return [Problem(path, shorten(name), f"name a target of kind {wanted}")]
+    return []
+
+
+def _check_own_adapter(
+    path: str, name: str | None, service: str, document: Document
+) -> list[Problem]:
+    if name is None:
+        return []
+    adapter = document.adapters.get(name)
+    if adapter is None:
+        return [_dangling(path, name, "adapters")]
+    if adapter.service != service:
+        return [
+            Problem(
+                path,
+                shorten(name),
+                f"it belongs to service {adapter.service}; name one of "
+                f"{service}",
+            )
+        ]
+    return []
+
+
+@check_entity.register
+def _check_adapter(adapter: Adapter, document: Document) -> list[Problem]:
+    path = f"adapters.{adapter.name}"
+    problems = []
+    versions = [entry.version for entry in adapter.versions]
+    if len(set(versions)) != len(versions):
+        problems.append(
+            Problem(
+                f"{path}.versions", shorten(versions), "use each number once"
+            )
+        )
+    if adapter.current not in versions:
+        problems.append(
+            Problem(
+                f"{path}.current",
+                shorten(adapter.current),
+                f"write one of its versions, {shorten(versions)}",
+            )
+        )
+    service = document.services.get(adapter.service)
+    if service is None:
+        problems.append(
+            _dangling(f"{path}.service", adapter.service, "services")
+        )
+        return problems
+    if service.kind is ServiceKind.PLAIN:
+        problems.append(
+            Problem(
+                f"{path}.service",
+                shorten(adapter.service),
+                "name a service of kind model",
+            )
+        )
+    for name in service.targets:
+        target = document.targets.get(name)
+        if target is not None and target.base_model != adapter.base_model:
+            problems.append(
+                Problem(
+                    f"{path}.base_model",
+                    shorten(adapter.base_model),
+                    f"target {name} of its service runs {target.base_model}",
+                )
+            )
+            break
+    return problems
+
+
+@check_entity.register
+def _check_target(target: Target, document: Document) -> list[Problem]:
+    del document
+    path = f"targets.{target.name}"
+    if target.kind is TargetKind.ENGINE and target.base_model is None:
+        return [Problem(f"{path}.base_model", "(missing)", "add this key")]
+    return []
+
+
+@check_entity.register
+def _check_rule(rule: Rule, document: Document) -> list[Problem]:
+    path = f"rules.{rule.name}"
+    problems = []
+    if rule.service not in document.services:
+        problems.append(_dangling(f"{path}.service", rule.service, "services"))
+    if (rule.header is None) != (rule.equals is None):
+        problems.append(
+            Problem(
+                f"{path}.header",
+                shorten(rule.header),
+                "give both header and equals, or neither",
+            )
+        )
+    problems.extend(
+        _check_own_adapter(
+            f"{path}.adapter", rule.adapter, rule.service, document
+        )
+    )
+    adapter = document.adapters.get(rule.adapter)
+    if adapter is not None and rule.version is not None:
+        versions = [entry.version for entry in adapter.versions]
+        if rule.version not in versions:
+            problems.append(
+                Problem(
+                    f"{path}.version",
+                    shorten(rule.version),
+                    f"write one of {shorten(versions)}",
+                )
+            )
+    return problems
+
+
+def rules_of(document: Document, service: str) -> list[Rule]:
+    """Returns a service's rules in the order they are tried."""
+    rules = [
+        rule for rule in document.rules.values() if rule.service == service
+    ]
+    return sorted(rules, key=lambda rule: (rule.position, rule.name))
+
+
+def _check_rule_order(document: Document) -> list[Problem]:
+    problems = []
+    by_service: dict[str, list[Rule]] = {}
+    for rule in document.rules.values():
+        by_service.setdefault(rule.service, []).append(rule)
+    for rules in by_service.values():
+        rules.sort(key=lambda rule: (rule.position, rule.name))
+        covered: dict[tuple[str | None, str | None], str] = {}
+        for rule in rules:
+            condition = (rule.header, rule.equals)
+            shadow = covered.get((None, None)) or covered.get(condition)
+            if shadow is not None:
+                problems.append(
+                    Problem(
+                        f"rules.{rule.name}",
+                        shorten(condition),
+                        f"it can never match, since {shadow} takes all of its "
+                        "requests; move it before or remove it",
+                    )
+                )
+            if rule.share >= 1.0:
+                covered.setdefault(condition, rule.name)
+    return problems
+
+
+def to_plain(document: Document) -> dict[str, Any]:
+    """Renders a document as plain data, entities as lists by name."""
+    plain = _DOCUMENT.dump_python(document, mode="json", exclude_none=True)
+    return {
+        kind: [value[name] for name in sorted(value)]
+        if kind in KINDS
+        else value
+        for kind, value in plain.items()
+    }
+
+
+def placements_to_plain(
+    placements: dict[str, tuple[Placement, ...]],
+) -> dict[str, Any]:
+    """Renders the former placements as plain data."""
+    return _PLACEMENTS.dump_python(placements, mode="json")
+
+
+def json_schema() -> dict[str, Any]:
+    """Returns the JSON Schema that the console's forms are made from."""
+    schema = _DOCUMENT.json_schema()
+    properties = schema["properties"]
+    properties.pop("placements", None)
+    for kind in KINDS:
+        properties[kind] = {
+            "type": "array",
+            "items": properties[kind]["additionalProperties"],
+        }
+    return schema
--- /dev/null
+++ b/packages/radishstack/src/radishstack/version/holder.py
@@ -0,0 +1,141 @@
+"""The version a process holds: it only grows."""
+
+import dataclasses
+
+from radishstack import invariant
+from radishstack import result
+from radishstack.version import commit as commit_lib
+from radishstack.version import document as document_lib
+from radishstack.version import operation as operation_lib
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Held:
+    """One version, held by whoever works on it for as long as it does.
+
+    Attributes:
+        version: Its number.
+        write_id: Write id of its commit.
+        document: The document.
+    """
+
+    version: int
+    write_id: str
+    document: document_lib.Document
+
+
+EMPTY = Held(0, "", document_lib.Document())
+
+
+class Holder:
+    """Holds the newest version this process has seen."""
+
+    def __init__(self, held: Held = EMPTY) -> None:
+        """Starts from a version, by default from none."""
+        self._held = held
+
+    @property
+    def held(self) -> Held:
+        """The version in force here."""
+        return self._held
+
+    def offer(self, held: Held) -> bool:
+        """Takes a whole version if it is newer.
+
+        An old answer of a watch, or a peer that lags, may offer an older
+        one; it is passed over.
+
+        Args:
+            held: A version that was accepted.
+
+        Returns:
+            Whether it is now in force here.
+        """
+        if held.version <= self._held.version:
+            return False
+        self._replace(held)
+        return True
+
+    def advance(self, commit: commit_lib.Commit) -> result.Outcome[Held]:
+        """Applies the next commit.
+
+        Args:
+            commit: The commit after the held version.
+
+        Returns:
+            What is now held, or why the commit does not follow it.
+        """
+        if commit.version <= self._held.version:
+            return self._held
+        held = follow(self._held, commit)
+        if isinstance(held, result.Failure):
+            return held
+        self._replace(held)
+        return held
+
+    def _replace(self, held: Held) -> None:
+        invariant.require(
+            held.version > self._held.version,
+            result.VERSION_FELL,
+            f"{self._held.version} to {held.version}",
+        )
+        self._held = held
+
+
+def follow(held: Held, commit: commit_lib.Commit) -> result.Outcome[Held]:
+    """Returns the version a commit makes of the one before it."""
+    if commit.version != held.version + 1 or commit.parent_id != held.write_id:
+        return result.Failure(
+            result.STORE_CORRUPT,
+            f"commit {commit.version} does not follow {held.version}",
+        )
+    document = operation_lib.apply(
+        held.document,
+        commit.operations,
+        version=commit.version,
+        at_ms=commit.audit.at_ms,
+    )
+    if isinstance(document, tuple):
+        return result.Failure(
+            result.STORE_CORRUPT, f"commit {commit.version}: {document[0]}"
+        )
+    return Held(commit.version, commit.write_id, document)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadSnapshot:
+    """Read the root's snapshot, then its recent commits."""
+
+    part_names: tuple[str, ...]
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadCommits:
+    """Read these commits and apply them in order."""
+
+    names: tuple[str, ...]
+
+
+CatchUp = ReadSnapshot | ReadCommits | None
+
+
+def plan_catch_up(held: Held, root: commit_lib.Root) -> CatchUp:
+    """Decides what to read in order to hold the root's version.
+
+    Args:
+        held: What is held.
+        root: What the store says is in force.
+
+    Returns:
+        What to read next, or None if nothing is newer.
+    """
+    if root.version <= held.version:
+        return None
+    if held.version >= root.snapshot_version:
+        first = held.version - root.snapshot_version
+        names = tuple(
+            commit_lib.commit_name(write_id) for write_id in root.recent[first:]
+        )
+        return ReadCommits(names)
+    return ReadSnapshot(root.snapshot_parts, root.snapshot_version)
--- /dev/null
+++ b/packages/radishstack/src/radishstack/version/publish.py
@@ -0,0 +1,222 @@
+"""Getting a change accepted, against races, outages and lost answers.
+
+A plain state machine: results of store calls go in, store calls come out.
+"""
+
+import dataclasses
+import functools
+
+from radishstack import result
+from radishstack.version import commit as commit_lib
+from radishstack.version import holder as holder_lib
+from radishstack.version import operation as operation_lib
+
+MAX_RACES = 16
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Proposal:
+    """What an operator wants.
+
+    Attributes:
+        write_id: Unique id of this write.
+        operator: Who.
+        reason: Why.
+        base: The version the operator looked at.
+        operations: The change.
+    """
+
+    write_id: str
+    operator: str
+    reason: str
+    base: holder_lib.Held
+    operations: tuple[operation_lib.Operation, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CatchUp:
+    """Read the root and every commit since ``held``; answer ``CaughtUp``."""
+
+    held: holder_lib.Held
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WriteCommit:
+    """Create the commit object, overwriting our own earlier try."""
+
+    name: str
+    data: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpdateRoot:
+    """Update the root on condition that it still has this revision."""
+
+    expected_revision: int
+    data: bytes
+
+
+Step = CatchUp | WriteCommit | UpdateRoot
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Accepted:
+    """The change is in force from this version on."""
+
+    version: int
+
+
+Next = Step | Accepted | result.Failure
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CaughtUp:
+    """The store as it is now.
+
+    Attributes:
+        revision: The root object's revision, 0 if it does not exist.
+        root: The root.
+        held: The version the root names.
+        since: The commits after the proposal's base, oldest first.
+    """
+
+    revision: int
+    root: commit_lib.Root
+    held: holder_lib.Held
+    since: tuple[commit_lib.Commit, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Written:
+    """The last write took effect."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Conflicted:
+    """The last conditional update found another revision."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Uncertain:
+    """The last write got no answer: it may have taken effect."""
+
+
+Event = CaughtUp | Written | Conflicted | Uncertain
+
+
+class Publisher:
+    """Drives one proposal to its end."""
+
+    def __init__(self, proposal: Proposal, *, now_ms: int) -> None:
+        """Starts a proposal.
+
+        Args:
+            proposal: What to get accepted.
+            now_ms: Unix time for the audit record.
+        """
+        self.proposal = proposal
+        self.now_ms = now_ms
+        self.races = 0
+        self.caught_up: CaughtUp | None = None
+        self.commit: commit_lib.Commit | None = None
+        self.root_sent = False
+
+    def start(self) -> Step:
+        """Returns the first step."""
+        return CatchUp(self.proposal.base)
+
+    def handle(self, event: Event) -> Next:
+        """Takes the result of the last step and returns the next."""
+        return _handle(event, self)
+
+
+@functools.singledispatch
+def _handle(event: object, publisher: Publisher) -> Next:
+    raise TypeError(f"unknown event {event!r}")
+
+
+@_handle.register
+def _caught_up(event: CaughtUp, publisher: Publisher) -> Next:
+    publisher.caught_up = event
+    proposal = publisher.proposal
+    for commit in event.since:
+        # The answer to our update was lost, and it had taken effect. Trying
+        # again would apply the change twice; the write id shows it.
+        if commit.write_id == proposal.write_id:
+            return Accepted(commit.version)
+    for commit in event.since:
+        for theirs in commit.operations:
+            for ours in proposal.operations:
+                path = operation_lib.find_conflict(ours, theirs)
+                if path is not None:
+                    return _refuse_conflict(path, commit)
+    version = event.root.version + 1
+    document = operation_lib.apply(
+        event.held.document,
+        proposal.operations,
+        version=version,
+        at_ms=publisher.now_ms,
+    )
+    if isinstance(document, tuple):
+        return result.Failure(
+            result.CHANGE_INVALID, "; ".join(str(one) for one in document)
+        )
+    publisher.commit = commit_lib.Commit(
+        write_id=proposal.write_id,
+        version=version,
+        parent_id=event.root.write_id,
+        operations=proposal.operations,
+        audit=commit_lib.AuditRecord(
+            operator=proposal.operator,
+            at_ms=publisher.now_ms,
+            base_version=proposal.base.version,
+            reason=proposal.reason,
+        ),
+    )
+    return WriteCommit(
+        commit_lib.commit_name(proposal.write_id),
+        commit_lib.encode_commit(publisher.commit),
+    )
+
+
+def _refuse_conflict(path: str, commit: commit_lib.Commit) -> result.Failure:
+    return result.Failure(
+        result.CHANGE_CONFLICT,
+        f"{path} was changed by {commit.audit.operator} in version "
+        f"{commit.version}; look at it and propose again",
+    )
+
+
+@_handle.register
+def _written(event: Written, publisher: Publisher) -> Next:
+    del event
+    caught_up, commit = publisher.caught_up, publisher.commit
+    if publisher.root_sent:
+        return Accepted(commit.version)
+    publisher.root_sent = True
+    root = commit_lib.advance(caught_up.root, commit)
+    return UpdateRoot(caught_up.revision, commit_lib.encode_root(root))
+
+
+@_handle.register
+def _conflicted(event: Conflicted, publisher: Publisher) -> Next:
+    del event
+    return _look_again(publisher)
+
+
+@_handle.register
+def _uncertain(event: Uncertain, publisher: Publisher) -> Next:
+    del event
+    return _look_again(publisher)
+
+
+def _look_again(publisher: Publisher) -> Next:
+    publisher.races += 1
+    publisher.root_sent = False
+    if publisher.races > MAX_RACES:
+        return result.Failure(
+            result.CHANGE_RACED,
+            "too many concurrent changes; nothing was changed by this one "
+            "unless the history shows its write id",
+        )
+    return CatchUp(publisher.proposal.base)
--- /dev/null
+++ b/packages/radishstack/src/radishstack/version/rendezvous.py
@@ -0,0 +1,41 @@
+"""Rendezvous order: the same order of candidates everywhere, unspoken."""
+
+from collections.abc import Iterable
+import heapq
+
+import xxhash
+
+
+def order(
+    key: str, names: Iterable[str], limit: int | None = None
+) -> list[str]:
+    """Orders names by their rendezvous weight for a key.
+
+    Removing a name leaves the order of the others as it was, so every
+    process agrees on the order without a message.
+
+    Args:
+        key: What is placed, for example ``lens-terms@3``.
+        names: The candidates.
+        limit: How many of the order are wanted, by default all.
+
+    Returns:
+        The names, the first choice first.
+    """
+    seed = xxhash.xxh3_64_intdigest(key.encode())
+    digest = xxhash.xxh3_64_intdigest
+    weighed = ((digest(name.encode(), seed), name) for name in names)
+    if limit is None:
+        return [name for _, name in sorted(weighed)]
+    return [name for _, name in heapq.nsmallest(limit, weighed)]
+
+
+def first(key: str, names: Iterable[str]) -> str | None:
+    """Returns the first name of the order, or None without names."""
+    seed = xxhash.xxh3_64_intdigest(key.encode())
+    digest = xxhash.xxh3_64_intdigest
+    return min(
+        names,
+        key=lambda name: (digest(name.encode(), seed), name),
+        default=None,
+    )
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests; run with ``python -m tests``."""
--- /dev/null
+++ b/tests/daemon/test_bad_input.py
@@ -0,0 +1,100 @@
+"""Bad input gets a numbered code and a status, and nothing runs."""
+
+import itertools
+import socket
+
+from radishstack import result
+
+from tests.daemon import fixtures
+
+_URL_PATH = "/v1/completions"
+
+
+def _check(answer: fixtures.Answer, code: result.Code) -> None:
+    assert answer.code == code.number, (answer, code)
+    assert answer.status == code.status
+    assert answer.executed == "no"
+
+
+def _check_each(site: fixtures.Site) -> None:
+    entry = "entry-1"
+    url = site.url(entry, _URL_PATH)
+    _check(site.complete(entry, "nobody", "x"), result.MODEL_UNKNOWN)
+    _check(site.complete(entry, "adapter-1@9", "x"), result.VERSION_UNKNOWN)
+    _check(site.complete(entry, "adapter-1@x", "x"), result.VERSION_UNKNOWN)
+    _check(fixtures.call("POST", url, b"{"), result.BODY_MALFORMED)
+    _check(fixtures.call("POST", url, b"[]"), result.BODY_MALFORMED)
+    _check(fixtures.call("POST", url, {"model": 3}), result.BODY_MALFORMED)
+    _check(fixtures.call("POST", url, b"x" * 3000), result.BODY_TOO_LARGE)
+    _check(fixtures.call("GET", url), result.METHOD_UNSUPPORTED)
+    nowhere = site.url(entry, "/nowhere")
+    _check(fixtures.call("GET", nowhere), result.PATH_UNKNOWN)
+    booking = site.url(entry, "/v1/services/booking/reserve")
+    _check(fixtures.call("POST", booking, {}), result.KEY_MISSING)
+    _check(site.book(entry, "k" * 300, {}), result.KEY_INVALID)
+    unknown = site.url(entry, "/v1/services/nobody/x")
+    _check(fixtures.call("POST", unknown, {}), result.SERVICE_UNKNOWN)
+    wrong = site.url(entry, "/v1/services/assistant/x")
+    _check(fixtures.call("POST", wrong, {}), result.SERVICE_KIND_WRONG)
+    _check(site.complete(entry, "booking", "x"), result.SERVICE_KIND_WRONG)
+    for text in ("0", "-1", "soon", "9" * 30, "1.5"):
+        headers = {"X-Request-Timeout-Ms": text}
+        answer = site.complete(entry, "adapter-1", "x", headers=headers)
+        _check(answer, result.TIMEOUT_INVALID)
+    large = {"X-Large": "x" * 40_000}
+    answer = site.complete(entry, "adapter-1", "x", headers=large)
+    _check(answer, result.HEADERS_TOO_LARGE)
+
+
+def test_bad_input_is_refused_and_nothing_runs() -> None:
+    """Every kind of bad input of the callers' interface."""
+    overrides = {"entry": {"max_body_bytes": 2048}}
+    with fixtures.running_site(entries=1, engines=1, **overrides) as site:
+        _check_each(site)
+        assert site.state("engine-1-behind")["executions"] == []
+        assert site.state("desk-1-behind")["executions"] == {}
+
+
+def test_caller_gone_in_mid_stream_cancels_the_work() -> None:
+    """The engine stops generating for a caller that has left.
+
+    Symptom: engines busy with answers that nobody reads. Sequence: a caller
+    reads the first events of a long stream and closes its connection. Cause
+    without the mechanism: nobody tells the target process, which reads on.
+    """
+    with fixtures.running_site(entries=1, engines=1, desks=0) as site:
+        body = (
+            b'{"model": "adapter-1", "prompt": "x", "stream": true, '
+            b'"max_tokens": 100000}'
+        )
+        with socket.create_connection(
+            (site.hosts["entry-1"], fixtures.PORT)
+        ) as caller:
+            caller.sendall(
+                b"POST /v1/completions HTTP/1.1\r\nHost: x\r\n"
+                b"Content-Length: %d\r\n\r\n%s" % (len(body), body)
+            )
+            received = b""
+            while received.count(b"data:") < 3:
+                received += caller.recv(65_536)
+        fixtures.wait_until(
+            lambda: site.state("engine-1-behind")["cancelled"] == 1,
+            "the engine cancelled the stream",
+        )
+        fixtures.wait_until(
+            lambda: site.status("engine-1")["running"] == 0,
+            "the grant was released",
+        )
+        assert site.status("entry-1")["in_flight"] == 0
+
+
+def test_operators_side_is_not_on_the_callers_port() -> None:
+    """Health, metrics and status answer on the admin port alone."""
+    with fixtures.running_site(entries=1, engines=1, desks=0) as site:
+        paths = ("/status", "/metrics", "/healthz", "/readyz", "/objects/x")
+        for path, port in itertools.product(paths, (fixtures.PORT,)):
+            answer = fixtures.call("GET", site.url("entry-1", path, port=port))
+            assert answer.code == result.PATH_UNKNOWN.number
+        metrics = site.url("entry-1", "/metrics", port=fixtures.ADMIN_PORT)
+        text = fixtures.call("GET", metrics).body.decode()
+        assert "radishstack_config_version" in text
