--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks; each prints a table and keeps JSON in ``bench/results``."""
--- a/packages/radishd/src/radishd/process/settings.py
+++ b/packages/radishd/src/radishd/process/settings.py
@@ -125,7 +125,7 @@
     max_parallel_loads: Size = 2
     max_connections: Size = 1_024
     max_streams: Size = 4_096
-    poll_ms: DurationMs = 500
+    poll_ms: DurationMs = 1_000
     load_timeout_ms: DurationMs = 30_000
     run_timeout_ms: DurationMs = 60_000
     resume_ms: DurationMs = 5_000
--- a/packages/radishd/src/radishd/request/engine_call.py
+++ b/packages/radishd/src/radishd/request/engine_call.py
@@ -26,11 +26,11 @@
     """Bounds of one call.
 
     Attributes:
-        silence_ms: How long the target may send nothing.
+        connect_ms: How long connecting and sending may take.
         max_answer_bytes: Largest answer that is read whole.
     """
 
-    silence_ms: int
+    connect_ms: int
     max_answer_bytes: int
 
 
@@ -66,7 +66,7 @@
     Yields:
         The head, then the pieces; a failure ends it early.
     """
-    timeout_s = limits.silence_ms / MS_PER_S
+    timeout_s = limits.connect_ms / MS_PER_S
     headers = [
         (b"Content-Type", attempt.content_type.encode("latin-1")),
         (b"X-Request-Id", attempt.request_id.encode("latin-1")),
@@ -79,9 +79,7 @@
             f"{url}{attempt.path}",
             headers=headers,
             content=attempt.body,
-            extensions={
-                "timeout": dict.fromkeys(store_lib.TIMEOUT_NAMES, timeout_s)
-            },
+            extensions={"timeout": {"connect": timeout_s, "write": timeout_s}},
         ) as response:
             parts = _read(response, attempt, limits, report)
             async with contextlib.aclosing(parts):
--- a/packages/radishd/src/radishd/request/serving.py
+++ b/packages/radishd/src/radishd/request/serving.py
@@ -52,7 +52,7 @@
         self.head_known = False
         self.scope = anyio.CancelScope()
         self.failure: result.Failure | None = None
-        self.dispatched = False
+        self.heard_at_ms = 0
         self.orphaned_at_ms = 0
         self.kept_bytes = 0
         self._drained = anyio.Event()
@@ -106,13 +106,18 @@
         if reader in self.run.readers:
             self._flush_one(reader, load)
 
+    @property
+    def behind(self) -> bool:
+        """Whether the slowest reader is two windows behind."""
+        return self.run.backlog_chunks() >= 2 * WINDOW_CHUNKS
+
     async def wait_for_room(self) -> None:
         """Waits while the slowest reader is two windows behind.
 
         The target is then not read either, so what one slow caller can hold
         in memory is bounded, and other streams go on.
         """
-        while self.run.backlog_chunks() >= 2 * WINDOW_CHUNKS:
+        while self.behind:
             if self.run.keep_bytes and not self.run.readers:
                 return
             self._drained = anyio.Event()
--- a/packages/radishd/src/radishd/target.py
+++ b/packages/radishd/src/radishd/target.py
@@ -21,6 +21,7 @@
 from radishstack.version import document as document_lib
 from radishstack.version import holder as holder_lib
 
+from radishd.connection import backend
 from radishd.connection import link as link_lib
 from radishd.connection import listener as listener_lib
 from radishd.process import admin
@@ -38,6 +39,7 @@
 
 MS_PER_S = 1000.0
 TICK_MS = 50
+IDLE_TICK_MS = 500
 SEAL_TIMEOUT_MS = 1_000
 VERSION_WAIT_MS = 1_000
 LOOKS_BEFORE_LOST = 2
@@ -76,6 +78,7 @@
         self.pool = httpcore.AsyncConnectionPool(
             max_connections=4 * own.max_running + 16,
             max_keepalive_connections=own.max_running,
+            network_backend=backend.Backend(),
         )
         self.engine = engine_lib.Engine(
             self.pool,
@@ -107,6 +110,7 @@
         self.servings: dict[bytes, serving_lib.Serving] = {}
         self.owners: dict[bytes, bytes] = {}
         self.kept_bytes = 0
+        self._busy = anyio.Event()
         self.seals: dict[int, tuple[Any, int]] = {}
         self.configuration.listen(self._version_raised)
 
@@ -143,6 +147,7 @@
             self.tasks.start_soon(self._submit_later, attempt)
             return
         self.handle(event_lib.Submitted(attempt))
+        self._busy.set()
 
     async def _submit_later(self, attempt: attempt_lib.Attempt) -> None:
         """Waits for the version an attempt was resolved against."""
@@ -254,7 +259,7 @@
         self, attempt: attempt_lib.Attempt, serving: serving_lib.Serving
     ) -> result.Failure | None:
         limits = engine_call.Limits(
-            self.own.run_timeout_ms, self.own.max_answer_bytes
+            self.settings.platform.call_timeout_ms, self.own.max_answer_bytes
         )
 
         def report(adapter: str) -> bool:
@@ -269,9 +274,13 @@
             async for part in parts:
                 match part:
                     case bytes():
+                        serving.heard_at_ms = clock.now_ms()
                         serving.run.append(part)
                         serving.flush(load)
-                        await serving.wait_for_room()
+                        if serving.behind:
+                            # Silence is now the reader's, not the target's.
+                            serving.heard_at_ms = 0
+                            await serving.wait_for_room()
                     case engine_call.Head():
                         serving.run.status = part.status
                         serving.run.content_type = part.content_type
@@ -389,14 +398,37 @@
     async def tick(self) -> None:
         """Lets time pass for the decisions."""
         while True:
-            await anyio.sleep(TICK_MS / MS_PER_S)
+            if self.machine.idle:
+                self._busy = anyio.Event()
+                with anyio.move_on_after(IDLE_TICK_MS / MS_PER_S):
+                    await self._busy.wait()
+            else:
+                await anyio.sleep(TICK_MS / MS_PER_S)
             self.handle(event_lib.Ticked())
-            oldest_ms = clock.now_ms() - self.own.resume_ms
+            now_ms = clock.now_ms()
+            self._cut_silent(now_ms)
+            oldest_ms = now_ms - self.own.resume_ms
             for owner_id, serving in list(self.servings.items()):
                 if 0 < serving.orphaned_at_ms < oldest_ms:
                     serving.orphaned_at_ms = 0
                     self._abandon(owner_id, serving)
 
+    def _cut_silent(self, now_ms: int) -> None:
+        """Ends runs whose target has sent nothing for too long.
+
+        Reads of an answer carry no timeout of their own, see ``backend``.
+        """
+        oldest_ms = now_ms - self.own.run_timeout_ms
+        for serving in list(self.servings.values()):
+            silent = 0 < serving.heard_at_ms < oldest_ms
+            if silent and serving.run.ended is None:
+                serving.heard_at_ms = 0
+                serving.failure = result.Failure(
+                    result.TARGET_FAILED,
+                    f"the target sent nothing for {self.own.run_timeout_ms} ms",
+                )
+                serving.scope.cancel()
+
     async def watch_vms(self) -> None:
         """Learns from the platform's list that this VM leaves."""
         revision: int | None = None
@@ -485,7 +517,7 @@
 @_perform.register
 def _dispatch(action: event_lib.Dispatch, process: TargetProcess) -> None:
     serving = process.servings[action.attempt.attempt_id]
-    serving.dispatched = True
+    serving.heard_at_ms = clock.now_ms()
     process.tasks.start_soon(process.run_attempt, action.attempt, serving)
 
 
