--- a/packages/radishd/src/radishd/request/caller.py
+++ b/packages/radishd/src/radishd/request/caller.py
@@ -125,7 +125,9 @@
                 event = exchange_lib.Arrived(number, payload)
             case frame.Accepted():
                 self._observe(item.load, now_ms)
-                event = exchange_lib.Started(item.status, item.content_type)
+                event = exchange_lib.Started(
+                    item.status, item.content_type, item.adapter
+                )
             case frame.End():
                 event = exchange_lib.EndArrived(item.total, _failure_of(item))
             case frame.Refusal():
@@ -204,7 +206,7 @@
             customer=resolution.customer.name,
             adapter=resolution.adapter,
             key=resolution.key,
-            digest=resolve.body_digest(self.body) if resolution.key else b"",
+            digest=resolve.body_digest(intake.body) if resolution.key else b"",
             sent_at_ms=now_ms,
             accepted_at_ms=self.accepted_at_ms,
             deadline_at_ms=self.deadline_at_ms,
@@ -334,10 +336,8 @@
             str(caller.resolution.version).encode(),
         ),
     ]
-    if caller.resolution.adapter:
-        headers.append(
-            (b"x-radishstack-adapter", caller.resolution.adapter.encode())
-        )
+    if action.adapter:
+        headers.append((b"x-radishstack-adapter", action.adapter.encode()))
     await caller.send(
         {
             "type": "http.response.start",
--- a/packages/radishd/src/radishd/request/engine_call.py
+++ b/packages/radishd/src/radishd/request/engine_call.py
@@ -18,6 +18,8 @@
 EVENT_END = b"\n\n"
 DATA_PREFIX = b"data:"
 OK = 200
+NOT_FOUND = 404
+COLD_RETRY_MS = 500
 FIRST_SERVER_ERROR = 500
 
 
@@ -106,6 +108,15 @@
     report: Report,
 ) -> AsyncIterator[Part]:
     head = Head(response.status, _content_type(response))
+    if attempt.adapter and head.status == NOT_FOUND:
+        # The engine restarted cold since the dispatch. It refuses a model
+        # it does not hold before it runs anything.
+        yield result.Failure(
+            result.TARGET_COLD,
+            f"the engine does not hold {attempt.adapter} any more",
+            COLD_RETRY_MS,
+        )
+        return
     if attempt.adapter and head.content_type.startswith(EVENT_STREAM):
         parts = _read_events(response, head, attempt, report)
     else:
--- a/packages/radishd/src/radishd/request/serving.py
+++ b/packages/radishd/src/radishd/request/serving.py
@@ -41,13 +41,15 @@
 class Serving:
     """A run with its readers on their connections."""
 
-    def __init__(self, *, keep_bytes: int) -> None:
+    def __init__(self, *, adapter: str, keep_bytes: int) -> None:
         """Starts before the dispatch.
 
         Args:
+            adapter: What it runs on, ``name@version``.
             keep_bytes: Bytes of the answer that are kept for its key.
         """
         self.run = run_lib.Run(keep_bytes=keep_bytes)
+        self.adapter = adapter
         self.heads_sent: set[ReaderId] = set()
         self.head_known = False
         self.scope = anyio.CancelScope()
@@ -85,7 +87,9 @@
         run, write = self.run, reader.writer.write
         if self.head_known and reader not in self.heads_sent:
             self.heads_sent.add(reader)
-            accepted = frame.Accepted(run.status, run.content_type, load)
+            accepted = frame.Accepted(
+                run.status, run.content_type, load, self.adapter
+            )
             write(frame.encode(reader.stream, accepted))
         for number, payload in run.unsent(reader, WINDOW_CHUNKS):
             write(frame.encode_chunk(reader.stream, number, payload))
--- a/packages/radishd/src/radishd/target.py
+++ b/packages/radishd/src/radishd/target.py
@@ -111,6 +111,7 @@
         self.owners: dict[bytes, bytes] = {}
         self.kept_bytes = 0
         self._busy = anyio.Event()
+        self._look_now = anyio.Event()
         self.seals: dict[int, tuple[Any, int]] = {}
         self.configuration.listen(self._version_raised)
 
@@ -139,7 +140,9 @@
         """Takes an attempt from a connection."""
         if attempt.attempt_id not in self.owners:
             keep_bytes = self.own.keep_bytes if attempt.key else 0
-            serving = serving_lib.Serving(keep_bytes=keep_bytes)
+            serving = serving_lib.Serving(
+                adapter=attempt.adapter, keep_bytes=keep_bytes
+            )
             serving.attach(reader, 0)
             self.servings[attempt.attempt_id] = serving
             self.owners[attempt.attempt_id] = attempt.attempt_id
@@ -237,11 +240,14 @@
             config_version=attempt.version,
             code=failure.code.number if failure else 0,
         )
-        if attempt.key:
+        ran = failure is None or failure.code is not result.TARGET_COLD
+        if not ran:
+            self._look_now.set()
+        if attempt.key and ran:
             self._keep(serving)
         elif not serving.run.readers and not serving.orphaned_at_ms:
             self._drop(attempt.attempt_id)
-        self.handle(event_lib.RunEnded(attempt.attempt_id))
+        self.handle(event_lib.RunEnded(attempt.attempt_id, ran))
 
     def _keep(self, serving: serving_lib.Serving) -> None:
         """Keeps the answer of a key, within the bound of all kept ones."""
@@ -393,7 +399,9 @@
                         seen.incarnation, seen.resident, asked_at_ms
                     )
                 )
-            await anyio.sleep(self.own.poll_ms / MS_PER_S)
+            self._look_now = anyio.Event()
+            with anyio.move_on_after(self.own.poll_ms / MS_PER_S):
+                await self._look_now.wait()
 
     async def tick(self) -> None:
         """Lets time pass for the decisions."""
--- a/packages/radishstack/src/radishstack/connection/frame.py
+++ b/packages/radishstack/src/radishstack/connection/frame.py
@@ -69,11 +69,20 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Accepted:
-    """The target answered; chunks follow."""
+    """The target answered; chunks follow.
+
+    Attributes:
+        status: HTTP status.
+        content_type: Content type.
+        load: The target's word on itself.
+        adapter: What ran, ``name@version``; the answer kept for a key may
+            be of an earlier version than its resubmission asked for.
+    """
 
     status: int
     content_type: str
     load: load_lib.Load
+    adapter: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/radishstack/src/radishstack/connection/wire.capnp
+++ b/packages/radishstack/src/radishstack/connection/wire.capnp
@@ -53,6 +53,7 @@
   status @0 :UInt16;
   contentType @1 :Text;
   load @2 :Load;
+  adapter @3 :Text;
 }
 
 struct Chunk {
--- a/packages/radishstack/src/radishstack/process/ledger.py
+++ b/packages/radishstack/src/radishstack/process/ledger.py
@@ -191,6 +191,22 @@
             keep_until_ms=now_ms + record.window_ms,
         )
 
+    def withdraw(self, key: Key, now_ms: int) -> None:
+        """Takes a start back that the target itself refused as not run."""
+        record = self.records[key]
+        invariant.require(
+            record.state is KeyState.STARTED,
+            result.REFUSED_AND_RUN,
+            f"withdrawal of {key} in state {record.state}",
+        )
+        del self._starts[key]
+        self.records[key] = dataclasses.replace(
+            record,
+            state=KeyState.REFUSED,
+            at_ms=now_ms,
+            keep_until_ms=now_ms + record.window_ms,
+        )
+
     def refuse(self, key: Key, now_ms: int) -> None:
         """Marks a claimed key as not run; a later submission may run."""
         record = self.records[key]
--- a/packages/radishstack/src/radishstack/process/residency.py
+++ b/packages/radishstack/src/radishstack/process/residency.py
@@ -204,6 +204,20 @@
             slot.standing = Standing.RESIDENT
             slot.since_ms = now_ms
 
+    def missing(self, grant: Grant) -> None:
+        """Takes the engine's word that it does not hold an adapter.
+
+        It restarted cold, and this is noticed before its new incarnation.
+        """
+        slot = self.slots.get(grant.adapter)
+        if (
+            grant.incarnation == self.incarnation
+            and slot is not None
+            and slot.grants == 0
+            and slot.standing is Standing.RESIDENT
+        ):
+            del self.slots[grant.adapter]
+
     def restart(self, incarnation: str, now_ms: int) -> None:
         """Voids everything: the engine runs anew, with nothing loaded."""
         del now_ms
--- a/packages/radishstack/src/radishstack/request/exchange.py
+++ b/packages/radishstack/src/radishstack/request/exchange.py
@@ -43,6 +43,7 @@
 
     status: int
     content_type: str
+    adapter: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -105,11 +106,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ForwardHead:
-    """Send the caller the status line and headers."""
+    """Send the caller the status line and headers.
+
+    Attributes:
+        status: HTTP status.
+        content_type: Content type.
+        target: Which target answers.
+        adapter: What it ran, ``name@version``.
+    """
 
     status: int
     content_type: str
     target: str
+    adapter: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -180,6 +189,7 @@
         self.done = False
         self.sequence = sequence.Sequence()
         self.last_failure: result.Failure | None = None
+        self.may_have_run = False
 
     @property
     def keyed(self) -> bool:
@@ -250,6 +260,11 @@
     def _reply(self, failure: result.Failure) -> Actions:
         invariant.require(not self.done, result.REPLY_TWICE, failure.message)
         self.done = True
+        if self.may_have_run and failure.executed is result.Executed.NO:
+            # The last try did not run, but an earlier one was lost.
+            failure = dataclasses.replace(
+                failure, proof=result.Executed.UNKNOWN
+            )
         return [Reply(failure)]
 
     def unproven(self, failure: result.Failure) -> result.Failure:
@@ -333,6 +348,7 @@
     )
     if exchange.keyed:
         return exchange._reply(failure)
+    exchange.may_have_run = True
     return exchange._retry(failure, now_ms)
 
 
@@ -347,8 +363,19 @@
     del now_ms
     if exchange.head_sent:
         return []
+    wanted = exchange.resolution.adapter
+    if event.adapter != wanted and not exchange.keyed:
+        failure = result.Failure(
+            result.WRONG_ADAPTER,
+            f"{exchange.target} ran {event.adapter!r} instead of {wanted!r}",
+        )
+        return [CancelAttempt(), *exchange._reply(failure)]
     exchange.head_sent = True
-    return [ForwardHead(event.status, event.content_type, exchange.target)]
+    return [
+        ForwardHead(
+            event.status, event.content_type, exchange.target, event.adapter
+        )
+    ]
 
 
 @_handle.register
@@ -368,6 +395,8 @@
     if event.failure is not None:
         if not exchange.head_sent and not exchange.keyed:
             # Nothing of the answer went out, and running twice is allowed.
+            if event.failure.executed is not result.Executed.NO:
+                exchange.may_have_run = True
             return exchange._retry(event.failure, now_ms)
         return exchange._reply(event.failure)
     if not whole:
--- a/packages/radishstack/src/radishstack/target.py
+++ b/packages/radishstack/src/radishstack/target.py
@@ -26,7 +26,7 @@
 from radishstack.version import holder as holder_lib
 from radishstack.version import rendezvous
 
-REFUSED_KEEP = 65_536
+CLOSED_KEEP = 65_536
 COLD_RETRY_MS = 1_000
 LEAVING_RETRY_MS = 100
 UNKNOWN_RETRY_MS = 2_000
@@ -120,7 +120,7 @@
         self.running_by_customer: collections.Counter[str] = (
             collections.Counter()
         )
-        self.refused: collections.OrderedDict[bytes, result.Failure] = (
+        self.closed: collections.OrderedDict[bytes, result.Failure] = (
             collections.OrderedDict()
         )
         self.warm: frozenset[str] = frozenset()
@@ -202,6 +202,20 @@
     raise TypeError(f"unknown event {event!r}")
 
 
+_RUN_IS_OVER = result.Failure(
+    result.RUN_UNKNOWN, "this attempt has run and its answer is gone"
+)
+
+
+def _close_attempt(
+    target: Target, attempt_id: bytes, failure: result.Failure
+) -> None:
+    """Remembers what a late copy of an attempt is answered."""
+    target.closed[attempt_id] = failure
+    while len(target.closed) > CLOSED_KEEP:
+        target.closed.popitem(last=False)
+
+
 def _refuse(
     target: Target,
     attempt: attempt_lib.Attempt,
@@ -215,9 +229,7 @@
         f"refusal of running attempt {attempt.attempt_id.hex()}",
     )
     target.attempts.pop(attempt.attempt_id, None)
-    target.refused[attempt.attempt_id] = failure
-    while len(target.refused) > REFUSED_KEEP:
-        target.refused.popitem(last=False)
+    _close_attempt(target, attempt.attempt_id, failure)
     actions.append(event_lib.Refuse(attempt.attempt_id, failure))
 
 
@@ -239,7 +251,7 @@
     event: event_lib.Submitted, target: Target, now_ms: int, actions: Actions
 ) -> None:
     attempt = event.attempt
-    known = target.refused.get(attempt.attempt_id)
+    known = target.closed.get(attempt.attempt_id)
     if known is not None:
         actions.append(event_lib.Refuse(attempt.attempt_id, known))
         return
@@ -357,8 +369,11 @@
         case ledger_lib.Verdict.LATE:
             return result.Failure(
                 result.ATTEMPT_REFUSED,
-                "a later submission of this key was refused as not run",
+                "a later submission of this key was refused",
                 LEAVING_RETRY_MS,
+                # It did not run here; whether it ran on a former home, this
+                # record does not tell.
+                result.Executed.UNKNOWN,
             )
         case _:
             return result.Failure(
@@ -728,7 +743,15 @@
     if not running.cancelled:
         target.forecast.observe_run(now_ms - running.since_ms)
     if attempt.key:
-        target.ledger.end((attempt.service, attempt.key), now_ms)
+        key = (attempt.service, attempt.key)
+        if event.ran:
+            target.ledger.end(key, now_ms)
+        else:
+            target.ledger.withdraw(key, now_ms)
+    else:
+        _close_attempt(target, attempt.attempt_id, _RUN_IS_OVER)
+    if not event.ran and running.grant is not None:
+        target.residency.missing(running.grant)
 
 
 @_handle.register
@@ -840,7 +863,7 @@
 ) -> None:
     attempt = target.attempts[waiting.attempt_id]
     invariant.require(
-        attempt.attempt_id not in target.refused,
+        attempt.attempt_id not in target.closed,
         result.REFUSED_AND_RUN,
         f"dispatch of refused attempt {attempt.attempt_id.hex()}",
     )
--- a/packages/radishstack/src/radishstack/target_event.py
+++ b/packages/radishstack/src/radishstack/target_event.py
@@ -108,9 +108,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RunEnded:
-    """A dispatched attempt's last byte has come, or its failure."""
+    """A dispatched attempt's last byte has come, or its failure.
+
+    Attributes:
+        attempt_id: The attempt.
+        ran: False if the target itself said that it did not run it.
+    """
 
     attempt_id: bytes
+    ran: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/proofs/__init__.py
@@ -0,0 +1,1 @@
+"""Randomised proofs of what must always hold, and the mutants they catch."""
--- /dev/null
+++ b/proofs/mutants.py
@@ -0,0 +1,243 @@
+"""Proofs that the proofs can fail: ``python -m proofs.mutants``.
+
+Each mutant changes one line of a scratch copy and must make the named proof
+fail. A proof that passes with the mutant would pass without the mechanism.
+"""
+
+import concurrent.futures
+import dataclasses
+import os
+import pathlib
+import shutil
+import subprocess
+import sys
+import tempfile
+
+import click
+
+ROOT = pathlib.Path(__file__).parent.parent
+PACKAGES = ("radishstack", "radishd")
+TIMEOUT_S = 600
+SERVING = ("-m", "proofs.soak", "--minutes", "0.6", "--machine", "serving")
+PUBLICATION = ("-m", "proofs.soak", "--minutes", "0.2", "--machine")
+PUBLICATION = (*PUBLICATION, "publication")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Mutant:
+    """One changed line.
+
+    Attributes:
+        promise: The promise whose mechanism it breaks.
+        path: File below the package's ``src`` folder.
+        old: Text that stands there exactly once.
+        new: What replaces it.
+        proof: Arguments of the Python that must fail.
+    """
+
+    promise: str
+    path: str
+    old: str
+    new: str
+    proof: tuple[str, ...] = SERVING
+
+
+def _test(module: str) -> tuple[str, ...]:
+    return ("-m", "tests", module)
+
+
+MUTANTS = (
+    Mutant(
+        "at most once",
+        "radishstack/process/ledger.py",
+        "            if now_ms < self.quarantine_until_ms:\n"
+        "                return Judgement(Verdict.QUARANTINED)",
+        "            if False:\n"
+        "                return Judgement(Verdict.QUARANTINED)",
+    ),
+    Mutant(
+        "at most once",
+        "radishstack/target.py",
+        "    return tuple(sorted(homes))",
+        "    return ()",
+    ),
+    Mutant(
+        "at most once",
+        "radishstack/process/ledger.py",
+        "            if record.state in (KeyState.STARTED, KeyState.ENDED):",
+        "            if record.state in (KeyState.STARTED,):",
+    ),
+    Mutant(
+        "not run is true",
+        "radishstack/request/exchange.py",
+        "        if self.may_have_run and",
+        "        if False and",
+    ),
+    Mutant(
+        "not run is true",
+        "radishstack/process/ledger.py",
+        "            if accepted_at_ms <= record.at_ms:",
+        "            if False:",
+    ),
+    Mutant(
+        "not run is true",
+        "radishstack/request/exchange.py",
+        '        result.OUTCOME_UNKNOWN,\n        f"{exchange.target} was lost',
+        "        result.TARGET_UNREACHABLE,\n"
+        '        f"{exchange.target} was lost',
+    ),
+    Mutant(
+        "right adapter",
+        "radishstack/process/residency.py",
+        "        self.slots.clear()",
+        "        del now_ms",
+    ),
+    Mutant(
+        "right adapter",
+        "radishstack/target.py",
+        "    return standing is residency_lib.Standing.RESIDENT",
+        "    return standing is not residency_lib.Standing.ABSENT",
+    ),
+    Mutant(
+        "never unloaded while serving",
+        "radishstack/target.py",
+        "        and slot.grants == 0",
+        "        and slot.grants >= 0",
+    ),
+    Mutant(
+        "never unloaded while serving",
+        "radishstack/process/residency.py",
+        "        if grant.incarnation != self.incarnation:",
+        "        if False:",
+    ),
+    Mutant(
+        "whole answer",
+        "radishstack/request/sequence.py",
+        "            return Verdict.SKIP",
+        "            return Verdict.TAKE",
+    ),
+    Mutant(
+        "whole answer",
+        "radishstack/request/sequence.py",
+        "        return total == self.expected",
+        "        return True",
+    ),
+    Mutant(
+        "whole answer",
+        "radishstack/request/run.py",
+        "            yield number, self.chunks[number - self.first_held]",
+        "            yield number, self.chunks[number - self.total]",
+    ),
+    Mutant(
+        "configuration never reverts",
+        "radishstack/version/holder.py",
+        "        if held.version <= self._held.version:\n"
+        "            return False",
+        "        if held.version == self._held.version:\n"
+        "            return False",
+        PUBLICATION,
+    ),
+    Mutant(
+        "configuration never reverts",
+        "radishstack/version/publish.py",
+        "        if commit.write_id == proposal.write_id:",
+        "        if commit.write_id is proposal:",
+        PUBLICATION,
+    ),
+    Mutant(
+        "configuration never reverts",
+        "radishstack/version/holder.py",
+        "        first = held.version - root.snapshot_version",
+        "        first = held.version - root.snapshot_version + 1",
+        PUBLICATION,
+    ),
+    Mutant(
+        "leaving",
+        "radishstack/target.py",
+        "    if target.leaving:\n        return result.Failure(",
+        "    if False:\n        return result.Failure(",
+    ),
+    Mutant(
+        "leaving",
+        "radishstack/target.py",
+        "    target.leaving = True",
+        "    target.leaving = False",
+    ),
+    Mutant(
+        "graceful shutdown",
+        "radishd/target.py",
+        "            while not self.machine.idle or self._unread():",
+        "            while False:",
+        _test("test_shutdown"),
+    ),
+    Mutant(
+        "graceful shutdown",
+        "radishd/entry.py",
+        "            while self.in_flight:",
+        "            while False:",
+        _test("test_shutdown"),
+    ),
+)
+
+
+def catches(mutant: Mutant) -> tuple[bool, str]:
+    """Runs a mutant's proof against a scratch copy.
+
+    Args:
+        mutant: The mutant.
+
+    Returns:
+        Whether the proof failed, and its last line.
+    """
+    with tempfile.TemporaryDirectory() as folder:
+        for package in PACKAGES:
+            shutil.copytree(
+                ROOT / "packages" / package / "src" / package,
+                pathlib.Path(folder) / package,
+            )
+        path = pathlib.Path(folder) / mutant.path
+        text = path.read_text(encoding="utf-8")
+        if text.count(mutant.old) != 1:
+            raise click.ClickException(
+                f"{mutant.path}: {mutant.old!r} stands {text.count(mutant.old)}"
+                " times"
+            )
+        path.write_text(text.replace(mutant.old, mutant.new), encoding="utf-8")
+        done = subprocess.run(
+            [sys.executable, *mutant.proof],
+            cwd=ROOT,
+            env={**os.environ, "PYTHONPATH": folder},
+            capture_output=True,
+            text=True,
+            timeout=TIMEOUT_S,
+            check=False,
+        )
+    lines = [line for line in done.stdout.splitlines() if line.strip()]
+    errors = [
+        line
+        for line in done.stderr.splitlines()
+        if "Error" in line and not line.startswith(" ")
+    ]
+    return done.returncode != 0, (errors or lines or ["?"])[-1]
+
+
+@click.command()
+@click.option("--only", default="", help="Part of a promise or a path.")
+@click.option("--jobs", default=4, show_default=True)
+def main(only: str, jobs: int) -> None:
+    """Runs every mutant's proof and prints what was caught."""
+    chosen = [m for m in MUTANTS if only in m.promise or only in m.path]
+    with concurrent.futures.ThreadPoolExecutor(jobs) as pool:
+        verdicts = list(pool.map(catches, chosen))
+    for mutant, (caught, line) in zip(chosen, verdicts, strict=True):
+        word = "caught" if caught else "MISSED"
+        change = mutant.new.strip().partition("\n")[0]
+        print(f"{word}  {mutant.promise}: {mutant.path}: {change}")
+        print(f"        {line[:150]}")
+    caught_count = sum(caught for caught, _ in verdicts)
+    print(f"caught {caught_count}, missed {len(chosen) - caught_count}")
+    sys.exit(0 if caught_count == len(chosen) else 1)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/proofs/publication.py
@@ -0,0 +1,292 @@
+"""The state machine over operators, the object API and followers."""
+
+import collections
+import dataclasses
+
+from hypothesis import stateful
+from hypothesis import strategies as st
+from radishstack import result
+from radishstack.version import commit as commit_lib
+from radishstack.version import document as document_lib
+from radishstack.version import holder as holder_lib
+from radishstack.version import operation as operation_lib
+from radishstack.version import publish
+
+COUNTS: collections.Counter[str] = collections.Counter()
+FOLLOWERS = 3
+SNAPSHOT_EVERY = 5
+NAMES = ("c1", "c2", "c3")
+
+
+@dataclasses.dataclass(slots=True)
+class Operator:
+    """One proposal under way.
+
+    Attributes:
+        publisher: The shipped decisions.
+        step: What it does next.
+    """
+
+    publisher: publish.Publisher
+    step: publish.Next
+
+
+class Store:
+    """The object API: revisions, and writes that may land late."""
+
+    def __init__(self) -> None:
+        """Starts empty."""
+        self.values: dict[str, bytes] = {}
+        self.revision = 0
+        self.late: list[publish.UpdateRoot] = []
+
+    def root(self) -> commit_lib.Root:
+        """Returns the root in force."""
+        data = self.values.get(commit_lib.ROOT_NAME)
+        if data is None:
+            return commit_lib.EMPTY_ROOT
+        return commit_lib.decode_root(data)
+
+    def update_root(self, step: publish.UpdateRoot) -> bool:
+        """Applies a conditional update."""
+        if step.expected_revision != self.revision:
+            return False
+        self.revision += 1
+        self.values[commit_lib.ROOT_NAME] = step.data
+        return True
+
+    def chain(self, after: int) -> tuple[commit_lib.Commit, ...]:
+        """Returns the commits after a version, oldest first."""
+        commits: list[commit_lib.Commit] = []
+        write_id = self.root().write_id
+        while write_id:
+            data = self.values[commit_lib.commit_name(write_id)]
+            commit = commit_lib.decode_commit(data)
+            if commit.version <= after:
+                break
+            commits.append(commit)
+            write_id = commit.parent_id
+        return tuple(reversed(commits))
+
+    def catch_up(
+        self, held: holder_lib.Held, root: commit_lib.Root
+    ) -> holder_lib.Held:
+        """Reads what is needed to hold a root's version."""
+        while (plan := holder_lib.plan_catch_up(held, root)) is not None:
+            if isinstance(plan, holder_lib.ReadSnapshot):
+                parts = [self.values[name] for name in plan.part_names]
+                document = commit_lib.decode_snapshot(parts)
+                held = holder_lib.Held(
+                    plan.version, root.snapshot_write_id, document
+                )
+                continue
+            for name in plan.names:
+                commit = commit_lib.decode_commit(self.values[name])
+                held = holder_lib.follow(held, commit)
+                if isinstance(held, result.Failure):
+                    raise AssertionError(held)
+        return held
+
+
+class PublicationMachine(stateful.RuleBasedStateMachine):
+    """Operators race, answers are lost, writes land late."""
+
+    @stateful.initialize()
+    def begin(self) -> None:
+        self.store = Store()
+        self.operators: list[Operator] = []
+        self.count = 0
+        self.accepted: dict[str, int] = {}
+        self.refused: set[str] = set()
+        self.holders = [holder_lib.Holder() for _ in range(FOLLOWERS)]
+        self.roots = [commit_lib.EMPTY_ROOT]
+
+    @stateful.rule(
+        name=st.sampled_from(NAMES),
+        share=st.sampled_from((None, 1.0, 2.0, 3.0)),
+        limit=st.sampled_from((None, 5, 6)),
+        stale=st.integers(0, 2),
+    )
+    def propose(
+        self, name: str, share: float | None, limit: int | None, stale: int
+    ) -> None:
+        """An operator proposes on the version a follower holds."""
+        base = self.holders[stale].held
+        operations: list[operation_lib.Operation] = []
+        if name not in base.document.customers:
+            operations.append(
+                operation_lib.PutEntity(
+                    kind="customers", name=name, value={"name": name}
+                )
+            )
+        elif share is None and limit is None:
+            operations.append(
+                operation_lib.RemoveEntity(kind="customers", name=name)
+            )
+        for field, value in (("share", share), ("max_in_flight", limit)):
+            if value is not None:
+                operations.append(
+                    operation_lib.SetField(
+                        kind="customers", name=name, field=field, value=value
+                    )
+                )
+        self.count += 1
+        proposal = publish.Proposal(
+            write_id=f"w{self.count}",
+            operator=f"operator-{self.count}",
+            reason="",
+            base=base,
+            operations=tuple(operations),
+        )
+        publisher = publish.Publisher(proposal, now_ms=self.count)
+        self.operators.append(Operator(publisher, publisher.start()))
+        COUNTS["proposals"] += 1
+
+    def step(self, index: int, fate: int) -> None:
+        """One operator's next call; fates 3 to 5 lose it or its answer."""
+        if not self.operators:
+            return
+        operator = self.operators[index % len(self.operators)]
+        if fate >= 3:
+            COUNTS["fault lost answer"] += 1
+        event = self._perform(operator, fate)
+        operator.step = operator.publisher.handle(event)
+        self._settle(operator)
+
+    def _perform(self, operator: Operator, fate: int) -> publish.Event:
+        match operator.step:
+            case publish.CatchUp(held=held):
+                return self._catch_up(held)
+            case publish.WriteCommit(name=name, data=data):
+                if fate != 4:
+                    self.store.values[name] = data
+                return publish.Written() if fate < 3 else publish.Uncertain()
+            case publish.UpdateRoot() as update:
+                if fate == 5:
+                    COUNTS["fault late write"] += 1
+                    self.store.late.append(update)
+                    return publish.Uncertain()
+                if fate == 4:
+                    return publish.Uncertain()
+                took = self.store.update_root(update)
+                if fate == 3:
+                    return publish.Uncertain()
+                return publish.Written() if took else publish.Conflicted()
+        raise AssertionError(operator.step)
+
+    def _catch_up(self, held: holder_lib.Held) -> publish.CaughtUp:
+        root = self.store.root()
+        return publish.CaughtUp(
+            self.store.revision,
+            root,
+            self.store.catch_up(held, root),
+            self.store.chain(held.version),
+        )
+
+    def _settle(self, operator: Operator) -> None:
+        write_id = operator.publisher.proposal.write_id
+        match operator.step:
+            case publish.Accepted(version=version):
+                COUNTS["accepted"] += 1
+                self.accepted[write_id] = version
+            case result.Failure(code=code):
+                COUNTS[f"refused {code.name}"] += 1
+                if code is not result.CHANGE_RACED:
+                    self.refused.add(write_id)
+            case _:
+                return
+        self.operators.remove(operator)
+
+    @stateful.rule()
+    def land_late_write(self) -> None:
+        if self.store.late:
+            self.store.update_root(self.store.late.pop(0))
+
+    @stateful.rule(
+        steps=st.lists(
+            st.tuples(st.integers(0, 9), st.integers(0, 5)),
+            min_size=4,
+            max_size=24,
+        )
+    )
+    def race(self, steps: list[tuple[int, int]]) -> None:
+        """Operators' calls interleave; most answers arrive."""
+        for index, fate in steps:
+            self.step(index, fate if index < 4 else 0)
+
+    @stateful.rule(unlucky=st.integers(0, 5))
+    def crash_operator(self, unlucky: int) -> None:
+        """An operator's process dies in the middle."""
+        if self.operators and unlucky == 0:
+            COUNTS["fault crash"] += 1
+            self.operators.pop(0)
+
+    @stateful.rule()
+    def snapshot(self) -> None:
+        root = self.store.root()
+        if len(root.recent) < SNAPSHOT_EVERY:
+            return
+        held = self.store.catch_up(holder_lib.EMPTY, root)
+        parts = commit_lib.encode_snapshot(held.document, held.write_id)
+        self.store.values.update(parts)
+        data = commit_lib.encode_root(commit_lib.compact(root, tuple(parts)))
+        self.store.update_root(publish.UpdateRoot(self.store.revision, data))
+        COUNTS["snapshots"] += 1
+
+    @stateful.rule(index=st.integers(0, FOLLOWERS - 1), old=st.integers(0, 4))
+    def follow(self, index: int, old: int) -> None:
+        """A follower reads the root, maybe from an old answer."""
+        root = self.roots[max(0, len(self.roots) - 1 - old)]
+        holder = self.holders[index]
+        before = holder.held.version
+        holder.offer(self.store.catch_up(holder.held, root))
+        if holder.held.version < before:
+            raise AssertionError("the held version fell")
+
+    @stateful.rule(index=st.integers(0, FOLLOWERS - 1))
+    def restart_follower(self, index: int) -> None:
+        """A process restarts; it takes a peer's version while cold."""
+        COUNTS["fault restart"] += 1
+        peer = self.holders[(index + 1) % FOLLOWERS].held
+        self.holders[index] = holder_lib.Holder(peer)
+
+    @stateful.invariant()
+    def accepted_changes_stay(self) -> None:
+        if not hasattr(self, "store"):
+            return
+        COUNTS["checks"] += 1
+        root = self.store.root()
+        if root.version < self.roots[-1].version:
+            raise AssertionError("the version in force fell")
+        if root != self.roots[-1]:
+            self.roots.append(root)
+        chain = self.store.chain(0)
+        numbers = [commit.version for commit in chain]
+        if numbers != list(range(1, root.version + 1)):
+            raise AssertionError(f"versions {numbers} are not a chain")
+        found = {commit.write_id: commit.version for commit in chain}
+        if len(found) != len(chain):
+            raise AssertionError("a change was applied twice")
+        for write_id, version in self.accepted.items():
+            if found.get(write_id) != version:
+                raise AssertionError(f"accepted {write_id} is lost")
+        for write_id in self.refused & found.keys():
+            raise AssertionError(f"refused {write_id} took effect")
+        self._check_documents(chain, root)
+
+    def _check_documents(
+        self, chain: tuple[commit_lib.Commit, ...], root: commit_lib.Root
+    ) -> None:
+        held = holder_lib.EMPTY
+        documents: list[document_lib.Document] = [held.document]
+        for commit in chain:
+            held = holder_lib.follow(held, commit)
+            if isinstance(held, result.Failure):
+                raise AssertionError(held)
+            documents.append(held.document)
+        in_force = self.store.catch_up(holder_lib.EMPTY, root)
+        if in_force.document != held.document:
+            raise AssertionError("snapshot and commits differ")
+        for holder in self.holders:
+            if holder.held.document != documents[holder.held.version]:
+                raise AssertionError("a follower holds another document")
--- /dev/null
+++ b/proofs/world.py
@@ -0,0 +1,822 @@
+"""A world in memory: the shipped decisions, faults between them.
+
+Entry exchanges and target machines are the shipped ones. Engines, plain
+services and the messages between processes are small lists here, so that a
+run can hold, drop, repeat and reorder them. What callers were told is
+compared with what engines and services executed.
+"""
+
+import collections
+import dataclasses
+import random
+
+from radishstack import attempt as attempt_lib
+from radishstack import result
+from radishstack import target as target_lib
+from radishstack import target_event as event_lib
+from radishstack.process import ledger as ledger_lib
+from radishstack.process import load_budget
+from radishstack.process import residency as residency_lib
+from radishstack.process import retry_budget
+from radishstack.request import exchange as exchange_lib
+from radishstack.request import resolve
+from radishstack.request import run as run_lib
+from radishstack.version import document as document_lib
+from radishstack.version import holder as holder_lib
+from radishstack.version import operation as operation_lib
+
+WINDOW_MS = 20_000
+TIMEOUT_MS = 8_000
+CHUNKS = 3
+SLOTS = 2
+ENGINES = ("engine-1", "engine-2")
+DESKS = ("desk-1", "desk-2", "desk-3")
+ADAPTERS = tuple(f"a{index}" for index in range(5))
+READ_WINDOW = 2
+VERSION_FETCH_SHARE = 0.8
+
+
+class ViolationError(AssertionError):
+    """A promise was broken, as callers and engines see it."""
+
+
+def first_document() -> document_lib.Document:
+    """Returns the document the world starts with."""
+    raw = {
+        "customers": [{"name": "c1"}, {"name": "c2", "max_in_flight": 3}],
+        "targets": [
+            *(
+                {
+                    "name": name,
+                    "kind": "engine",
+                    "address": "127.0.0.1:1",
+                    "failure_domain": "r/a",
+                    "base_model": "m",
+                }
+                for name in ENGINES
+            ),
+            *(
+                {
+                    "name": name,
+                    "kind": "plain",
+                    "address": "127.0.0.1:1",
+                    "failure_domain": "r/a",
+                }
+                for name in DESKS
+            ),
+        ],
+        "services": [
+            {
+                "name": "assist",
+                "customer": "c1",
+                "targets": list(ENGINES),
+                "timeout_ms": TIMEOUT_MS,
+            },
+            {
+                "name": "pact",
+                "customer": "c2",
+                "targets": list(ENGINES),
+                "idempotent": False,
+                "timeout_ms": TIMEOUT_MS,
+                "retry_window_ms": WINDOW_MS,
+            },
+            {
+                "name": "book",
+                "customer": "c2",
+                "kind": "plain",
+                "targets": list(DESKS[:2]),
+                "idempotent": False,
+                "timeout_ms": TIMEOUT_MS,
+                "retry_window_ms": WINDOW_MS,
+            },
+        ],
+        "adapters": [
+            {
+                "name": name,
+                "service": "pact" if name == "a0" else "assist",
+                "base_model": "m",
+                "versions": [{"version": 1, "source": "s"}],
+                "current": 1,
+            }
+            for name in ADAPTERS
+        ],
+    }
+    document = document_lib.parse(raw)
+    if isinstance(document, tuple):
+        raise ValueError(document)
+    return document
+
+
+@dataclasses.dataclass(slots=True)
+class Engine:
+    """What stands behind a target process.
+
+    Attributes:
+        incarnation: Changes with every restart.
+        resident: Adapters it holds.
+        runs: What it runs: adapter by attempt id, None at a plain service.
+        orders: Orders on their way to it, with the epoch of their sender.
+        fence: Highest fencing number seen.
+    """
+
+    incarnation: int = 1
+    resident: set[str] = dataclasses.field(default_factory=set)
+    runs: dict[bytes, str] = dataclasses.field(default_factory=dict)
+    orders: list[tuple[int, object]] = dataclasses.field(default_factory=list)
+    fence: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Serving:
+    """A run at a target process, as its driver keeps it."""
+
+    run: run_lib.Run
+    adapter: str
+    heads: set[bytes] = dataclasses.field(default_factory=set)
+
+
+@dataclasses.dataclass(slots=True)
+class Node:
+    """A target VM: the slot's process and what stands behind it."""
+
+    name: str
+    engine: Engine
+    machine: target_lib.Target | None = None
+    epoch: int = 0
+    frozen: bool = False
+    listed_leaving: bool = False
+    servings: dict[bytes, Serving] = dataclasses.field(default_factory=dict)
+    owners: dict[bytes, bytes] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(slots=True)
+class Caller:
+    """One submission of a request."""
+
+    number: int
+    service: str
+    adapter: str
+    key: str
+    submitted_ms: int
+    exchange: exchange_lib.Exchange | None = None
+    attempt_id: bytes = b""
+    attempts: list[bytes] = dataclasses.field(default_factory=list)
+    chunks: list[bytes] = dataclasses.field(default_factory=list)
+    told_adapter: str = ""
+    outcome: result.Failure | str | None = None
+    told_ms: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ToTarget:
+    """A message to a target process."""
+
+    node: str
+    epoch: int
+    kind: str
+    body: object
+    caller: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ToCaller:
+    """A message to a request at its entry."""
+
+    caller: int
+    attempt_id: bytes
+    event: object
+
+
+class World:
+    """All of it, moved on by the rules of a state machine."""
+
+    def __init__(self, seed: int, counts: collections.Counter[str]) -> None:
+        """Starts with every process up and the first version everywhere.
+
+        Args:
+            seed: Of the random source.
+            counts: Where operations and faults are counted.
+        """
+        self.random = random.Random(seed)
+        self.counts = counts
+        self.now_ms = 1_000
+        self.versions = [holder_lib.Held(1, "w1", first_document())]
+        self.entry_versions = [0, 0]
+        self.budget = retry_budget.RetryBudget()
+        self.callers: list[Caller] = []
+        self.net: list[ToTarget | ToCaller] = []
+        self.executions: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
+        self.runs: set[tuple[bytes, int]] = set()
+        self.attempts_run: set[bytes] = set()
+        self.caller_of_attempt: dict[bytes, int] = {}
+        self.left_at_ms: dict[str, int] = {}
+        self.accepted_ms: dict[bytes, int] = {}
+        self.seal_answer = ledger_lib.Sealing.UNKNOWN
+        self.nodes = {name: Node(name, Engine()) for name in (*ENGINES, *DESKS)}
+        for node in self.nodes.values():
+            self.start(node, quarantine_ms=0)
+
+    def start(self, node: Node, quarantine_ms: int = WINDOW_MS) -> None:
+        """Starts the process of a slot."""
+        kind = (
+            document_lib.TargetKind.ENGINE
+            if node.name in ENGINES
+            else document_lib.TargetKind.PLAIN
+        )
+        node.epoch += 1
+        node.frozen = False
+        node.listed_leaving = False
+        node.servings.clear()
+        node.owners.clear()
+        node.machine = target_lib.Target(
+            target_lib.TargetSettings(
+                name=node.name,
+                kind=kind,
+                slot_count=SLOTS,
+                max_running=3,
+                max_queued=6,
+                quarantine_ms=quarantine_ms,
+                first_order=node.epoch * 1_000_000,
+            ),
+            now_ms=self.now_ms,
+            random_source=self.random,
+            budget=load_budget.BudgetSettings(1_000.0, 1, 100.0),
+        )
+        self.feed(node, event_lib.VersionHeld(self.versions[-1]))
+        if kind is document_lib.TargetKind.ENGINE:
+            node.engine.fence = node.epoch * 1_000_000
+            self.look(node)
+
+    def feed(self, node: Node, event: event_lib.Event) -> None:
+        """Feeds an event to a process that is up."""
+        if node.machine is None or node.frozen:
+            return
+        for action in node.machine.handle(event, self.now_ms):
+            self.perform(node, action)
+
+    def look(self, node: Node) -> None:
+        """Lets a process ask its engine for its state."""
+        seen = event_lib.EngineSeen(
+            str(node.engine.incarnation),
+            frozenset(node.engine.resident),
+            self.now_ms,
+        )
+        self.feed(node, seen)
+
+    def kill(self, node: Node) -> None:
+        """Kills a process: its runs lose their reader and are cancelled."""
+        node.machine = None
+        node.engine.runs.clear()
+        self.net = [
+            message
+            for message in self.net
+            if not (isinstance(message, ToTarget) and message.node == node.name)
+            or message.kind == "submit"
+        ]
+        self.lose_readers(node)
+
+    def lose_readers(self, node: Node) -> None:
+        """Cuts the connections to a process."""
+        for caller in self.callers:
+            exchange = caller.exchange
+            if exchange is None or exchange.done:
+                continue
+            if exchange.target == node.name and caller.attempt_id:
+                attempt_id = caller.attempt_id
+                self.net = [
+                    message
+                    for message in self.net
+                    if not isinstance(message, ToCaller)
+                    or message.attempt_id != attempt_id
+                ]
+                serving = node.servings.get(node.owners.get(attempt_id, b""))
+                if serving is not None:
+                    serving.run.detach(attempt_id)
+                    serving.heads.discard(attempt_id)
+                self.net.append(
+                    ToCaller(caller.number, attempt_id, exchange_lib.Lost())
+                )
+
+    def restart_engine(self, node: Node) -> None:
+        """Restarts an engine cold; its streams are cut."""
+        engine = node.engine
+        engine.incarnation += 1
+        engine.resident.clear()
+        engine.orders.clear()
+        engine.fence = 0
+        for attempt_id in list(engine.runs):
+            self.end_run(node, attempt_id, cut=True)
+
+    def perform(self, node: Node, action: event_lib.Action) -> None:
+        """Performs what a target machine decided."""
+        match action:
+            case event_lib.Dispatch(attempt=attempt):
+                self.execute(node, attempt)
+            case event_lib.Refuse(attempt_id=attempt_id, failure=failure):
+                serving = node.servings.pop(attempt_id, None)
+                readers = serving.run.readers if serving else {}
+                for reader in readers:
+                    self.to_caller(reader, exchange_lib.Refused(failure))
+            case event_lib.Join(attempt_id=attempt_id, owner_id=owner_id):
+                self.join(node, attempt_id, owner_id)
+            case event_lib.StartLoad() | event_lib.StartUnload():
+                node.engine.orders.append((node.epoch, action))
+            case event_lib.AskPriors():
+                self.ask_priors(node, action)
+            case event_lib.AnswerSeal(answer=answer):
+                self.seal_answer = answer
+            case event_lib.Abort(attempt_id=attempt_id):
+                self.end_run(node, attempt_id, cut=True)
+            case event_lib.Forget(attempt_ids=attempt_ids):
+                for attempt_id in attempt_ids:
+                    node.servings.pop(attempt_id, None)
+
+    def join(self, node: Node, attempt_id: bytes, owner_id: bytes) -> None:
+        """Lets a submission read its key's run."""
+        if attempt_id == owner_id:
+            return
+        own = node.servings.pop(attempt_id, None)
+        owner = node.servings.get(owner_id)
+        if own is None:
+            return
+        if owner is None or not owner.run.whole:
+            failure = result.Failure(result.ANSWER_NOT_KEPT, "not kept")
+            for reader in own.run.readers:
+                self.to_caller(reader, exchange_lib.Refused(failure))
+            return
+        node.owners[attempt_id] = owner_id
+        for reader in list(own.run.readers):
+            owner.run.attach(reader, 0)
+        self.flush(owner)
+
+    def ask_priors(self, node: Node, action: event_lib.AskPriors) -> None:
+        """Asks former homes; one that is down or frozen does not answer."""
+        worst = ledger_lib.Sealing.SEALED
+        for name in action.targets:
+            prior = self.nodes[name]
+            answer = ledger_lib.Sealing.UNKNOWN
+            if prior.machine is not None and not prior.frozen:
+                self.feed(prior, event_lib.SealAsked(action.key, node.name, 0))
+                answer = self.seal_answer
+                self.counts[f"seal {answer.name.lower()}"] += 1
+            ran = answer is ledger_lib.Sealing.RAN
+            if ran or worst is ledger_lib.Sealing.SEALED:
+                worst = answer
+        event = event_lib.PriorsAnswered(action.attempt_id, worst)
+        body = (action.attempt_id, event)
+        self.net.append(ToTarget(node.name, node.epoch, "priors", body, -1))
+
+    def execute(self, node: Node, attempt: attempt_lib.Attempt) -> None:
+        """Executes an attempt at the engine or the service, and checks."""
+        now_ms, key = self.now_ms, (attempt.service, attempt.key)
+        caller = self.callers[self.caller_of_attempt[attempt.attempt_id]]
+        left_ms = self.left_at_ms.get(node.name)
+        if left_ms is not None and now_ms > left_ms:
+            accepted_ms = self.accepted_ms[attempt.attempt_id]
+            if accepted_ms > left_ms:
+                raise ViolationError(f"{node.name} admitted after it left")
+        if attempt.adapter and attempt.adapter not in node.engine.resident:
+            if node.machine.residency.incarnation == str(
+                node.engine.incarnation
+            ):
+                raise ViolationError(f"{attempt.adapter} is not resident")
+            # It restarted cold and this was not noticed; it answers 404.
+            self.counts["dispatches to a cold engine"] += 1
+            body = (attempt.attempt_id, node.epoch)
+            self.net.append(ToTarget(node.name, node.epoch, "cold", body, -1))
+            return
+        if attempt.adapter and attempt.adapter != caller.adapter:
+            raise ViolationError(f"ran {attempt.adapter} for {caller}")
+        if (attempt.attempt_id, node.epoch) in self.runs:
+            raise ViolationError("an attempt ran twice")
+        self.runs.add((attempt.attempt_id, node.epoch))
+        self.attempts_run.add(attempt.attempt_id)
+        self.counts["executions"] += 1
+        if attempt.key:
+            self.executions[key] += 1
+            if self.executions[key] > 1:
+                raise ViolationError(f"{key} ran {self.executions[key]} times")
+            for other in self.callers:
+                told_no = (
+                    isinstance(other.outcome, result.Failure)
+                    and other.outcome.executed is result.Executed.NO
+                )
+                if (
+                    told_no
+                    and (other.service, other.key) == key
+                    and caller.submitted_ms < other.told_ms
+                ):
+                    raise ViolationError(f"{key} ran after it was told no")
+        node.engine.runs[attempt.attempt_id] = attempt.adapter
+        if attempt.attempt_id not in node.servings:
+            raise ViolationError("a run without a serving")
+
+    def produce(self, node: Node, attempt_id: bytes) -> None:
+        """Lets the engine produce one chunk, or the end."""
+        serving = node.servings[attempt_id]
+        if serving.run.total >= CHUNKS:
+            self.end_run(node, attempt_id, cut=False)
+            return
+        adapter = node.engine.runs[attempt_id]
+        serving.run.status = 200
+        payload = f"{adapter}:{attempt_id.hex()}:{serving.run.total}"
+        serving.run.append(payload.encode())
+        self.flush(serving)
+
+    def end_run(self, node: Node, attempt_id: bytes, *, cut: bool) -> None:
+        """Ends a run at the engine and tells the process."""
+        node.engine.runs.pop(attempt_id, None)
+        serving = node.servings.get(attempt_id)
+        if node.machine is None or serving is None:
+            return
+        if serving.run.ended is None:
+            failure = result.Failure(result.TARGET_FAILED, "lost")
+            serving.run.end(failure if cut else None)
+        self.flush(serving)
+        frozen, node.frozen = node.frozen, False
+        self.feed(node, event_lib.RunEnded(attempt_id))
+        node.frozen = frozen
+
+    def end_cold(self, node: Node, attempt_id: bytes) -> None:
+        """Ends a run that the engine refused, since it holds nothing."""
+        serving = node.servings.get(attempt_id)
+        if serving is None or serving.run.ended is not None:
+            return
+        failure = result.Failure(result.TARGET_COLD, "404")
+        serving.run.end(failure)
+        self.flush(serving)
+        node.servings.pop(attempt_id, None)
+        self.feed(node, event_lib.RunEnded(attempt_id, ran=False))
+
+    def flush(self, serving: Serving) -> None:
+        """Sends the readers of a run what their windows allow."""
+        run = serving.run
+        for reader in list(run.readers):
+            if run.status and reader not in serving.heads:
+                serving.heads.add(reader)
+                started = exchange_lib.Started(200, "text", serving.adapter)
+                self.to_caller(reader, started)
+            for number, payload in run.unsent(reader, READ_WINDOW):
+                self.to_caller(reader, exchange_lib.Arrived(number, payload))
+            if run.end_is_due(reader):
+                run.mark_ended(reader)
+                failure = run.ended.failure
+                self.to_caller(
+                    reader, exchange_lib.EndArrived(run.total, failure)
+                )
+
+    def to_caller(self, attempt_id: bytes, event: object) -> None:
+        """Sends a message to whoever made an attempt."""
+        number = self.caller_of_attempt[attempt_id]
+        self.net.append(ToCaller(number, attempt_id, event))
+
+    def submit(self, service: str, adapter: str, key: str, entry: int) -> None:
+        """Takes a caller's request at an entry."""
+        self.now_ms += 1
+        held = self.versions[self.entry_versions[entry]]
+        asked = resolve.Asked(
+            request_id=str(len(self.callers)),
+            model="" if service == "book" else adapter,
+            service="book" if service == "book" else "",
+            key=key,
+            timeout_text="",
+            headers={},
+        )
+        resolution = resolve.resolve(asked, held)
+        if isinstance(resolution, result.Failure):
+            return
+        caller = Caller(
+            len(self.callers),
+            resolution.service.name,
+            resolution.adapter,
+            resolution.key,
+            self.now_ms,
+        )
+        caller.exchange = exchange_lib.Exchange(
+            resolution,
+            list(resolution.candidates),
+            self.budget,
+            deadline_at_ms=self.now_ms + resolution.timeout_ms,
+        )
+        self.callers.append(caller)
+        self.counts["submissions"] += 1
+        self.act(caller, caller.exchange.start())
+
+    def act(self, caller: Caller, actions: exchange_lib.Actions) -> None:
+        """Performs what an exchange decided."""
+        exchange = caller.exchange
+        for action in actions:
+            match action:
+                case exchange_lib.Send(target=name):
+                    self.send(caller, name)
+                case exchange_lib.Resume(target=name, next_number=number):
+                    self.counts["resumes"] += 1
+                    self.resume(caller, name, number)
+                case exchange_lib.Rehome():
+                    newest = self.versions[-1]
+                    service = newest.document.services[caller.service]
+                    homes = resolve.candidates_for(
+                        service, adapter=caller.adapter, key=caller.key
+                    )
+                    exchange.resolution = dataclasses.replace(
+                        exchange.resolution, version=newest.version
+                    )
+                    self.act(caller, exchange.rehomed(list(homes), self.now_ms))
+                case exchange_lib.ForwardHead(adapter=adapter):
+                    caller.told_adapter = adapter
+                case exchange_lib.Forward(payload=payload):
+                    caller.chunks.append(payload)
+                case exchange_lib.Finish():
+                    self.finish(caller, "ok")
+                case exchange_lib.Reply(failure=failure):
+                    self.finish(caller, failure)
+                case exchange_lib.CancelAttempt():
+                    self.close(caller)
+
+    def send(self, caller: Caller, name: str) -> None:
+        """Submits a new attempt."""
+        node = self.nodes[name]
+        if node.machine is None:
+            self.act(
+                caller,
+                caller.exchange.handle(exchange_lib.Unsent(), self.now_ms),
+            )
+            return
+        caller.attempt_id = self.random.randbytes(16)
+        caller.attempts.append(caller.attempt_id)
+        self.caller_of_attempt[caller.attempt_id] = caller.number
+        resolution = caller.exchange.resolution
+        attempt = attempt_lib.Attempt(
+            attempt_id=caller.attempt_id,
+            request_id=str(caller.number),
+            version=resolution.version,
+            service=caller.service,
+            customer=resolution.customer.name,
+            adapter=caller.adapter,
+            key=caller.key,
+            digest=b"d",
+            accepted_at_ms=caller.submitted_ms,
+            deadline_at_ms=caller.submitted_ms + TIMEOUT_MS,
+            method="POST",
+            path="/",
+            content_type="",
+            body=b"",
+            streams=True,
+        )
+        self.net.append(
+            ToTarget(name, node.epoch, "submit", attempt, caller.number)
+        )
+
+    def resume(self, caller: Caller, name: str, number: int) -> None:
+        """Attaches to a run again over another connection."""
+        node = self.nodes[name]
+        if node.machine is None:
+            actions = exchange_lib.resume_failed(caller.exchange, self.now_ms)
+            self.act(caller, actions)
+            return
+        body = (caller.attempt_id, number)
+        self.net.append(
+            ToTarget(name, node.epoch, "attach", body, caller.number)
+        )
+
+    def close(self, caller: Caller) -> None:
+        """Ends the stream of an attempt."""
+        name = caller.exchange.target
+        if not name or not caller.attempt_id:
+            return
+        epoch = self.nodes[name].epoch
+        body = caller.attempt_id
+        self.net.append(ToTarget(name, epoch, "close", body, caller.number))
+
+    def finish(self, caller: Caller, outcome: result.Failure | str) -> None:
+        """Takes the one outcome of a request and checks it."""
+        if caller.outcome is not None:
+            raise ViolationError(f"two outcomes for {caller}")
+        caller.outcome = outcome
+        caller.told_ms = self.now_ms
+        name = outcome if isinstance(outcome, str) else outcome.code.name
+        self.counts[f"outcome {name}"] += 1
+        if outcome == "ok":
+            self.check_whole(caller)
+        elif outcome.executed is result.Executed.NO:
+            if any(one in self.attempts_run for one in caller.attempts):
+                raise ViolationError(f"told no, but it ran: {caller}")
+            key = (caller.service, caller.key)
+            if caller.key and self.executions[key]:
+                raise ViolationError(f"told no, but its key ran: {caller}")
+        self.close(caller)
+
+    def check_whole(self, caller: Caller) -> None:
+        """Checks a success: every chunk, in order, of one run of its own."""
+        parts = [chunk.decode().split(":") for chunk in caller.chunks]
+        numbers = [int(part[2]) for part in parts]
+        runs = {part[1] for part in parts}
+        adapters = {part[0] for part in parts}
+        if numbers != list(range(CHUNKS)):
+            raise ViolationError(f"not whole: {caller.chunks}")
+        if len(runs) != 1 or adapters != {caller.told_adapter}:
+            raise ViolationError(f"mixed answers: {caller.chunks}")
+        owner = self.callers[self.caller_of_attempt[bytes.fromhex(runs.pop())]]
+        if caller.told_adapter != owner.adapter:
+            raise ViolationError("ran on another adapter than was asked for")
+        mine = (caller.service, caller.key) if caller.key else caller.number
+        theirs = (owner.service, owner.key) if owner.key else owner.number
+        if mine != theirs:
+            raise ViolationError("somebody else's answer")
+
+    def deliver(self, index: int, *, repeat: bool = False) -> None:
+        """Delivers one message on its way, or a copy of it."""
+        if not self.net:
+            return
+        index %= len(self.net)
+        message = self.net[index]
+        if isinstance(message, ToTarget):
+            node = self.nodes[message.node]
+            if node.frozen and node.machine is not None:
+                return
+        if not repeat:
+            del self.net[index]
+        if isinstance(message, ToCaller):
+            self.deliver_to_caller(message)
+        else:
+            self.deliver_to_target(message)
+
+    def deliver_to_caller(self, message: ToCaller) -> None:
+        """Hands a message to its request, unless its stream was closed."""
+        caller = self.callers[message.caller]
+        if caller.attempt_id != message.attempt_id or caller.exchange.done:
+            return
+        self.act(caller, caller.exchange.handle(message.event, self.now_ms))
+        if isinstance(message.event, exchange_lib.Arrived):
+            node = self.nodes[caller.exchange.target]
+            owner_id = node.owners.get(message.attempt_id, b"")
+            serving = node.servings.get(owner_id)
+            if serving is not None and node.machine is not None:
+                acked = caller.exchange.sequence.expected
+                serving.run.ack(message.attempt_id, acked)
+                self.flush(serving)
+
+    def deliver_to_target(self, message: ToTarget) -> None:
+        """Hands a message to a target process."""
+        node = self.nodes[message.node]
+        if node.machine is None:
+            return
+        if message.kind == "submit":
+            self.deliver_submit(node, message.body)
+            return
+        if message.epoch != node.epoch:
+            return
+        match message.kind:
+            case "attach":
+                self.deliver_attach(node, *message.body)
+            case "close":
+                self.deliver_close(node, message.body)
+            case "priors":
+                self.feed(node, message.body[1])
+            case "cold":
+                self.end_cold(node, message.body[0])
+
+    def deliver_submit(self, node: Node, attempt: attempt_lib.Attempt) -> None:
+        """Takes a submission, which may be a late copy."""
+        self.accepted_ms[attempt.attempt_id] = self.now_ms
+        if self.random.random() < VERSION_FETCH_SHARE:
+            held = self.versions[attempt.version - 1]
+            self.feed(node, event_lib.VersionHeld(held))
+        if attempt.attempt_id not in node.servings:
+            keep_bytes = 10_000 if attempt.key else 0
+            run = run_lib.Run(keep_bytes=keep_bytes)
+            serving = Serving(run, attempt.adapter)
+            serving.run.attach(attempt.attempt_id, 0)
+            node.servings.setdefault(attempt.attempt_id, serving)
+            node.owners.setdefault(attempt.attempt_id, attempt.attempt_id)
+        self.feed(node, event_lib.Submitted(attempt))
+
+    def deliver_attach(
+        self, node: Node, attempt_id: bytes, number: int
+    ) -> None:
+        """Takes the resumption of a run."""
+        serving = node.servings.get(node.owners.get(attempt_id, b""))
+        if serving is None or not serving.run.attach(attempt_id, number):
+            caller = self.callers[self.caller_of_attempt[attempt_id]]
+            actions = exchange_lib.resume_failed(caller.exchange, self.now_ms)
+            self.act(caller, actions)
+            return
+        serving.heads.discard(attempt_id)
+        self.flush(serving)
+
+    def deliver_close(self, node: Node, attempt_id: bytes) -> None:
+        """Takes a reader's word that it reads no more."""
+        owner_id = node.owners.get(attempt_id, b"")
+        serving = node.servings.get(owner_id)
+        if serving is None:
+            return
+        serving.run.detach(attempt_id)
+        if serving.run.readers:
+            return
+        if serving.run.ended is None:
+            self.feed(node, event_lib.Cancelled(owner_id))
+        elif not serving.run.keep_bytes:
+            node.servings.pop(owner_id, None)
+
+    def obey(self, node: Node, index: int, fate: int) -> None:
+        """Lets an engine take one order on its way.
+
+        Args:
+            node: The VM.
+            index: Which order.
+            fate: 0 done, 1 failed, 2 done but its answer is lost, which the
+                driver finds out by asking for the list.
+        """
+        engine = node.engine
+        if not engine.orders:
+            return
+        epoch, order = engine.orders.pop(index % len(engine.orders))
+        if order.order < engine.fence:
+            self.counts["orders fenced off"] += 1
+            return
+        engine.fence = order.order
+        failed = fate == 1
+        if isinstance(order, event_lib.StartLoad):
+            if not failed:
+                engine.resident.add(order.adapter)
+            event = (
+                event_lib.LoadFailed(order.adapter, order.incarnation, "x")
+                if failed
+                else event_lib.Loaded(order.adapter, order.incarnation)
+            )
+        else:
+            if not failed:
+                if order.adapter in engine.runs.values():
+                    raise ViolationError(f"{order.adapter} unloaded in use")
+                engine.resident.discard(order.adapter)
+            event = (
+                event_lib.UnloadFailed(order.adapter, order.incarnation)
+                if failed
+                else event_lib.Unloaded(order.adapter, order.incarnation)
+            )
+        if len(engine.resident) > SLOTS:
+            raise ViolationError("more adapters than slots")
+        if epoch == node.epoch and not node.frozen:
+            self.feed(node, event)
+        elif epoch == node.epoch:
+            self.net.append(
+                ToTarget(node.name, epoch, "priors", (b"", event), -1)
+            )
+
+    def advance(self, by_ms: int) -> None:
+        """Lets time pass; deadlines are noticed, machines tick."""
+        self.now_ms += by_ms
+        for node in self.nodes.values():
+            self.feed(node, event_lib.Ticked())
+        for caller in self.callers:
+            exchange = caller.exchange
+            if not exchange.done and self.now_ms > exchange.deadline_at_ms:
+                self.act(
+                    caller, exchange.handle(exchange_lib.Expired(), self.now_ms)
+                )
+
+    def change(self, operation: operation_lib.Operation) -> None:
+        """Accepts a configuration change, if it is valid."""
+        held = self.versions[-1]
+        document = operation_lib.apply(
+            held.document,
+            (operation,),
+            version=held.version + 1,
+            at_ms=self.now_ms,
+        )
+        if isinstance(document, tuple):
+            return
+        self.counts["changes"] += 1
+        number = held.version + 1
+        self.versions.append(holder_lib.Held(number, f"w{number}", document))
+
+    def leave(self, node: Node) -> None:
+        """Lets a process learn that its VM leaves."""
+        if node.machine is None or node.frozen:
+            return
+        self.feed(node, event_lib.LeavingLearned())
+        self.left_at_ms[node.name] = self.now_ms
+
+    def check(self) -> None:
+        """Checks what must hold after every step."""
+        for node in self.nodes.values():
+            if node.machine is None or node.name not in ENGINES:
+                continue
+            residency = node.machine.residency
+            if residency.incarnation != str(node.engine.incarnation):
+                continue
+            grants = collections.Counter(
+                one.grant.adapter
+                for one in node.machine.running.values()
+                if one.grant.incarnation == residency.incarnation
+            )
+            for adapter, slot in residency.slots.items():
+                if slot.grants != grants[adapter]:
+                    raise ViolationError(f"grants of {adapter} miscounted")
+                if (
+                    slot.standing is residency_lib.Standing.CLOSING
+                    and slot.grants
+                ):
+                    raise ViolationError(f"{adapter} closing while granted")
--- /dev/null
+++ b/tests/daemon/test_faults.py
@@ -0,0 +1,201 @@
+"""Faults on real processes; callers' records against execution counts."""
+
+import signal
+
+from tests.daemon import fixtures
+from tests.daemon import records
+
+QUARANTINE_MS = 1_500
+
+
+def _settle(site: fixtures.Site, crew: records.Crew) -> None:
+    """Ends the callers and compares their records with the executions."""
+    crew.finish()
+    desks = [name for name in site.targets if name.startswith("desk")]
+    engines = [name for name in site.targets if name.startswith("engine")]
+    crew.check(
+        [site.state(f"{name}-behind") for name in desks],
+        [site.state(f"{name}-behind") for name in engines],
+    )
+
+
+def _wait_more(crew: records.Crew, kind: str, more: int) -> None:
+    """Waits until callers have got some more whole answers."""
+    wanted = crew.count(kind, whole=True) + more
+    fixtures.wait_until(
+        lambda: crew.count(kind, whole=True) >= wanted, f"{more} more {kind}"
+    )
+
+
+def test_killed_target_processes_double_and_lose_nothing() -> None:
+    """SIGKILL of target processes under load, and their replacement.
+
+    Symptom: a booking made twice. Sequence: the target process of a desk is
+    killed after it passed a booking on; the caller sends the key again to
+    its replacement, whose ledger is empty. Cause without the mechanism: an
+    empty ledger taken for proof that the key never ran.
+    """
+    target = {"quarantine_ms": QUARANTINE_MS, "resume_ms": 500}
+    with fixtures.running_site(desks=2, target=target) as site:
+        crew = records.Crew(site)
+        crew.start(bookers=2, streamers=3)
+        _wait_more(crew, "stream", 4)
+        for name in ("desk-1", "engine-1"):
+            site.kill(name)
+            site.start(name)
+            fixtures.wait_until(lambda n=name: site.ready(n), f"{name} is back")
+        _wait_more(crew, "stream", 4)
+        _wait_more(crew, "book", 4)
+        _settle(site, crew)
+
+
+def test_frozen_target_process_runs_nothing_late() -> None:
+    """SIGSTOP past the callers' deadlines, then SIGCONT.
+
+    Symptom: a call executed long after its caller was told that the outcome
+    is unknown and resubmitted it. Sequence: a target process is paused with
+    submissions in its socket and goes on after their deadlines.
+    """
+    with fixtures.running_site(desks=1) as site:
+        url = site.url("entry-1", "/v1/services/booking/reserve")
+        first = site.book("entry-1", "warm", {})
+        assert first.status == 200
+        site.signal("desk-1", signal.SIGSTOP)
+        headers = {"Idempotency-Key": "late", "X-Request-Timeout-Ms": "300"}
+        answer = fixtures.call("POST", url, {}, headers=headers)
+        assert (answer.status, answer.executed) == (504, "unknown"), answer
+        site.signal("desk-1", signal.SIGCONT)
+        after = site.book("entry-2", "after", {})
+        assert after.status == 200
+        executions = site.state("desk-1-behind")["executions"]
+        assert executions == {"warm": 1, "after": 1}
+
+
+def test_frozen_engine_process_under_load() -> None:
+    """An engine's target process is frozen and thawed under load."""
+    with fixtures.running_site() as site:
+        crew = records.Crew(site)
+        crew.start(bookers=1, streamers=3)
+        _wait_more(crew, "stream", 4)
+        site.signal("engine-2", signal.SIGSTOP)
+        _wait_more(crew, "book", 4)
+        site.signal("engine-2", signal.SIGCONT)
+        _wait_more(crew, "stream", 4)
+        _settle(site, crew)
+
+
+def test_engine_restarted_cold_in_mid_stream() -> None:
+    """Engines restart with nothing loaded while they stream.
+
+    Symptom: a short answer taken for a whole one, or an answer of another
+    adapter. Sequence: the engine dies in mid-stream and comes back empty.
+    Cause without the mechanism: grants that outlive the incarnation they
+    were given for, an end of the connection taken for the end of the answer.
+    """
+    with fixtures.running_site() as site:
+        crew = records.Crew(site, tokens=30)
+        crew.start(bookers=0, streamers=4)
+        for name in ("engine-1", "engine-2", "engine-1"):
+            _wait_more(crew, "stream", 3)
+            fixtures.call(
+                "POST", site.url(f"{name}-behind", "/standin/restart")
+            )
+        _wait_more(crew, "stream", 4)
+        _settle(site, crew)
+
+
+def test_failed_loads_and_lost_answers_to_loads() -> None:
+    """Loads fail, and answers to loads that took effect are lost."""
+    with fixtures.running_site() as site:
+        for name in ("engine-1", "engine-2"):
+            site.faults(f"{name}-behind", lost_load_answers=3)
+        crew = records.Crew(site)
+        crew.start(bookers=0, streamers=3)
+        _wait_more(crew, "stream", 6)
+        for name in ("engine-1", "engine-2"):
+            site.faults(f"{name}-behind", load_failure_rate=0.5)
+        _wait_more(crew, "stream", 3)
+        for name in ("engine-1", "engine-2"):
+            site.faults(f"{name}-behind", load_failure_rate=0.0)
+        _wait_more(crew, "stream", 6)
+        _settle(site, crew)
+
+
+def test_engine_that_runs_another_adapter_is_found_out() -> None:
+    """No answer of a wrong adapter reaches a caller."""
+    with fixtures.running_site(desks=0, engines=1) as site:
+        site.faults("engine-1-behind", wrong_adapter="adapter-9@1")
+        for stream in (False, True):
+            answer = site.complete("entry-1", "adapter-2", "x", stream=stream)
+            assert answer.code == 3007, answer
+            assert answer.executed == "yes"
+        site.faults("engine-1-behind", wrong_adapter="")
+        assert site.complete("entry-1", "adapter-2", "x").status == 200
+
+
+def test_object_api_down_for_long() -> None:
+    """An outage of the object API stops no request.
+
+    A process that restarts in the outage is not ready, since it holds no
+    version; the others go on with theirs, and an operator's change is
+    refused or uncertain, never half in force.
+    """
+    with fixtures.running_site() as site:
+        crew = records.Crew(site)
+        crew.start(bookers=1, streamers=2)
+        _wait_more(crew, "stream", 2)
+        site.faults("platform", outage=True)
+        _wait_more(crew, "stream", 4)
+        _wait_more(crew, "book", 4)
+        refused = site.radishctl("customer", "set", "lab", "share", "3.0")
+        assert refused.returncode == 4, refused
+        site.faults("platform", outage=False)
+        accepted = site.radishctl("customer", "set", "lab", "share", "3.0")
+        assert accepted.returncode == 0, accepted
+        site.wait_in_force(2)
+        _settle(site, crew)
+
+
+def test_answer_to_a_commit_is_lost() -> None:
+    """A change whose answer was lost is found again, not applied twice."""
+    with fixtures.running_site(engines=1, entries=1) as site:
+        site.faults("platform", lost_write_answers=2)
+        changed = site.radishctl("customer", "set", "lab", "share", "4.0")
+        assert changed.returncode == 0, changed
+        history = site.radishctl("--output", "json", "config", "history")
+        assert history.stdout.count('"write_id"') == 2, history.stdout
+
+
+def test_service_moves_while_its_keys_are_sent() -> None:
+    """A key runs once although its service moves to other targets.
+
+    Symptom: a doubled booking after an operator moved the service. Sequence:
+    the key runs on its old home; the service moves; the caller sends the key
+    again, and its new home has never seen it. Cause without the mechanism:
+    the new home does not ask the old one.
+    """
+    with fixtures.running_site(desks=3) as site:
+        crew = records.Crew(site)
+        crew.start(bookers=3, streamers=0)
+        for targets in ("[desk-1]", "[desk-2, desk-3]", "[desk-1, desk-2]"):
+            _wait_more(crew, "book", 6)
+            moved = site.radishctl(
+                "service", "set", "booking", "targets", targets
+            )
+            assert moved.returncode == 0, moved
+        _wait_more(crew, "book", 6)
+        _settle(site, crew)
+
+
+def test_two_operators_at_the_same_moment() -> None:
+    """Changes that commute are both accepted; of others one is refused."""
+    with fixtures.running_site(engines=1, entries=1, desks=0) as site:
+        first = site.radishctl("customer", "set", "lab", "share", "5.0")
+        second = site.radishctl(
+            "customer", "set", "rental-house", "share", "6.0"
+        )
+        assert first.returncode == second.returncode == 0
+        path = site.folder / "document.yaml"
+        stale = site.radishctl("config", "apply", str(path), "--base", "1")
+        assert stale.returncode == 5, stale
+        assert "4001" in stale.stderr
--- /dev/null
+++ b/tests/stack/test_proofs.py
@@ -0,0 +1,19 @@
+"""The state machines, with fixed seeds; ``proofs.soak`` runs them longer."""
+
+from proofs import publication
+from proofs import runner
+from proofs import serving
+
+
+def test_serving_promises_hold_under_faults() -> None:
+    """Requests, kills, cuts, freezes and moves, any of them together."""
+    for seed in (1, 2):
+        runner.run(serving.ServingMachine, seed=seed, examples=80, steps=100)
+    assert serving.COUNTS["executions"] > 100
+    assert serving.COUNTS["fault kill"] > 20
+
+
+def test_accepted_configuration_never_reverts() -> None:
+    """Operators race, answers are lost, writes land late."""
+    runner.run(publication.PublicationMachine, seed=1, examples=150, steps=50)
+    assert publication.COUNTS["accepted"] > 50
