--- /dev/null
+++ b/bench/shipped.py
@@ -0,0 +1,381 @@
+"""The shipped decisions in virtual time: entries and target machines."""
+
+from collections.abc import Callable
+import itertools
+import random
+
+from radishstack import attempt as attempt_lib
+from radishstack import result
+from radishstack import target as target_lib
+from radishstack import target_event as event_lib
+from radishstack.process import load_budget
+from radishstack.process import residency as residency_lib
+from radishstack.process import retry_budget
+from radishstack.process import routing
+from radishstack.request import exchange as exchange_lib
+from radishstack.request import resolve
+from radishstack.version import holder as holder_lib
+
+from bench import model
+
+HOP_MS = 0.5
+TICK_MS = 50.0
+PROCESS = b"12345678"
+
+Done = Callable[[], None]
+
+
+class ShippedTarget:
+    """A target machine with a modelled engine behind it."""
+
+    def __init__(
+        self,
+        name: str,
+        world: "Shipped",
+        engine: model.Engine,
+        settings: target_lib.TargetSettings,
+    ) -> None:
+        """Starts cold."""
+        self.name = name
+        self.world = world
+        self.engine = engine
+        self.machine = target_lib.Target(
+            settings,
+            now_ms=0,
+            random_source=world.source,
+            budget=world.budget_settings,
+        )
+        self.incarnation = 1
+        self.leaving = False
+        self.waiting: dict[bytes, tuple[float, bool]] = {}
+        self.see()
+
+    @property
+    def now_ms(self) -> int:
+        """The virtual time in whole milliseconds."""
+        return int(self.world.clock.now_ms)
+
+    def see(self) -> None:
+        """Lets the machine see its engine."""
+        resident = frozenset(
+            name
+            for name, slot in self.machine.residency.slots.items()
+            if slot.standing is residency_lib.Standing.RESIDENT
+        )
+        if self.machine.residency.incarnation != str(self.incarnation):
+            resident = frozenset()
+        self.feed(
+            event_lib.EngineSeen(str(self.incarnation), resident, self.now_ms)
+        )
+
+    def restart_engine(self) -> None:
+        """Restarts the engine cold."""
+        self.incarnation += 1
+        self.engine.cut()
+        for attempt_id in list(self.machine.running):
+            self.world.ended(attempt_id, cut=True)
+            self.feed(event_lib.RunEnded(attempt_id))
+        self.see()
+
+    def feed(self, event: event_lib.Event) -> None:
+        """Feeds the machine and performs what it decides."""
+        for action in self.machine.handle(event, self.now_ms):
+            self.perform(action)
+
+    def submit(self, attempt: attempt_lib.Attempt) -> None:
+        """Takes an attempt."""
+        standing = self.machine.residency.standing(attempt.adapter, self.now_ms)
+        stalls = standing is not residency_lib.Standing.RESIDENT
+        self.waiting[attempt.attempt_id] = (self.world.clock.now_ms, stalls)
+        self.feed(event_lib.Submitted(attempt))
+
+    def perform(self, action: event_lib.Action) -> None:
+        """Performs one decision."""
+        match action:
+            case event_lib.Dispatch(attempt=attempt):
+                since_ms, stalls = self.waiting.pop(attempt.attempt_id)
+                if stalls:
+                    self.world.on_stall(
+                        attempt.service, self.world.clock.now_ms - since_ms
+                    )
+                self.run(attempt)
+            case event_lib.Refuse(attempt_id=attempt_id, failure=failure):
+                waited = self.waiting.pop(attempt_id, None)
+                if waited is not None and waited[1]:
+                    self.world.on_wasted(
+                        attempt_id, self.world.clock.now_ms - waited[0]
+                    )
+                load = self.machine.report("", PROCESS, self.now_ms)
+                self.world.refused(self.name, attempt_id, failure, load)
+            case event_lib.StartLoad():
+                self.start_load(action)
+            case event_lib.StartUnload(adapter=adapter, incarnation=number):
+                unloaded = event_lib.Unloaded(adapter, number)
+                self.world.clock.after(2.0, lambda: self.feed(unloaded))
+
+    def start_load(self, action: event_lib.StartLoad) -> None:
+        """Fetches and installs an adapter."""
+        loaded = event_lib.Loaded(action.adapter, action.incarnation)
+        install_ms = self.engine.model.install_ms
+        self.world.weights.fetch(
+            lambda: self.world.clock.after(
+                install_ms, lambda: self.feed(loaded)
+            )
+        )
+
+    def run(self, attempt: attempt_lib.Attempt) -> None:
+        """Runs a dispatched attempt."""
+        attempt_id, incarnation = attempt.attempt_id, self.incarnation
+        self.world.started(self.name, attempt)
+
+        def done() -> None:
+            if incarnation == self.incarnation:
+                self.world.ended(attempt_id, cut=False)
+                self.feed(event_lib.RunEnded(attempt_id))
+
+        self.engine.run(int(attempt.path), done)
+
+
+class Request:
+    """One request at an entry."""
+
+    def __init__(
+        self, arrival: model.Arrival, first: Done, done: Callable[[bool], None]
+    ) -> None:
+        """Keeps the arrival and whom to tell."""
+        self.arrival = arrival
+        self.first = first
+        self.done = done
+        self.exchange: exchange_lib.Exchange | None = None
+        self.entry = 0
+
+
+class Shipped:
+    """Entries and targets of one site, all on the shipped decisions."""
+
+    def __init__(
+        self,
+        clock: model.Clock,
+        weights: model.WeightStore,
+        held: holder_lib.Held,
+        engines: dict[str, model.Engine],
+        *,
+        entries: int,
+        omniscient: bool,
+        budget: load_budget.BudgetSettings,
+        on_stall: Callable[[str, float], None],
+        seed: int,
+        routing_settings: routing.RoutingSettings | None = None,
+    ) -> None:
+        """Starts cold, the version in force everywhere.
+
+        Args:
+            clock: Virtual time.
+            weights: The weight store.
+            held: The configuration.
+            engines: Modelled engines by target name.
+            entries: How many entry daemons share the arrivals.
+            omniscient: Whether entries know every state for free.
+            budget: Allowance of loads of each target.
+            on_stall: Told of every load stall.
+            seed: Of the random source.
+            routing_settings: How candidates are weighed.
+        """
+        self.clock = clock
+        self.weights = weights
+        self.held = held
+        self.omniscient = omniscient
+        self.on_stall = on_stall
+        self.budget_settings = budget
+        self.source = random.Random(seed)
+        self.routers = [
+            routing.Router(routing_settings) for _ in range(entries)
+        ]
+        self.budgets = [retry_budget.RetryBudget() for _ in range(entries)]
+        self.turns = itertools.cycle(range(entries))
+        self.requests: dict[bytes, Request] = {}
+        self.tries = 0
+        self.probes = 0
+        self.refusals: dict[str, int] = {}
+        self.targets = {
+            name: ShippedTarget(
+                name,
+                self,
+                engine,
+                target_lib.TargetSettings(
+                    name=name,
+                    kind=held.document.targets[name].kind,
+                    slot_count=engine.model.slot_count,
+                    max_running=engine.model.max_batch,
+                    quarantine_ms=0,
+                ),
+            )
+            for name, engine in engines.items()
+        }
+        for target in self.targets.values():
+            target.feed(event_lib.VersionHeld(held))
+        self.clock.after(TICK_MS, self._tick)
+
+    def _tick(self) -> None:
+        for target in self.targets.values():
+            if not target.machine.idle:
+                target.feed(event_lib.Ticked())
+        self.clock.after(TICK_MS, self._tick)
+
+    def on_wasted(self, attempt_id: bytes, waited_ms: float) -> None:
+        """Counts a wait for a load that ended in a refusal."""
+        request = self.requests.get(attempt_id)
+        if request is not None:
+            self.on_stall(request.arrival.service, waited_ms)
+
+    def ask(
+        self,
+        arrival: model.Arrival,
+        first: Done,
+        done: Callable[[bool], None],
+    ) -> None:
+        """Takes a caller's request at one of the entries."""
+        request = Request(arrival, first, done)
+        request.entry = next(self.turns)
+        asked = resolve.Asked("", arrival.adapter, "", "", "", {})
+        resolution = resolve.resolve(asked, self.held)
+        if isinstance(resolution, result.Failure):
+            raise ValueError(resolution)
+        router = self.routers[request.entry]
+        now_ms = int(self.clock.now_ms)
+        candidates = list(resolution.candidates)
+        if self.omniscient:
+            candidates = list(resolution.service.targets)
+        adapter = resolution.adapter
+        considered = router.considered(candidates, adapter, now_ms)
+        probed = router.to_probe(considered, adapter, now_ms)
+        if self.omniscient:
+            best = min(candidates, key=lambda n: self._true_cost(n, adapter))
+            self._go(request, router, resolution, [best])
+            return
+        for name in probed:
+            self.probes += 1
+            self.clock.after(
+                HOP_MS, lambda name=name: self._observe(router, name, adapter)
+            )
+        delay_ms = 2 * HOP_MS if probed else 0.0
+        self.clock.after(
+            delay_ms, lambda: self._go(request, router, resolution, candidates)
+        )
+
+    def _true_cost(self, name: str, adapter: str) -> tuple[float, ...]:
+        """Weighs a target by its state at this very moment."""
+        machine, now_ms = self.targets[name].machine, int(self.clock.now_ms)
+        standing = machine.residency.standing(adapter, now_ms)
+        wait_ms = machine.forecast.wait_ms(
+            queued=len(machine.queue), running=len(machine.running)
+        )
+        if standing is residency_lib.Standing.RESIDENT:
+            return (wait_ms, 0.0, 0.0)
+        if standing is residency_lib.Standing.LOADING:
+            return (wait_ms + 200.0, 0.0, 0.0)
+        value, victim = machine.cheapest_victim(now_ms)
+        free = machine.residency.free_slots() > 0
+        stuck = 0.0 if victim or free else 2_000.0
+        waiting = len(machine.queue.adapters())
+        return (wait_ms + 400.0 + stuck, value, float(waiting))
+
+    def _observe(self, router: routing.Router, name: str, adapter: str) -> None:
+        now_ms = int(self.clock.now_ms)
+        report = self.targets[name].machine.report(adapter, PROCESS, now_ms)
+        router.observe(name, adapter, report, now_ms)
+
+    def _go(
+        self,
+        request: Request,
+        router: routing.Router,
+        resolution: resolve.Resolution,
+        candidates: list[str],
+    ) -> None:
+        now_ms = int(self.clock.now_ms)
+        considered = router.considered(candidates, resolution.adapter, now_ms)
+        ranked = router.rank(
+            considered,
+            resolution.adapter,
+            resolution.service.stall_weight,
+            now_ms,
+        )
+        request.exchange = exchange_lib.Exchange(
+            resolution,
+            ranked,
+            self.budgets[request.entry],
+            deadline_at_ms=int(request.arrival.at_ms) + resolution.timeout_ms,
+        )
+        self._act(request, request.exchange.start())
+
+    def _act(self, request: Request, actions: exchange_lib.Actions) -> None:
+        for action in actions:
+            match action:
+                case exchange_lib.Send(target=name):
+                    self._send(request, name)
+                case exchange_lib.Reply():
+                    request.done(False)
+                case exchange_lib.Finish():
+                    request.done(True)
+
+    def _send(self, request: Request, name: str) -> None:
+        self.tries += 1
+        resolution = request.exchange.resolution
+        now_ms = int(self.clock.now_ms)
+        self.routers[request.entry].sent(name, resolution.adapter, now_ms)
+        attempt = attempt_lib.Attempt(
+            attempt_id=self.source.randbytes(16),
+            request_id="",
+            version=resolution.version,
+            service=resolution.service.name,
+            customer=resolution.customer.name,
+            adapter=resolution.adapter,
+            key="",
+            digest=b"",
+            accepted_at_ms=now_ms,
+            deadline_at_ms=request.exchange.deadline_at_ms,
+            method="POST",
+            # The model's only use of the path: how many tokens to run.
+            path=str(request.arrival.tokens),
+            content_type="",
+            body=b"",
+            streams=True,
+        )
+        self.requests[attempt.attempt_id] = request
+        self.clock.after(HOP_MS, lambda: self.targets[name].submit(attempt))
+
+    def refused(
+        self,
+        name: str,
+        attempt_id: bytes,
+        failure: result.Failure,
+        load: object,
+    ) -> None:
+        """Hands a refusal to its request."""
+        request = self.requests.pop(attempt_id)
+        key = failure.code.name
+        self.refusals[key] = self.refusals.get(key, 0) + 1
+        now_ms = int(self.clock.now_ms)
+        self.routers[request.entry].observe(name, "", load, now_ms)
+        event = exchange_lib.Refused(failure)
+        self.clock.after(
+            HOP_MS,
+            lambda: self._act(request, request.exchange.handle(event, now_ms)),
+        )
+
+    def started(self, name: str, attempt: attempt_lib.Attempt) -> None:
+        """Hands the beginning of an answer to its request."""
+        request = self.requests[attempt.attempt_id]
+        router = self.routers[request.entry]
+        self._observe(router, name, attempt.adapter)
+        event = exchange_lib.Started(200, "", attempt.adapter)
+        request.exchange.handle(event, int(self.clock.now_ms))
+        request.first()
+
+    def ended(self, attempt_id: bytes, *, cut: bool) -> None:
+        """Hands the end of an answer to its request."""
+        request = self.requests.pop(attempt_id)
+        failure = result.Failure(result.TARGET_FAILED, "") if cut else None
+        event = exchange_lib.EndArrived(0, failure)
+        now_ms = int(self.clock.now_ms)
+        self._act(request, request.exchange.handle(event, now_ms))
--- a/packages/radishd/src/radishd/process/settings.py
+++ b/packages/radishd/src/radishd/process/settings.py
@@ -110,8 +110,7 @@
         keep_total_bytes: Bytes of all answers kept for their keys.
         max_answer_bytes: Largest answer that is not a stream.
         quarantine_ms: How long after a start unknown keys are not run.
-        site_loads_per_s: The weight store's rate, shared by the site.
-        site_targets: How many target processes share it.
+        site_loads_per_s: The weight store's rate; soft, see the design note.
         drain_ms: How long a drain waits for runs in flight.
     """
 
@@ -136,7 +135,6 @@
         document_lib.DEFAULT_RETRY_WINDOW_MS
     )
     site_loads_per_s: Annotated[float, pydantic.Field(gt=0)] = 4.0
-    site_targets: Size = 9
     drain_ms: DurationMs = 30_000
 
 
--- a/packages/radishd/src/radishd/target.py
+++ b/packages/radishd/src/radishd/target.py
@@ -103,9 +103,7 @@
             ),
             now_ms=clock.now_ms(),
             random_source=random_source,
-            budget=load_budget.BudgetSettings(
-                site_rate_per_s=own.site_loads_per_s, sharers=own.site_targets
-            ),
+            budget=load_budget.BudgetSettings(own.site_loads_per_s),
         )
         self.servings: dict[bytes, serving_lib.Serving] = {}
         self.owners: dict[bytes, bytes] = {}
--- a/packages/radishstack/src/radishstack/connection/wire.capnp
+++ b/packages/radishstack/src/radishstack/connection/wire.capnp
@@ -96,6 +96,7 @@
   waitMs @5 :UInt32;
   loadMs @6 :UInt32;
   process @7 :Data;
+  blocked @8 :Bool;
 }
 
 struct Datagram {
--- a/packages/radishstack/src/radishstack/load.py
+++ b/packages/radishstack/src/radishstack/load.py
@@ -16,6 +16,8 @@
         wait_ms: Predicted wait for a place in the batch.
         load_ms: Predicted time to load the adapter, 0 if resident.
         process: Identity of the target process.
+        blocked: Whether every adapter slot is in use, so that a load would
+            have to wait for a run to end.
     """
 
     residency: int
@@ -26,3 +28,4 @@
     wait_ms: int
     load_ms: int
     process: bytes
+    blocked: bool = False
--- a/packages/radishstack/src/radishstack/process/popularity.py
+++ b/packages/radishstack/src/radishstack/process/popularity.py
@@ -4,6 +4,7 @@
 
 DEFAULT_HALF_LIFE_MS = 60_000
 FORGET_BELOW = 0.01
+SILENCE_WEIGHT = 0.5
 SWEEP_ABOVE = 4_096
 
 
@@ -35,6 +36,28 @@
         value, at_ms = entry
         return value * math.exp((at_ms - now_ms) * self._decay_per_ms)
 
+    def value(self, adapter: str, now_ms: int) -> float:
+        """Estimates the rate at which an adapter will be asked for.
+
+        The decayed count alone keeps an adapter that has just fallen idle
+        for as long as it was busy. A busy adapter that has not been asked
+        for over several of its own intervals has most likely fallen idle,
+        so the estimate is discounted by how unlikely that silence is.
+
+        Args:
+            adapter: ``name@version``.
+            now_ms: Now.
+
+        Returns:
+            Requests per millisecond.
+        """
+        entry = self._heat.get(adapter)
+        if entry is None:
+            return 0.0
+        rate = self.heat(adapter, now_ms) * self._decay_per_ms
+        silence_ms = now_ms - entry[1]
+        return rate * math.exp(-SILENCE_WEIGHT * rate * silence_ms)
+
     def _sweep(self, now_ms: int) -> None:
         cold = [
             adapter
--- a/packages/radishstack/src/radishstack/process/routing.py
+++ b/packages/radishstack/src/radishstack/process/routing.py
@@ -27,6 +27,7 @@
         remember_ms: How long a word on residency is believed.
         step_ms: Price of one step down the order.
         load_ms: Expected load time where nothing is known.
+        blocked_ms: Further price of a target whose slots are all in use.
         unreachable_ms: How long an unreachable target is passed over.
         stall_floor: Weight of a load stall for a service whose own weight
             is 0.
@@ -37,7 +38,8 @@
     fresh_ms: int = 1_000
     remember_ms: int = 30_000
     step_ms: int = 40
-    load_ms: int = 800
+    load_ms: int = 2_000
+    blocked_ms: int = 2_000
     unreachable_ms: int = 2_000
     stall_floor: float = 0.5
 
@@ -199,13 +201,15 @@
     ) -> float:
         observation = self.observations.get(target)
         wait_ms = 0.0
-        load_ms = float(self.settings.load_ms)
         if observation is not None:
-            load = observation.load
-            wait_ms = load.wait_ms + self._wait_of_sent(observation)
-            load_ms = load.load_ms or load_ms
+            wait_ms = observation.load.wait_ms
+            wait_ms += self._wait_of_sent(observation)
         if not adapter:
             return wait_ms
+        # One weight store serves all targets, so a load takes about as long
+        # at each. Following their differing estimates would scatter a cold
+        # adapter over many targets, and each copy costs a load and a slot.
+        load_ms = float(self.settings.load_ms)
         match self.residency(target, adapter, now_ms):
             case Standing.RESIDENT:
                 stall_ms = 0.0
@@ -215,6 +219,8 @@
                 stall_ms = load_ms * 8
             case _:
                 stall_ms = load_ms
+                if observation is not None and observation.load.blocked:
+                    stall_ms += self.settings.blocked_ms
         floor = self.settings.stall_floor
         weight = floor + (1.0 - floor) * stall_weight
         return max(wait_ms, weight * stall_ms)
--- a/packages/radishstack/src/radishstack/target.py
+++ b/packages/radishstack/src/radishstack/target.py
@@ -8,6 +8,7 @@
 import collections
 import dataclasses
 import functools
+import math
 import random
 
 from radishstack import attempt as attempt_lib
@@ -169,8 +170,44 @@
             wait_ms=self.forecast.wait_ms(queued=queued, running=running),
             load_ms=self.load_delay_ms(adapter, now_ms),
             process=process,
+            blocked=self.blocked(now_ms),
         )
 
+    def cheapest_victim(self, now_ms: int) -> tuple[float, str]:
+        """Finds the adapter that is missed least, if any may go.
+
+        Args:
+            now_ms: Now.
+
+        Returns:
+            The estimated rate of its requests and its name; no name if a
+            slot is free or none may go.
+        """
+        if self.residency.free_slots() > 0:
+            return 0.0, ""
+        waited_for = set(self.queue.adapters())
+        return min(
+            (
+                (self.popularity.value(name, now_ms), name)
+                for name, slot in self.residency.slots.items()
+                if slot.standing is residency_lib.Standing.RESIDENT
+                and slot.grants == 0
+                and name not in waited_for
+                and name not in self.warm
+            ),
+            default=(math.inf, ""),
+        )
+
+    def blocked(self, now_ms: int) -> bool:
+        """Whether no slot could be freed for another adapter now."""
+        if self.residency.free_slots() > 0:
+            return False
+        closing = any(
+            slot.standing is residency_lib.Standing.CLOSING
+            for slot in self.residency.slots.values()
+        )
+        return not closing and not self.cheapest_victim(now_ms)[1]
+
     def service(self, name: str) -> document_lib.Service | None:
         """Returns a service of the held version."""
         return self.held.document.services.get(name)
@@ -931,18 +968,9 @@
     )
     if closing >= target.settings.max_parallel_loads:
         return
-    waited_for = set(target.queue.adapters())
-    victims = [
-        (target.popularity.heat(name, now_ms), name)
-        for name, slot in target.residency.slots.items()
-        if slot.standing is residency_lib.Standing.RESIDENT
-        and slot.grants == 0
-        and name not in waited_for
-        and name not in target.warm
-    ]
-    if not victims:
+    _, victim = target.cheapest_victim(now_ms)
+    if not victim:
         return
-    _, victim = min(victims)
     order = target.residency.close(victim, now_ms)
     actions.append(
         event_lib.StartUnload(victim, target.residency.incarnation, order)
--- a/proofs/world.py
+++ b/proofs/world.py
@@ -242,7 +242,7 @@
             ),
             now_ms=self.now_ms,
             random_source=self.random,
-            budget=load_budget.BudgetSettings(1_000.0, 1, 100.0),
+            budget=load_budget.BudgetSettings(1_000.0, 100.0),
         )
         self.feed(node, event_lib.VersionHeld(self.versions[-1]))
         if kind is document_lib.TargetKind.ENGINE:
