Versions and news of leaving spread between peers

Cause: every process watched the object API.

Change: entry daemons and two target processes per failure domain watch; a commit travels in a datagram to three random peers of whoever learns it, and once a second each process tells one random peer its version, who sends what it lacks. A process that starts in an outage asks seed peers for the whole version and takes the newest. News of leaving targets rides along.

Ruled out: pushing whole shards (tens of kilobytes a change); fetching from peers over TCP for each change (a connection per change and peer).

Conclusion: reads no longer grow with the number of target processes.

--- a/packages/radishd/src/radishd/connection/listener.py
+++ b/packages/radishd/src/radishd/connection/listener.py
@@ -223,6 +223,19 @@
     return None
 
 
+@_take.register
+def _take_fetch(
+    body: frame.Fetch, connection: Connection, stream: int
+) -> result.Failure | None:
+    del body
+    failure = connection.open_stream(stream)
+    if failure is not None:
+        return failure
+    reader = serving_lib.ReaderId(connection.writer, stream)
+    connection.attempts[stream] = connection.process.serve_version(reader)
+    return None
+
+
 @_take.register
 def _take_seal(
     body: frame.Seal, connection: Connection, stream: int
--- a/packages/radishd/src/radishd/entry.py
+++ b/packages/radishd/src/radishd/entry.py
@@ -24,10 +24,12 @@
 from radishd.process import logs
 from radishd.process import metrics as metrics_lib
 from radishd.process import settings as settings_lib
+from radishd.process import spread as spread_lib
 from radishd.process import store as store_lib
 from radishd.process import web
 from radishd.request import caller as caller_lib
 from radishd.request import intake as intake_lib
+from radishd.version import transfer
 
 MS_PER_S = 1000.0
 PROCESS_ID_BYTES = 8
@@ -71,12 +73,26 @@
             connect_timeout_ms=self.own.connect_timeout_ms,
         )
         self.router = routing.Router()
+        self.listed_leaving: frozenset[str] = frozenset()
+        self.heard_leaving: frozenset[str] = frozenset()
         self.budget = retry_budget.RetryBudget()
         self.in_flight: set[caller_lib.Caller] = set()
         self.draining = False
         self.refusing = False
         self.last_failures: dict[int, int] = {}
         self.configuration.listen(self._version_raised)
+        self.spread = spread_lib.Spread(
+            settings,
+            self.own.control,
+            control,
+            self.configuration,
+            random_source,
+        )
+        self.spread.on_leaving = self._leaving_heard
+
+    def _leaving_heard(self, names: frozenset[str]) -> None:
+        self.heard_leaving = names
+        self.router.listed_leaving = self.listed_leaving | names
 
     def _version_raised(self, held: holder_lib.Held) -> None:
         self.links.version = held.version
@@ -282,9 +298,11 @@
             if isinstance(listed, str):
                 continue
             revision, vms = listed
-            self.router.listed_leaving = frozenset(
-                vm.name for vm in vms if vm.leaving
+            self.listed_leaving = frozenset(vm.name for vm in vms if vm.leaving)
+            self.router.listed_leaving = (
+                self.listed_leaving | self.heard_leaving
             )
+            self.spread.tell_leaving(tuple(sorted(self.listed_leaving)))
 
     def ready(self) -> str:
         """Returns why the daemon is not ready, empty if it is."""
@@ -386,6 +404,10 @@
             entry.store,
             random.Random(),
         )
+        tasks.start_soon(
+            transfer.seed, entry.configuration, entry.links, settings.seeds
+        )
+        tasks.start_soon(entry.spread.run)
         tasks.start_soon(entry.forget)
         tasks.start_soon(entry.watch_vms)
         admin_app = admin.make_app(
--- a/packages/radishd/src/radishd/process/configuration.py
+++ b/packages/radishd/src/radishd/process/configuration.py
@@ -17,6 +17,7 @@
 
 RETRY_FIRST_MS = 100
 RETRY_MAX_MS = 5_000
+UNWATCHED_READ_MS = 60_000
 MS_PER_S = 1000.0
 
 Listener = Callable[[holder_lib.Held], None]
@@ -30,6 +31,8 @@
         self.holder = holder_lib.Holder()
         self._listeners: list[Listener] = []
         self._raised = anyio.Event()
+        self._nudge = anyio.Event()
+        self.on_commit: Callable[[commit_lib.Commit], None] | None = None
 
     @property
     def held(self) -> holder_lib.Held:
@@ -50,6 +53,36 @@
         self._raised = anyio.Event()
         logs.info("config_in_force", config_version=held.version)
 
+    def advance(self, commit: commit_lib.Commit) -> bool:
+        """Takes the next commit, from the store or from a peer.
+
+        Args:
+            commit: Maybe the next one.
+
+        Returns:
+            Whether it came into force here.
+        """
+        if commit.version != self.held.version + 1:
+            return False
+        held = holder_lib.follow(self.held, commit)
+        if isinstance(held, result.Failure):
+            logs.error("bad_commit", held.code, reason=held.message)
+            return False
+        self.offer(held)
+        if self.on_commit is not None:
+            self.on_commit(commit)
+        return True
+
+    def nudge(self) -> None:
+        """Makes a follower that does not watch read the store now."""
+        self._nudge.set()
+
+    async def wait_nudge(self, timeout_ms: float) -> None:
+        """Waits for a nudge, or for the time."""
+        with anyio.move_on_after(timeout_ms / MS_PER_S):
+            await self._nudge.wait()
+        self._nudge = anyio.Event()
+
     async def wait_for(self, version: int, timeout_ms: int) -> bool:
         """Waits until a version is in force here.
 
@@ -70,6 +103,7 @@
     configuration: Configuration,
     store: store_lib.Store,
     random_source: random.Random,
+    watches: Callable[[], bool] = lambda: True,
 ) -> None:
     """Keeps the configuration up to the store's until cancelled.
 
@@ -77,6 +111,8 @@
         configuration: Where new versions go.
         store: The object API.
         random_source: Spreads the retries of many processes.
+        watches: Whether this process is one of the few that watch; the
+            others learn from their peers, and read now and then.
     """
     revision: int | None = None
     failures = 0
@@ -93,6 +129,10 @@
             continue
         failures = 0
         revision = failure
+        if configuration.held.version and not watches():
+            revision = None
+            pause_ms = UNWATCHED_READ_MS * random_source.uniform(0.5, 1.5)
+            await configuration.wait_nudge(pause_ms)
 
 
 async def _follow_once(
@@ -107,13 +147,33 @@
         return revision or 0
     revision, root = read
     if root.version > configuration.held.version:
-        held = await store_lib.catch_up(store, configuration.held, root)
-        if isinstance(held, result.Failure):
-            return held
-        configuration.offer(held)
+        failure = await _catch_up(configuration, store, root)
+        if failure is not None:
+            return failure
     return revision
 
 
+async def _catch_up(
+    configuration: Configuration,
+    store: store_lib.Store,
+    root: commit_lib.Root,
+) -> result.Failure | None:
+    plan = holder_lib.plan_catch_up(configuration.held, root)
+    if isinstance(plan, holder_lib.ReadCommits):
+        for name in plan.names:
+            commit = await store_lib.read_commit(store, name)
+            if isinstance(commit, result.Failure):
+                return commit
+            # A peer's push may have brought it meanwhile.
+            configuration.advance(commit)
+        return None
+    held = await store_lib.catch_up(store, configuration.held, root)
+    if isinstance(held, result.Failure):
+        return held
+    configuration.offer(held)
+    return None
+
+
 async def read_now(
     store: store_lib.Store,
 ) -> result.Outcome[holder_lib.Held]:
--- a/packages/radishd/src/radishd/process/control.py
+++ b/packages/radishd/src/radishd/process/control.py
@@ -1,5 +1,6 @@
 """Datagrams between processes: probes and their reports, digests."""
 
+from collections.abc import Awaitable
 from collections.abc import Callable
 import itertools
 
@@ -18,7 +19,9 @@
 
 Address = tuple[str, int]
 ProbeHandler = Callable[[frame.Probe], load_lib.Load]
-DigestHandler = Callable[[frame.Digest, Address], None]
+NewsHandler = Callable[
+    [frame.Digest | frame.PushedCommit, Address], Awaitable[None]
+]
 
 
 class Control:
@@ -35,7 +38,7 @@
         self._waiting: dict[int, tuple[Address, anyio.Event]] = {}
         self._reports: dict[int, load_lib.Load] = {}
         self.on_probe: ProbeHandler | None = None
-        self.on_digest: DigestHandler | None = None
+        self.on_news: NewsHandler | None = None
         self.bytes_sent = 0
         self.bytes_received = 0
 
@@ -59,8 +62,9 @@
                 if waiting is not None and waiting[0] == sender:
                     self._reports[datagram.nonce] = datagram.body
                     waiting[1].set()
-            case frame.Digest() if self.on_digest is not None:
-                self.on_digest(datagram.body, sender)
+            case frame.Digest() | frame.PushedCommit():
+                if self.on_news is not None:
+                    await self.on_news(datagram.body, sender)
 
     async def send(
         self, address: Address, nonce: int, body: frame.DatagramBody
--- a/packages/radishd/src/radishd/process/settings.py
+++ b/packages/radishd/src/radishd/process/settings.py
@@ -149,6 +149,8 @@
         platform: Where the platform is.
         entry: Required for the role entry.
         target: Required for the role target.
+        seeds: Some target processes, asked for the configuration when this
+            process starts while the object API is down.
         log_level: Lowest level that is logged.
     """
 
@@ -160,6 +162,7 @@
     platform: PlatformSettings
     entry: EntrySettings | None = None
     target: TargetSettings | None = None
+    seeds: tuple[Address, ...] = ()
     log_level: Annotated[
         str, pydantic.Field(pattern="^(DEBUG|INFO|WARNING|ERROR)$")
     ] = "INFO"
--- a/packages/radishd/src/radishd/target.py
+++ b/packages/radishd/src/radishd/target.py
@@ -32,10 +32,12 @@
 from radishd.process import logs
 from radishd.process import metrics as metrics_lib
 from radishd.process import settings as settings_lib
+from radishd.process import spread as spread_lib
 from radishd.process import store as store_lib
 from radishd.process import web
 from radishd.request import engine_call
 from radishd.request import serving as serving_lib
+from radishd.version import transfer
 
 MS_PER_S = 1000.0
 TICK_MS = 50
@@ -110,6 +112,7 @@
         self.kept_bytes = 0
         self._busy = anyio.Event()
         self._look_now = anyio.Event()
+        self.spread: spread_lib.Spread | None = None
         self.seals: dict[int, tuple[Any, int]] = {}
         self.configuration.listen(self._version_raised)
 
@@ -170,6 +173,26 @@
         serving.orphaned_at_ms = 0
         serving.flush(self.load())
 
+    def serve_version(self, reader: serving_lib.ReaderId) -> bytes:
+        """Sends a peer the whole version held here, as a run of its own.
+
+        Args:
+            reader: Who asked.
+
+        Returns:
+            The run's id, by which the reader leaves it.
+        """
+        run_id = secrets.token_bytes(frame.ATTEMPT_ID_BYTES)
+        serving = serving_lib.Serving(adapter="", keep_bytes=0)
+        self.servings[run_id] = serving
+        self.owners[run_id] = run_id
+        serving.attach(reader, 0)
+        for piece in transfer.pieces_of(self.configuration.held):
+            serving.run.append(piece)
+        serving.run.end(None)
+        serving.flush(self.load())
+        return run_id
+
     def serving_of(self, attempt_id: bytes) -> serving_lib.Serving | None:
         """Returns the run that an attempt reads."""
         return self.servings.get(self.owners.get(attempt_id, b""))
@@ -435,10 +458,21 @@
                 )
                 serving.scope.cancel()
 
+    def leaving_heard(self, names: frozenset[str]) -> None:
+        """Learns from a peer who leaves."""
+        if self.settings.name in names:
+            self.handle(event_lib.LeavingLearned())
+
     async def watch_vms(self) -> None:
-        """Learns from the platform's list that this VM leaves."""
+        """Learns from the platform's list that this VM leaves.
+
+        Only watchers read the list; the others hear it from peers.
+        """
         revision: int | None = None
         while True:
+            if self.spread is not None and not self.spread.watches():
+                await anyio.sleep(LEAVE_LIST_MS / MS_PER_S)
+                continue
             listed = await self.store.list_vms(watch=revision)
             if isinstance(listed, result.Failure):
                 revision = None
@@ -447,8 +481,10 @@
             if isinstance(listed, str):
                 continue
             revision, vms = listed
-            if any(vm.leaving and vm.name == self.settings.name for vm in vms):
-                self.handle(event_lib.LeavingLearned())
+            leaving = tuple(sorted(vm.name for vm in vms if vm.leaving))
+            self.leaving_heard(frozenset(leaving))
+            if self.spread is not None:
+                self.spread.tell_leaving(leaving)
 
     def ready(self) -> str:
         """Returns why the process is not ready, empty if it is."""
@@ -623,13 +659,27 @@
         )
         control = await control_lib.open_control(own.listen, metrics)
         control.on_probe = lambda probe: process.load(probe.adapter)
+        spread = spread_lib.Spread(
+            settings,
+            own.listen,
+            control,
+            process.configuration,
+            random_source or random.Random(),
+        )
+        spread.on_leaving = process.leaving_heard
+        process.spread = spread
         tasks.start_soon(control.run)
         tasks.start_soon(
             configuration_lib.follow,
             process.configuration,
             process.store,
             random.Random(),
+            spread.watches,
+        )
+        tasks.start_soon(
+            transfer.seed, process.configuration, process.links, settings.seeds
         )
+        tasks.start_soon(spread.run)
         tasks.start_soon(process.tick)
         tasks.start_soon(process.watch_vms)
         if own.kind is document_lib.TargetKind.ENGINE:
--- a/packages/radishstack/src/radishstack/connection/frame.py
+++ b/packages/radishstack/src/radishstack/connection/frame.py
@@ -163,13 +163,23 @@
         version: Configuration version held.
         reply: Whether this answers another digest.
         leaving: Targets heard to be leaving.
-        load_per_s: The sender's demand on the load budget.
     """
 
     version: int
     reply: bool
     leaving: tuple[str, ...]
-    load_per_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PushedCommit:
+    """Brings a peer one version forward, over UDP."""
+
+    data: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fetch:
+    """Asks a target process for the whole document it holds."""
 
 
 Body = (
@@ -184,8 +194,9 @@
     | Cancel
     | Seal
     | Sealed
+    | Fetch
 )
-DatagramBody = Probe | load_lib.Load | Digest
+DatagramBody = Probe | load_lib.Load | Digest | PushedCommit
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -282,6 +293,7 @@
 _READERS = {
     "ack": Ack,
     "cancel": lambda _: Cancel(),
+    "fetch": lambda _: Fetch(),
     "chunk": lambda struct: Chunk(struct.number, struct.payload),
 }
 
@@ -310,6 +322,11 @@
     message.ack = body.acked
 
 
+@_fill.register
+def _fill_fetch(body: Fetch, message: object) -> None:
+    message.fetch = None
+
+
 @_fill.register
 def _fill_cancel(body: Cancel, message: object) -> None:
     message.cancel = None
@@ -401,7 +418,8 @@
             digest = message.init("digest")
             digest.version, digest.reply = body.version, body.reply
             digest.leaving = list(body.leaving[:MAX_LEAVING_NAMES])
-            digest.loadPerS = body.load_per_s
+        case PushedCommit():
+            message.commit = body.data
     return message.to_bytes_packed()
 
 
@@ -423,12 +441,11 @@
                 body = Probe(struct.adapter, struct.version)
             case "report":
                 body = _read_load(struct)
+            case "commit":
+                body = PushedCommit(struct)
             case _:
                 body = Digest(
-                    struct.version,
-                    struct.reply,
-                    tuple(struct.leaving),
-                    struct.loadPerS,
+                    struct.version, struct.reply, tuple(struct.leaving)
                 )
         return Datagram(message.nonce, body)
     except (capnp.KjException, ValueError, AttributeError) as error:
--- a/packages/radishstack/src/radishstack/connection/wire.capnp
+++ b/packages/radishstack/src/radishstack/connection/wire.capnp
@@ -16,6 +16,7 @@
     cancel @9 :Void;
     seal @10 :Seal;
     sealed @11 :Sealed;
+    fetch @12 :Void;
   }
 }
 
@@ -105,6 +106,7 @@
     probe @1 :Probe;
     report @2 :Load;
     digest @3 :Digest;
+    commit @4 :Data;
   }
 }
 
@@ -117,5 +119,4 @@
   version @0 :UInt64;
   reply @1 :Bool;
   leaving @2 :List(Text);
-  loadPerS @3 :Float32;
 }
--- a/tests/daemon/fixtures.py
+++ b/tests/daemon/fixtures.py
@@ -277,6 +277,7 @@
         "name": name,
         "failure_domain": "piedmont/a",
         "platform": {"url": site.url("platform"), "call_timeout_ms": 1000},
+        "seeds": [f"{site.hosts[one]}:{PORT}" for one in site.targets],
     }
     if name in site.entries:
         settings["role"] = "entry"
--- a/tests/daemon/test_faults.py
+++ b/tests/daemon/test_faults.py
@@ -156,6 +156,25 @@
         _settle(site, crew)
 
 
+def test_process_that_starts_in_an_outage_asks_its_peers() -> None:
+    """A replaced VM serves the version in force although the store is down.
+
+    Symptom: every VM replaced during an outage of the object API stays
+    unready, or comes back with an old version. Sequence: the store goes
+    down, an entry is replaced. Without the mechanism it has nobody to ask.
+    """
+    with fixtures.running_site(engines=1, entries=1) as site:
+        changed = site.radishctl("customer", "set", "lab", "share", "2.5")
+        assert changed.returncode == 0, changed
+        site.wait_in_force(2)
+        site.faults("platform", outage=True)
+        site.kill("entry-1")
+        site.start("entry-1")
+        fixtures.wait_until(lambda: site.ready("entry-1"), "entry-1 is back")
+        assert site.status("entry-1")["config_version"] == 2
+        assert site.complete("entry-1", "adapter-1", "x").status == 200
+
+
 def test_answer_to_a_commit_is_lost() -> None:
     """A change whose answer was lost is found again, not applied twice."""
     with fixtures.running_site(engines=1, entries=1) as site:
--- /dev/null
+++ b/tests/stack/test_dissemination.py
@@ -0,0 +1,103 @@
+"""News reaches every process, through losses, from one that knows it."""
+
+import random
+
+from radishstack.process import dissemination
+from radishstack.version import commit as commit_lib
+
+MEMBERS = 300
+LOSS = 0.2
+ROUNDS = 40
+
+
+def _commit(version: int) -> commit_lib.Commit:
+    audit = commit_lib.AuditRecord("o", 0, version - 1, "")
+    return commit_lib.Commit(
+        f"w{version}", version, f"w{version - 1}" * (version > 1), (), audit
+    )
+
+
+def _spread(loss: float, versions: int) -> list[int]:
+    """Lets one member learn of commits; returns what each holds at the end."""
+    source = random.Random(7)
+    addresses = [("10.0.0.1", port) for port in range(MEMBERS)]
+    members = {}
+    for address in addresses:
+        member = dissemination.Dissemination(address, random_source=source)
+        member.peers = addresses
+        members[address] = member
+    net: list[tuple[dissemination.Address, dissemination.Action]] = []
+
+    def send(sender: dissemination.Address, actions: list) -> None:
+        net.extend((sender, action) for action in actions)
+
+    def drain() -> None:
+        while net:
+            sender, action = net.pop(source.randrange(len(net)))
+            if source.random() < loss:
+                continue
+            member = members.get(getattr(action, "to", None))
+            match action:
+                case dissemination.PushCommit(to=to, data=data):
+                    commit = commit_lib.decode_commit(data)
+                    if commit.version == member.version + 1:
+                        raised = dissemination.Raised(commit)
+                        send(to, member.handle(raised, 0))
+                case dissemination.SendDigest(to=to, reply=reply):
+                    heard = dissemination.DigestHeard(
+                        sender, members[sender].version, reply, ()
+                    )
+                    send(to, member.handle(heard, 0))
+
+    for version in range(1, versions + 1):
+        raised = dissemination.Raised(_commit(version))
+        send(addresses[0], members[addresses[0]].handle(raised, 0))
+        drain()
+    for _ in range(ROUNDS):
+        for address in addresses:
+            send(address, members[address].handle(dissemination.RoundDue(), 0))
+        drain()
+    return [member.version for member in members.values()]
+
+
+def test_every_member_learns_through_losses() -> None:
+    """A fifth of the datagrams is lost; nobody stays behind."""
+    assert set(_spread(LOSS, 12)) == {12}
+
+
+def test_old_and_repeated_news_changes_nothing() -> None:
+    """A digest or commit that is old never lowers a version."""
+    member = dissemination.Dissemination(
+        ("10.0.0.1", 1), random_source=random.Random(1)
+    )
+    member.handle(dissemination.Raised(_commit(1)), 0)
+    member.handle(dissemination.Raised(_commit(2)), 0)
+    assert member.handle(dissemination.Raised(_commit(1)), 0) == []
+    member.handle(dissemination.Jumped(1), 0)
+    assert member.version == 2
+
+
+def test_a_peer_that_lags_is_sent_what_it_lacks() -> None:
+    """The answer to an old digest is the commits after it, in order."""
+    member = dissemination.Dissemination(
+        ("10.0.0.1", 1), random_source=random.Random(1)
+    )
+    for version in range(1, 6):
+        member.handle(dissemination.Raised(_commit(version)), 0)
+    heard = dissemination.DigestHeard(("10.0.0.2", 2), 2, False, ())
+    pushed = [
+        commit_lib.decode_commit(action.data).version
+        for action in member.handle(heard, 0)
+    ]
+    assert pushed == [3, 4, 5]
+
+
+def test_news_of_leaving_is_passed_on_and_forgotten() -> None:
+    """Names heard are told for a while, then dropped."""
+    member = dissemination.Dissemination(
+        ("10.0.0.1", 1), random_source=random.Random(1)
+    )
+    heard = dissemination.DigestHeard(("10.0.0.2", 2), 0, False, ("t-1",))
+    member.handle(heard, 1_000)
+    assert member.leaving_names(2_000) == ("t-1",)
+    assert member.leaving_names(60_000) == ()
