--- a/packages/radishstack/src/radishstack/process/routing.py
+++ b/packages/radishstack/src/radishstack/process/routing.py
@@ -29,8 +29,9 @@
         load_ms: Expected load time where nothing is known.
         blocked_ms: Further price of a target whose slots are all in use.
         unreachable_ms: How long an unreachable target is passed over.
-        stall_floor: Weight of a load stall for a service whose own weight
-            is 0.
+        stall_floor: Price of a load stall, relative to the same wait in a
+            queue, for a service whose weight is 0.
+        stall_ceiling: The same for a service whose weight is 1.
     """
 
     width: int = 4
@@ -41,7 +42,8 @@
     load_ms: int = 2_000
     blocked_ms: int = 2_000
     unreachable_ms: int = 2_000
-    stall_floor: float = 0.5
+    stall_floor: float = 0.1
+    stall_ceiling: float = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -222,7 +224,7 @@
                 if observation is not None and observation.load.blocked:
                     stall_ms += self.settings.blocked_ms
         floor = self.settings.stall_floor
-        weight = floor + (1.0 - floor) * stall_weight
+        weight = floor + (self.settings.stall_ceiling - floor) * stall_weight
         return max(wait_ms, weight * stall_ms)
 
     def _wait_of_sent(self, observation: Observation) -> float:
--- a/packages/radishstack/src/radishstack/version/document.py
+++ b/packages/radishstack/src/radishstack/version/document.py
@@ -134,7 +134,8 @@
         adapter: Adapter of requests that name only the service.
         idempotent: Whether a request may run more than once.
         priority: Priority class.
-        stall_weight: 0 favours batch efficiency, 1 favours no load stalls.
+        stall_weight: How dear a load stall is against a wait in a queue, 0
+            to 1.
         warm: Adapters to keep resident on their first ``warm_targets``.
         warm_targets: On how many targets a warm adapter is kept.
         timeout_ms: Deadline of a request that names none.
@@ -150,7 +151,7 @@
     adapter: Name | None = None
     idempotent: bool = True
     priority: Priority = Priority.NORMAL
-    stall_weight: Share = 0.5
+    stall_weight: Share = 0.75
     warm: tuple[Name, ...] = ()
     warm_targets: Annotated[int, pydantic.Field(ge=1, le=16)] = 1
     timeout_ms: TimeoutMs = DEFAULT_TIMEOUT_MS
