Seals outlive refused claims; heads are required; orders are answered by number

Change: a seal survives the claims after it and keeps its time; an answer without a head is cut; answers to orders name the order, so that an old answer cannot open an adapter that is about to go. A full target does not count towards the width of candidates.

Ruled out: forgetting the seal with the refusal, which is the fault itself.

--- a/bench/shipped.py
+++ b/bench/shipped.py
@@ -109,13 +109,17 @@
                 self.world.refused(self.name, attempt_id, failure, load)
             case event_lib.StartLoad():
                 self.start_load(action)
-            case event_lib.StartUnload(adapter=adapter, incarnation=number):
-                unloaded = event_lib.Unloaded(adapter, number)
+            case event_lib.StartUnload():
+                unloaded = event_lib.Unloaded(
+                    action.adapter, action.incarnation, action.order
+                )
                 self.world.clock.after(2.0, lambda: self.feed(unloaded))
 
     def start_load(self, action: event_lib.StartLoad) -> None:
         """Fetches and installs an adapter."""
-        loaded = event_lib.Loaded(action.adapter, action.incarnation)
+        loaded = event_lib.Loaded(
+            action.adapter, action.incarnation, action.order
+        )
         install_ms = self.engine.model.install_ms
         self.world.weights.fetch(
             lambda: self.world.clock.after(
--- a/packages/radishd/src/radishd/target.py
+++ b/packages/radishd/src/radishd/target.py
@@ -326,12 +326,19 @@
         outcome = "failed" if failure else "loaded"
         self.metrics.loads.inc({"outcome": outcome})
         if failure is None:
-            self.handle(event_lib.Loaded(action.adapter, action.incarnation))
+            self.handle(
+                event_lib.Loaded(
+                    action.adapter, action.incarnation, action.order
+                )
+            )
             return
         logs.warn("load_failed", adapter=action.adapter, reason=failure.message)
         self.handle(
             event_lib.LoadFailed(
-                action.adapter, action.incarnation, failure.message
+                action.adapter,
+                action.incarnation,
+                action.order,
+                failure.message,
             )
         )
 
@@ -345,7 +352,9 @@
         event_type = (
             event_lib.Unloaded if failure is None else event_lib.UnloadFailed
         )
-        self.handle(event_type(action.adapter, action.incarnation))
+        self.handle(
+            event_type(action.adapter, action.incarnation, action.order)
+        )
 
     async def _is_resident(
         self, action: event_lib.StartLoad | event_lib.StartUnload
--- a/packages/radishstack/src/radishstack/process/ledger.py
+++ b/packages/radishstack/src/radishstack/process/ledger.py
@@ -46,7 +46,8 @@
         attempt_id: The attempt that owns it.
         at_ms: Since when it is in this state.
         keep_until_ms: When it may be forgotten, once it is at rest.
-        sealed_for: Target that asked for a seal.
+        sealed_for: Targets that asked for a seal, each of which may have run
+            the key since; they are asked before it is ever run here.
         window_ms: How long it is remembered after it ended.
     """
 
@@ -55,7 +56,7 @@
     attempt_id: bytes
     at_ms: int
     keep_until_ms: int = 0
-    sealed_for: str = ""
+    sealed_for: tuple[str, ...] = ()
     window_ms: int = 0
 
 
@@ -152,8 +153,16 @@
             result.DISPATCHED_TWICE,
             f"claim of {key} in state {record.state if record else None}",
         )
+        # A seal outlives the claims that follow it: a refused claim proves
+        # nothing about the target the key was sealed for.
         self.records[key] = Record(
-            state, digest, attempt_id, now_ms, window_ms=window_ms
+            state,
+            digest,
+            attempt_id,
+            now_ms,
+            keep_until_ms=record.keep_until_ms if record else 0,
+            sealed_for=record.sealed_for if record else (),
+            window_ms=window_ms,
         )
 
     def start(self, key: Key, attempt_id: bytes, now_ms: int) -> None:
@@ -204,7 +213,7 @@
             record,
             state=KeyState.REFUSED,
             at_ms=now_ms,
-            keep_until_ms=now_ms + record.window_ms,
+            keep_until_ms=max(record.keep_until_ms, now_ms + record.window_ms),
         )
 
     def refuse(self, key: Key, now_ms: int) -> None:
@@ -219,7 +228,7 @@
             record,
             state=KeyState.REFUSED,
             at_ms=now_ms,
-            keep_until_ms=now_ms + record.window_ms,
+            keep_until_ms=max(record.keep_until_ms, now_ms + record.window_ms),
         )
 
     def seal(
@@ -247,13 +256,14 @@
                 return Sealing.RAN
             if record.state in (KeyState.ASKING, KeyState.QUEUED):
                 return Sealing.UNKNOWN
+        sealed_for = {asker, *(record.sealed_for if record else ())}
         self.records[key] = Record(
             KeyState.SEALED,
             b"",
             b"",
             now_ms,
             keep_until_ms=now_ms + window_ms + SEAL_EXTRA_MS,
-            sealed_for=asker,
+            sealed_for=tuple(sorted(sealed_for)),
         )
         return Sealing.SEALED
 
--- a/packages/radishstack/src/radishstack/process/residency.py
+++ b/packages/radishstack/src/radishstack/process/residency.py
@@ -142,10 +142,22 @@
         self.slots[adapter] = Slot(Standing.LOADING, now_ms, order=self.order)
         return self.order
 
-    def loaded(self, adapter: str, now_ms: int) -> None:
+    def awaits(self, adapter: str, order: int) -> bool:
+        """Whether an order is the last one given for an adapter.
+
+        The answer to an earlier one says nothing about the present: taken
+        for the answer to a later unload, it would open an adapter to grants
+        that is about to go.
+        """
+        slot = self.slots.get(adapter)
+        return slot is not None and slot.order == order
+
+    def loaded(self, adapter: str, order: int, now_ms: int) -> None:
         """Takes the engine's word that a load is done."""
         slot = self.slots.get(adapter)
-        if slot is None or slot.standing is not Standing.LOADING:
+        if not self.awaits(adapter, order):
+            return
+        if slot.standing is not Standing.LOADING:
             return
         took_ms = now_ms - slot.since_ms
         self.load_estimate_ms += LOAD_ESTIMATE_WEIGHT * (
@@ -191,16 +203,18 @@
         slot.order = self.order
         return self.order
 
-    def unloaded(self, adapter: str) -> None:
+    def unloaded(self, adapter: str, order: int) -> None:
         """Takes the engine's word that an unload is done."""
-        slot = self.slots.get(adapter)
-        if slot is not None and slot.standing is Standing.CLOSING:
-            del self.slots[adapter]
+        if self.awaits(adapter, order):
+            if self.slots[adapter].standing is Standing.CLOSING:
+                del self.slots[adapter]
 
-    def unload_failed(self, adapter: str, now_ms: int) -> None:
+    def unload_failed(self, adapter: str, order: int, now_ms: int) -> None:
         """Opens an adapter again whose unload order was refused."""
         slot = self.slots.get(adapter)
-        if slot is not None and slot.standing is Standing.CLOSING:
+        if not self.awaits(adapter, order):
+            return
+        if slot.standing is Standing.CLOSING:
             slot.standing = Standing.RESIDENT
             slot.since_ms = now_ms
 
--- a/packages/radishstack/src/radishstack/process/routing.py
+++ b/packages/radishstack/src/radishstack/process/routing.py
@@ -148,14 +148,22 @@
             adapter.
         """
         picked = []
+        with_room = 0
         for target in candidates:
             if not self.usable(target, now_ms):
                 continue
             known = self.residency(target, adapter, now_ms)
-            if len(picked) < self.settings.width or known is Standing.RESIDENT:
+            if with_room < self.settings.width or known is Standing.RESIDENT:
                 picked.append(target)
+                # A full target does not count, so that an adapter hotter
+                # than a few engines can carry spreads along the order.
+                with_room += not self._full(target)
         return picked
 
+    def _full(self, target: str) -> bool:
+        observation = self.observations.get(target)
+        return observation is not None and observation.load.wait_ms > 0
+
     def to_probe(
         self, considered: list[str], adapter: str, now_ms: int
     ) -> list[str]:
--- a/packages/radishstack/src/radishstack/request/exchange.py
+++ b/packages/radishstack/src/radishstack/request/exchange.py
@@ -381,6 +381,8 @@
 @_handle.register
 def _arrived(event: Arrived, exchange: Exchange, now_ms: int) -> Actions:
     del now_ms
+    if not exchange.head_sent:
+        return [CancelAttempt(), *exchange._reply(_cut("its head is missing"))]
     match exchange.sequence.take(event.number):
         case sequence.Verdict.TAKE:
             return [Forward(event.payload)]
@@ -399,8 +401,8 @@
                 exchange.may_have_run = True
             return exchange._retry(event.failure, now_ms)
         return exchange._reply(event.failure)
-    if not whole:
-        return exchange._reply(_cut("chunks are missing at its end"))
+    if not whole or not exchange.head_sent:
+        return exchange._reply(_cut("a part of it is missing at its end"))
     exchange.done = True
     return [Finish()]
 
--- a/packages/radishstack/src/radishstack/request/resolve.py
+++ b/packages/radishstack/src/radishstack/request/resolve.py
@@ -13,7 +13,7 @@
 from radishstack.version import rendezvous
 
 MAX_KEY_CHARS = 256
-MAX_CANDIDATES = 16
+MAX_CANDIDATES = 48
 _SHARE_RANGE = 2**64
 
 
--- a/packages/radishstack/src/radishstack/target.py
+++ b/packages/radishstack/src/radishstack/target.py
@@ -461,8 +461,8 @@
         resolve.home_of(attempt.service, attempt.key, placement.targets)
         for placement in placements
     }
-    if record is not None and record.sealed_for:
-        homes.add(record.sealed_for)
+    if record is not None:
+        homes.update(record.sealed_for)
     homes.discard(target.settings.name)
     return tuple(sorted(homes))
 
@@ -669,7 +669,7 @@
 ) -> None:
     del actions
     if event.incarnation == target.residency.incarnation:
-        target.residency.loaded(event.adapter, now_ms)
+        target.residency.loaded(event.adapter, event.order, now_ms)
 
 
 @_handle.register
@@ -678,6 +678,8 @@
 ) -> None:
     if event.incarnation != target.residency.incarnation:
         return
+    if not target.residency.awaits(event.adapter, event.order):
+        return
     backoff = target.residency.load_failed(event.adapter, now_ms)
     failure = result.Failure(
         result.LOAD_FAILED,
@@ -697,7 +699,7 @@
 ) -> None:
     del now_ms, actions
     if event.incarnation == target.residency.incarnation:
-        target.residency.unloaded(event.adapter)
+        target.residency.unloaded(event.adapter, event.order)
 
 
 @_handle.register
@@ -709,7 +711,7 @@
 ) -> None:
     del actions
     if event.incarnation == target.residency.incarnation:
-        target.residency.unload_failed(event.adapter, now_ms)
+        target.residency.unload_failed(event.adapter, event.order, now_ms)
 
 
 @_handle.register
--- a/packages/radishstack/src/radishstack/target_event.py
+++ b/packages/radishstack/src/radishstack/target_event.py
@@ -51,6 +51,7 @@
 
     adapter: str
     incarnation: str
+    order: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -59,6 +60,7 @@
 
     adapter: str
     incarnation: str
+    order: int
     reason: str
 
 
@@ -68,6 +70,7 @@
 
     adapter: str
     incarnation: str
+    order: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -76,6 +79,7 @@
 
     adapter: str
     incarnation: str
+    order: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/proofs/world.py
+++ b/proofs/world.py
@@ -742,9 +742,13 @@
             if not failed:
                 engine.resident.add(order.adapter)
             event = (
-                event_lib.LoadFailed(order.adapter, order.incarnation, "x")
+                event_lib.LoadFailed(
+                    order.adapter, order.incarnation, order.order, "x"
+                )
                 if failed
-                else event_lib.Loaded(order.adapter, order.incarnation)
+                else event_lib.Loaded(
+                    order.adapter, order.incarnation, order.order
+                )
             )
         else:
             if not failed:
@@ -752,9 +756,13 @@
                     raise ViolationError(f"{order.adapter} unloaded in use")
                 engine.resident.discard(order.adapter)
             event = (
-                event_lib.UnloadFailed(order.adapter, order.incarnation)
+                event_lib.UnloadFailed(
+                    order.adapter, order.incarnation, order.order
+                )
                 if failed
-                else event_lib.Unloaded(order.adapter, order.incarnation)
+                else event_lib.Unloaded(
+                    order.adapter, order.incarnation, order.order
+                )
             )
         if len(engine.resident) > SLOTS:
             raise ViolationError("more adapters than slots")
