Answers to orders name the incarnation that gave them

An engine restarted unseen, loaded two adapters for orders meant for its former incarnation, and ran requests on grants of that incarnation; once the new one was seen all grants were void and an eviction took an adapter away under a running request.

Change: the answer to an order carries the engine's own incarnation; if it is another than the one seen last, the load means nothing until the engine has been looked at, which now happens at once.

Ruled out: keeping the grants across incarnations, since requests of the former one are gone.

--- a/packages/radishd/src/radishd/process/engine.py
+++ b/packages/radishd/src/radishd/process/engine.py
@@ -78,7 +78,7 @@
 
     async def load(
         self, adapter: str, source: str, order: int
-    ) -> result.Failure | None:
+    ) -> result.Outcome[str]:
         """Orders a load.
 
         Args:
@@ -87,7 +87,7 @@
             order: Fencing number.
 
         Returns:
-            None once it is loaded, or why that is not known.
+            The incarnation that answers, or why that is not known.
         """
         body = {
             "lora_name": adapter,
@@ -98,7 +98,7 @@
             "/v1/load_lora_adapter", body, self._load_timeout_s
         )
 
-    async def unload(self, adapter: str, order: int) -> result.Failure | None:
+    async def unload(self, adapter: str, order: int) -> result.Outcome[str]:
         """Orders an unload.
 
         Args:
@@ -106,7 +106,7 @@
             order: Fencing number.
 
         Returns:
-            None once it is unloaded, or why that is not known.
+            The incarnation that answers, or why that is not known.
         """
         body = {"lora_name": adapter, "fencing_number": order}
         return await self._order(
@@ -115,7 +115,7 @@
 
     async def _order(
         self, path: str, body: object, timeout_s: float
-    ) -> result.Failure | None:
+    ) -> result.Outcome[str]:
         response = await self._call("POST", path, body, timeout_s)
         if isinstance(response, result.Failure):
             return response
@@ -124,7 +124,7 @@
                 result.ORDER_REFUSED,
                 f"{path}: {response.status} {response.content[:200]!r}",
             )
-        return None
+        return _incarnation(response)
 
     async def cancel(self, request_id: str) -> None:
         """Cancels a request's generation; best effort."""
--- a/packages/radishd/src/radishd/target.py
+++ b/packages/radishd/src/radishd/target.py
@@ -319,50 +319,67 @@
     async def run_load(self, action: event_lib.StartLoad) -> None:
         """Performs a load order and finds out what became of it."""
         source = self._source_of(action.adapter)
-        failure = await self.engine.load(action.adapter, source, action.order)
-        if failure is not None and await self._is_resident(action):
-            # The answer to the order was lost and the load took effect.
-            failure = None
-        outcome = "failed" if failure else "loaded"
+        answer = await self.engine.load(action.adapter, source, action.order)
+        if isinstance(answer, result.Failure):
+            # The answer may be lost and the order have taken effect.
+            answer = await self._look_for(action.adapter, True) or answer
+        outcome = "failed" if isinstance(answer, result.Failure) else "loaded"
         self.metrics.loads.inc({"outcome": outcome})
-        if failure is None:
+        if isinstance(answer, result.Failure):
+            logs.warn(
+                "load_failed", adapter=action.adapter, reason=answer.message
+            )
             self.handle(
-                event_lib.Loaded(
-                    action.adapter, action.incarnation, action.order
+                event_lib.LoadFailed(
+                    action.adapter,
+                    action.incarnation,
+                    action.order,
+                    answer.message,
                 )
             )
             return
-        logs.warn("load_failed", adapter=action.adapter, reason=failure.message)
-        self.handle(
-            event_lib.LoadFailed(
-                action.adapter,
-                action.incarnation,
-                action.order,
-                failure.message,
-            )
-        )
+        self._notice(answer, action.incarnation)
+        self.handle(event_lib.Loaded(action.adapter, answer, action.order))
 
     async def run_unload(self, action: event_lib.StartUnload) -> None:
         """Performs an unload order and finds out what became of it."""
-        failure = await self.engine.unload(action.adapter, action.order)
-        if failure is not None and not await self._is_resident(action):
-            failure = None
-        outcome = "failed" if failure else "unloaded"
-        self.metrics.unloads.inc({"outcome": outcome})
-        event_type = (
-            event_lib.Unloaded if failure is None else event_lib.UnloadFailed
-        )
-        self.handle(
-            event_type(action.adapter, action.incarnation, action.order)
+        answer = await self.engine.unload(action.adapter, action.order)
+        if isinstance(answer, result.Failure):
+            answer = await self._look_for(action.adapter, False) or answer
+        failed = isinstance(answer, result.Failure)
+        self.metrics.unloads.inc(
+            {"outcome": "failed" if failed else "unloaded"}
         )
+        if failed:
+            self.handle(
+                event_lib.UnloadFailed(
+                    action.adapter, action.incarnation, action.order
+                )
+            )
+            return
+        self._notice(answer, action.incarnation)
+        self.handle(event_lib.Unloaded(action.adapter, answer, action.order))
+
+    async def _look_for(self, adapter: str, resident: bool) -> str:
+        """Returns the incarnation that does or does not hold an adapter.
 
-    async def _is_resident(
-        self, action: event_lib.StartLoad | event_lib.StartUnload
-    ) -> bool:
+        Args:
+            adapter: ``name@version``.
+            resident: Whether it should be resident.
+
+        Returns:
+            The incarnation, empty if it is otherwise or not known.
+        """
         seen = await self.engine.look()
         if isinstance(seen, result.Failure):
-            return isinstance(action, event_lib.StartUnload)
-        return action.adapter in seen.resident
+            return ""
+        as_hoped = (adapter in seen.resident) == resident
+        return seen.incarnation if as_hoped else ""
+
+    def _notice(self, answering: str, ordered: str) -> None:
+        """Looks at once at an engine that has restarted unseen."""
+        if answering != ordered:
+            self._look_now.set()
 
     def _source_of(self, exact: str) -> str:
         name, _, version_text = exact.partition("@")
--- a/packages/radishstack/src/radishstack/process/residency.py
+++ b/packages/radishstack/src/radishstack/process/residency.py
@@ -205,9 +205,9 @@
 
     def unloaded(self, adapter: str, order: int) -> None:
         """Takes the engine's word that an unload is done."""
-        if self.awaits(adapter, order):
-            if self.slots[adapter].standing is Standing.CLOSING:
-                del self.slots[adapter]
+        awaited = self.awaits(adapter, order)
+        if awaited and self.slots[adapter].standing is Standing.CLOSING:
+            del self.slots[adapter]
 
     def unload_failed(self, adapter: str, order: int, now_ms: int) -> None:
         """Opens an adapter again whose unload order was refused."""
--- a/packages/radishstack/src/radishstack/target_event.py
+++ b/packages/radishstack/src/radishstack/target_event.py
@@ -47,7 +47,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Loaded:
-    """The engine says a load is done."""
+    """The engine says a load is done.
+
+    Attributes:
+        adapter: What is loaded.
+        incarnation: The incarnation that answers. If it is not the one that
+            was seen last, the engine has restarted and the load means
+            nothing until it has been seen again.
+        order: Fencing number of the order.
+    """
 
     adapter: str
     incarnation: str
--- a/proofs/world.py
+++ b/proofs/world.py
@@ -737,18 +737,19 @@
             self.counts["orders fenced off"] += 1
             return
         engine.fence = order.order
-        failed = fate == 1
+        # An engine refuses a load that it has no slot for.
+        failed = fate == 1 or (
+            isinstance(order, event_lib.StartLoad)
+            and len(engine.resident - {order.adapter}) >= SLOTS
+        )
+        answering = str(engine.incarnation)
         if isinstance(order, event_lib.StartLoad):
             if not failed:
                 engine.resident.add(order.adapter)
             event = (
-                event_lib.LoadFailed(
-                    order.adapter, order.incarnation, order.order, "x"
-                )
+                event_lib.LoadFailed(order.adapter, answering, order.order, "x")
                 if failed
-                else event_lib.Loaded(
-                    order.adapter, order.incarnation, order.order
-                )
+                else event_lib.Loaded(order.adapter, answering, order.order)
             )
         else:
             if not failed:
@@ -756,13 +757,9 @@
                     raise ViolationError(f"{order.adapter} unloaded in use")
                 engine.resident.discard(order.adapter)
             event = (
-                event_lib.UnloadFailed(
-                    order.adapter, order.incarnation, order.order
-                )
+                event_lib.UnloadFailed(order.adapter, answering, order.order)
                 if failed
-                else event_lib.Unloaded(
-                    order.adapter, order.incarnation, order.order
-                )
+                else event_lib.Unloaded(order.adapter, answering, order.order)
             )
         if len(engine.resident) > SLOTS:
             raise ViolationError("more adapters than slots")
