Two mutants that proved nothing are replaced

Cause: python -m proofs.mutants printed caught 18, missed 2, and one of the 18 was caught for a name error of its own. A chunk index counted from the end is the same chunk, and no rule offered a follower an older version.

Change: the mutants change what is sent and keep stale slots; followers are offered their peers' versions.

Ruled out: dropping the mutants.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -90,7 +90,7 @@
         "right adapter",
         "radishstack/process/residency.py",
         "        self.slots.clear()",
-        "        del now_ms",
+        "        self.slots = dict(self.slots)",
     ),
     Mutant(
         "right adapter",
@@ -126,7 +126,7 @@
         "whole answer",
         "radishstack/request/run.py",
         "            yield number, self.chunks[number - self.first_held]",
-        "            yield number, self.chunks[number - self.total]",
+        "            yield number, self.chunks[0]",
     ),
     Mutant(
         "configuration never reverts",
--- a/proofs/publication.py
+++ b/proofs/publication.py
@@ -243,6 +243,13 @@
         if holder.held.version < before:
             raise AssertionError("the held version fell")
 
+    @stateful.rule(
+        index=st.integers(0, FOLLOWERS - 1), peer=st.integers(0, FOLLOWERS - 1)
+    )
+    def take_peers_version(self, index: int, peer: int) -> None:
+        """A process is offered what a peer holds, which may be older."""
+        self.holders[index].offer(self.holders[peer].held)
+
     @stateful.rule(index=st.integers(0, FOLLOWERS - 1))
     def restart_follower(self, index: int) -> None:
         """A process restarts; it takes a peer's version while cold."""
