--- a/packages/radishd/src/radishd/entry.py
+++ b/packages/radishd/src/radishd/entry.py
@@ -17,6 +17,7 @@
 from radishstack.version import holder as holder_lib
 
 from radishd.connection import link as link_lib
+from radishd.connection import transfer
 from radishd.process import admin
 from radishd.process import clock
 from radishd.process import configuration as configuration_lib
@@ -29,7 +30,6 @@
 from radishd.process import web
 from radishd.request import caller as caller_lib
 from radishd.request import intake as intake_lib
-from radishd.version import transfer
 
 MS_PER_S = 1000.0
 PROCESS_ID_BYTES = 8
--- a/packages/radishd/src/radishd/process/control.py
+++ b/packages/radishd/src/radishd/process/control.py
@@ -45,7 +45,9 @@
     async def run(self) -> None:
         """Answers and sorts datagrams until cancelled."""
         async for data, (host, port) in self._socket:
-            self.bytes_received += len(data) + UDP_IP_HEADER_BYTES
+            size_bytes = len(data) + UDP_IP_HEADER_BYTES
+            self.bytes_received += size_bytes
+            self._metrics.control_bytes.add({"direction": "in"}, size_bytes)
             datagram = frame.decode_datagram(data)
             if isinstance(datagram, result.Failure):
                 continue
@@ -71,7 +73,9 @@
     ) -> None:
         """Sends one datagram; one that cannot be sent is lost like any."""
         data = frame.encode_datagram(nonce, body)
-        self.bytes_sent += len(data) + UDP_IP_HEADER_BYTES
+        size_bytes = len(data) + UDP_IP_HEADER_BYTES
+        self.bytes_sent += size_bytes
+        self._metrics.control_bytes.add({"direction": "out"}, size_bytes)
         try:
             async with self._sending:
                 await self._socket.sendto(data, *address)
--- a/packages/radishd/src/radishd/process/spread.py
+++ b/packages/radishd/src/radishd/process/spread.py
@@ -71,7 +71,8 @@
         self.machine.peers = (*self._targets, *self._heard)
 
     def _commit_raised(self, commit: commit_lib.Commit) -> None:
-        self._feed(dissemination_lib.Raised(commit))
+        data = commit_lib.encode_commit(commit)
+        self._feed(dissemination_lib.Raised(commit.version, data))
 
     def _feed(self, event: dissemination_lib.Event) -> None:
         version = self.configuration.held.version
--- a/packages/radishd/src/radishd/target.py
+++ b/packages/radishd/src/radishd/target.py
@@ -24,6 +24,7 @@
 from radishd.connection import backend
 from radishd.connection import link as link_lib
 from radishd.connection import listener as listener_lib
+from radishd.connection import transfer
 from radishd.process import admin
 from radishd.process import clock
 from radishd.process import configuration as configuration_lib
@@ -37,7 +38,6 @@
 from radishd.process import web
 from radishd.request import engine_call
 from radishd.request import serving as serving_lib
-from radishd.version import transfer
 
 MS_PER_S = 1000.0
 TICK_MS = 50
@@ -586,6 +586,10 @@
 def _dispatch(action: event_lib.Dispatch, process: TargetProcess) -> None:
     serving = process.servings[action.attempt.attempt_id]
     serving.heard_at_ms = clock.now_ms()
+    if action.stalled_ms:
+        labels = {"service": action.attempt.service}
+        process.metrics.stalled.inc(labels)
+        process.metrics.stall_ms.add(labels, action.stalled_ms)
     process.tasks.start_soon(process.run_attempt, action.attempt, serving)
 
 
--- a/packages/radishd/src/radishd/version/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""What lives for one version of the configuration."""
--- a/packages/radishstack/src/radishstack/process/dissemination.py
+++ b/packages/radishstack/src/radishstack/process/dissemination.py
@@ -12,8 +12,6 @@
 import functools
 import random
 
-from radishstack.version import commit as commit_lib
-
 Address = tuple[str, int]
 MAX_LEAVING = 32
 
@@ -40,9 +38,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Raised:
-    """A commit came into force here."""
+    """A commit came into force here.
+
+    Attributes:
+        version: The version it made.
+        data: The commit as it travels.
+    """
 
-    commit: commit_lib.Commit
+    version: int
+    data: bytes
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -181,11 +185,10 @@
     event: Raised, dissemination: Dissemination, now_ms: int
 ) -> Actions:
     del now_ms
-    version = event.commit.version
+    version, data = event.version, event.data
     if version <= dissemination.version:
         return []
     dissemination.version = version
-    data = commit_lib.encode_commit(event.commit)
     if len(data) > dissemination.settings.max_commit_bytes:
         # Too large for a datagram: tell the version, peers read the store.
         return [
--- a/packages/radishstack/src/radishstack/process/fair_queue.py
+++ b/packages/radishstack/src/radishstack/process/fair_queue.py
@@ -21,6 +21,7 @@
         adapter: What it needs, empty for a plain service.
         enqueued_at_ms: Since when it waits.
         deadline_at_ms: When its caller stops waiting.
+        stalls: Whether its adapter was not resident when it came.
     """
 
     attempt_id: bytes
@@ -32,6 +33,7 @@
     adapter: str
     enqueued_at_ms: int
     deadline_at_ms: int
+    stalls: bool = False
 
 
 class FairQueue:
--- a/packages/radishstack/src/radishstack/target.py
+++ b/packages/radishstack/src/radishstack/target.py
@@ -640,6 +640,9 @@
             adapter=attempt.adapter,
             enqueued_at_ms=now_ms,
             deadline_at_ms=attempt.deadline_at_ms,
+            stalls=bool(attempt.adapter)
+            and target.residency.standing(attempt.adapter, now_ms)
+            is not residency_lib.Standing.RESIDENT,
         )
     )
 
@@ -919,7 +922,8 @@
         target.ledger.start(key, attempt.attempt_id, now_ms)
     target.running[attempt.attempt_id] = Running(attempt, grant, now_ms)
     target.running_by_customer[attempt.customer] += 1
-    actions.append(event_lib.Dispatch(attempt, grant))
+    stalled_ms = now_ms - waiting.enqueued_at_ms if waiting.stalls else 0
+    actions.append(event_lib.Dispatch(attempt, grant, stalled_ms))
 
 
 def _schedule_loads(target: Target, now_ms: int, actions: Actions) -> None:
--- a/packages/radishstack/src/radishstack/target_event.py
+++ b/packages/radishstack/src/radishstack/target_event.py
@@ -169,10 +169,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Dispatch:
-    """Run the attempt now; the grant holds until ``RunEnded``."""
+    """Run the attempt now; the grant holds until ``RunEnded``.
+
+    Attributes:
+        attempt: The attempt.
+        grant: Its grant, None at a plain service.
+        stalled_ms: How long it waited with its adapter not resident at
+            first; 0 if it was.
+    """
 
     attempt: attempt_lib.Attempt
     grant: residency.Grant | None
+    stalled_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/daemon/test_path.py
+++ b/tests/daemon/test_path.py
@@ -26,6 +26,13 @@
         assert streamed.headers["content-type"] == "text/event-stream"
         text = fixtures.text_of_stream(streamed.body)
         assert text == _expected("adapter-5@1", "bye", 40)
+        metrics = "".join(
+            fixtures.call(
+                "GET", site.url(name, "/metrics", port=fixtures.ADMIN_PORT)
+            ).body.decode()
+            for name in ("engine-1", "engine-2")
+        )
+        assert 'radishstack_stall_ms_total{name="engine-' in metrics
         assert not site.state("engine-1-behind")["violations"]
         assert not site.state("engine-2-behind")["violations"]
 
--- a/tests/stack/test_dissemination.py
+++ b/tests/stack/test_dissemination.py
@@ -10,11 +10,12 @@
 ROUNDS = 40
 
 
-def _commit(version: int) -> commit_lib.Commit:
+def _raised(version: int) -> dissemination.Raised:
     audit = commit_lib.AuditRecord("o", 0, version - 1, "")
-    return commit_lib.Commit(
+    commit = commit_lib.Commit(
         f"w{version}", version, f"w{version - 1}" * (version > 1), (), audit
     )
+    return dissemination.Raised(version, commit_lib.encode_commit(commit))
 
 
 def _spread(loss: float, versions: int) -> list[int]:
@@ -41,7 +42,7 @@
                 case dissemination.PushCommit(to=to, data=data):
                     commit = commit_lib.decode_commit(data)
                     if commit.version == member.version + 1:
-                        raised = dissemination.Raised(commit)
+                        raised = dissemination.Raised(commit.version, data)
                         send(to, member.handle(raised, 0))
                 case dissemination.SendDigest(to=to, reply=reply):
                     heard = dissemination.DigestHeard(
@@ -50,7 +51,7 @@
                     send(to, member.handle(heard, 0))
 
     for version in range(1, versions + 1):
-        raised = dissemination.Raised(_commit(version))
+        raised = _raised(version)
         send(addresses[0], members[addresses[0]].handle(raised, 0))
         drain()
     for _ in range(ROUNDS):
@@ -70,9 +71,9 @@
     member = dissemination.Dissemination(
         ("10.0.0.1", 1), random_source=random.Random(1)
     )
-    member.handle(dissemination.Raised(_commit(1)), 0)
-    member.handle(dissemination.Raised(_commit(2)), 0)
-    assert member.handle(dissemination.Raised(_commit(1)), 0) == []
+    member.handle(_raised(1), 0)
+    member.handle(_raised(2), 0)
+    assert member.handle(_raised(1), 0) == []
     member.handle(dissemination.Jumped(1), 0)
     assert member.version == 2
 
@@ -83,7 +84,7 @@
         ("10.0.0.1", 1), random_source=random.Random(1)
     )
     for version in range(1, 6):
-        member.handle(dissemination.Raised(_commit(version)), 0)
+        member.handle(_raised(version), 0)
     heard = dissemination.DigestHeard(("10.0.0.2", 2), 2, False, ())
     pushed = [
         commit_lib.decode_commit(action.data).version
