--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -78,6 +78,7 @@
         "radishstack/process/ledger.py",
         "            if accepted_at_ms <= record.at_ms:",
         "            if False:",
+        _test("test_target"),
     ),
     Mutant(
         "not run is true",
@@ -88,9 +89,10 @@
     ),
     Mutant(
         "right adapter",
-        "radishstack/process/residency.py",
-        "        self.slots.clear()",
-        "        self.slots = dict(self.slots)",
+        "radishstack/target.py",
+        "    if running is None or running.attempt.adapter == event.adapter:",
+        "    if running is None or running.attempt.adapter != event.adapter:",
+        _test("test_path"),
     ),
     Mutant(
         "right adapter",
@@ -109,6 +111,7 @@
         "radishstack/process/residency.py",
         "        if grant.incarnation != self.incarnation:",
         "        if False:",
+        _test("test_target"),
     ),
     Mutant(
         "whole answer",
