--- a/packages/radishd/src/radishd/process/engine.py
+++ b/packages/radishd/src/radishd/process/engine.py
@@ -113,6 +113,14 @@
             "/v1/unload_lora_adapter", body, self._call_timeout_s
         )
 
+    async def raise_fence(self, order: int) -> None:
+        """Tells the engine that orders below a number are old.
+
+        The order is to unload nothing; an engine that checks numbers takes
+        the number from it, any other answers that it does not hold it.
+        """
+        await self.unload("", order)
+
     async def _order(
         self, path: str, body: object, timeout_s: float
     ) -> result.Outcome[str]:
--- a/packages/radishd/src/radishd/target.py
+++ b/packages/radishd/src/radishd/target.py
@@ -441,6 +441,11 @@
                     self.handle(event_lib.EngineLost())
             else:
                 misses = 0
+                if seen.incarnation != self.machine.residency.incarnation:
+                    # An order of this slot's former process may still be on
+                    # its way and unload what is granted here. An engine that
+                    # checks fencing numbers refuses it from now on.
+                    await self.engine.raise_fence(self.machine.residency.order)
                 self.handle(
                     event_lib.EngineSeen(
                         seen.incarnation, seen.resident, asked_at_ms
