Split the target machine: state, admission, schedule

No behaviour changed; the mutants name the new places.

Ruled out: splitting by event, which would scatter admission.

--- /dev/null
+++ b/packages/radishstack/src/radishstack/target_state.py
@@ -0,0 +1,245 @@
+"""What a target process knows: the state that its decisions share."""
+
+import collections
+import dataclasses
+import math
+import random
+
+from radishstack import attempt as attempt_lib
+from radishstack import invariant
+from radishstack import load as load_lib
+from radishstack import result
+from radishstack import target_event as event_lib
+from radishstack.process import fair_queue
+from radishstack.process import forecast as forecast_lib
+from radishstack.process import ledger as ledger_lib
+from radishstack.process import load_budget
+from radishstack.process import popularity as popularity_lib
+from radishstack.process import residency as residency_lib
+from radishstack.version import document as document_lib
+from radishstack.version import holder as holder_lib
+
+CLOSED_KEEP = 65_536
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetSettings:
+    """What a target process knows of its target from its settings.
+
+    Attributes:
+        name: Name of the target in the document.
+        kind: Engine or plain service.
+        slot_count: Adapter slots of the engine.
+        max_running: Attempts that run at once.
+        max_queued: Bound on queued attempts.
+        max_parallel_loads: Loads the engine is asked for at once.
+        quarantine_ms: How long after its start unknown keys are not run.
+        first_order: Fencing number before the first order; above those of
+            any earlier process in the same slot.
+    """
+
+    name: str
+    kind: document_lib.TargetKind
+    slot_count: int = 8
+    max_running: int = 16
+    max_queued: int = 512
+    max_parallel_loads: int = 2
+    quarantine_ms: int = document_lib.DEFAULT_RETRY_WINDOW_MS
+    first_order: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Running:
+    """A dispatched attempt.
+
+    Attributes:
+        attempt: The attempt.
+        grant: Its grant, None at a plain service.
+        since_ms: When it was dispatched.
+        cancelled: Whether it was told to stop.
+    """
+
+    attempt: attempt_lib.Attempt
+    grant: residency_lib.Grant | None
+    since_ms: int
+    cancelled: bool = False
+
+
+Actions = list[event_lib.Action]
+
+
+class TargetState:
+    """Everything one target process knows of its target."""
+
+    def __init__(
+        self,
+        settings: TargetSettings,
+        *,
+        now_ms: int,
+        random_source: random.Random,
+        budget: load_budget.BudgetSettings | None = None,
+    ) -> None:
+        """Starts with no configuration and an engine that was not seen.
+
+        Args:
+            settings: What the process knows of its target.
+            now_ms: Monotonic clock.
+            random_source: Spreads the callers' return.
+            budget: The site's allowance of loads.
+        """
+        self.settings = settings
+        self.held = holder_lib.EMPTY
+        self.residency = residency_lib.Residency(settings.slot_count)
+        self.queue = fair_queue.FairQueue()
+        self.ledger = ledger_lib.Ledger(
+            quarantine_until_ms=now_ms + settings.quarantine_ms
+        )
+        self.popularity = popularity_lib.Popularity()
+        self.forecast = forecast_lib.Forecast(
+            max_running=settings.max_running, random_source=random_source
+        )
+        self.budget = load_budget.LoadBudget(
+            budget or load_budget.BudgetSettings(), now_ms
+        )
+        self.residency.order = settings.first_order
+        self.engine_up = settings.kind is document_lib.TargetKind.PLAIN
+        self.leaving = False
+        self.attempts: dict[bytes, attempt_lib.Attempt] = {}
+        self.asking: dict[bytes, attempt_lib.Attempt] = {}
+        self.running: dict[bytes, Running] = {}
+        self.running_by_customer: collections.Counter[str] = (
+            collections.Counter()
+        )
+        self.closed: collections.OrderedDict[bytes, result.Failure] = (
+            collections.OrderedDict()
+        )
+        self.warm: frozenset[str] = frozenset()
+
+    @property
+    def idle(self) -> bool:
+        """Whether nothing is asked, queued or running."""
+        return not (self.running or self.asking or len(self.queue))
+
+    def report(
+        self, adapter: str, process: bytes, now_ms: int
+    ) -> load_lib.Load:
+        """Returns this target's word on itself.
+
+        Args:
+            adapter: The adapter asked about, empty for none.
+            process: Identity of this process.
+            now_ms: Now.
+
+        Returns:
+            What entry daemons route by.
+        """
+        queued, running = len(self.queue), len(self.running)
+        standing = self.residency.standing(adapter, now_ms)
+        return load_lib.Load(
+            residency=int(standing),
+            leaving=self.leaving or not self.engine_up,
+            version=self.held.version,
+            queued=queued,
+            running=running,
+            wait_ms=self.forecast.wait_ms(queued=queued, running=running),
+            load_ms=self.load_delay_ms(adapter, now_ms),
+            process=process,
+            blocked=self.blocked(now_ms),
+        )
+
+    def cheapest_victim(self, now_ms: int) -> tuple[float, str]:
+        """Finds the adapter that is missed least, if any may go.
+
+        Args:
+            now_ms: Now.
+
+        Returns:
+            The estimated rate of its requests and its name; no name if a
+            slot is free or none may go.
+        """
+        if self.residency.free_slots() > 0:
+            return 0.0, ""
+        waited_for = set(self.queue.adapters())
+        return min(
+            (
+                (self.popularity.value(name, now_ms), name)
+                for name, slot in self.residency.slots.items()
+                if slot.standing is residency_lib.Standing.RESIDENT
+                and slot.grants == 0
+                and name not in waited_for
+                and name not in self.warm
+            ),
+            default=(math.inf, ""),
+        )
+
+    def blocked(self, now_ms: int) -> bool:
+        """Whether no slot could be freed for another adapter now."""
+        if self.residency.free_slots() > 0:
+            return False
+        closing = any(
+            slot.standing is residency_lib.Standing.CLOSING
+            for slot in self.residency.slots.values()
+        )
+        return not closing and not self.cheapest_victim(now_ms)[1]
+
+    def service(self, name: str) -> document_lib.Service | None:
+        """Returns a service of the held version."""
+        return self.held.document.services.get(name)
+
+    def load_delay_ms(self, adapter: str, now_ms: int) -> int:
+        """Predicts when an adapter would be resident, from now."""
+        standing = self.residency.standing(adapter, now_ms)
+        estimate_ms = self.residency.load_estimate_ms
+        if not adapter or standing is residency_lib.Standing.RESIDENT:
+            return 0
+        if standing is residency_lib.Standing.LOADING:
+            slot = self.residency.slots[adapter]
+            return max(1, round(estimate_ms - (now_ms - slot.since_ms)))
+        ahead = sum(
+            self.residency.standing(other, now_ms)
+            is residency_lib.Standing.ABSENT
+            for other in self.queue.adapters()
+            if other != adapter
+        )
+        ahead += self.residency.loading_count()
+        turns = 1 + ahead // self.settings.max_parallel_loads
+        return round(turns * estimate_ms) + self.budget.delay_ms(now_ms)
+
+
+def close_attempt(
+    target: TargetState, attempt_id: bytes, failure: result.Failure
+) -> None:
+    """Remembers what a late copy of an attempt is answered."""
+    target.closed[attempt_id] = failure
+    while len(target.closed) > CLOSED_KEEP:
+        target.closed.popitem(last=False)
+
+
+def refuse(
+    target: TargetState,
+    attempt: attempt_lib.Attempt,
+    failure: result.Failure,
+    actions: Actions,
+) -> None:
+    """Refuses an attempt and records it, so that a late copy cannot run."""
+    invariant.require(
+        attempt.attempt_id not in target.running,
+        result.REFUSED_AND_RUN,
+        f"refusal of running attempt {attempt.attempt_id.hex()}",
+    )
+    target.attempts.pop(attempt.attempt_id, None)
+    close_attempt(target, attempt.attempt_id, failure)
+    actions.append(event_lib.Refuse(attempt.attempt_id, failure))
+
+
+def refuse_claimed(
+    target: TargetState,
+    attempt: attempt_lib.Attempt,
+    failure: result.Failure,
+    now_ms: int,
+    actions: Actions,
+) -> None:
+    """Refuses an attempt that may own its key in the ledger."""
+    if attempt.key:
+        target.ledger.refuse((attempt.service, attempt.key), now_ms)
+    refuse(target, attempt, failure, actions)
--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -57,7 +57,7 @@
     ),
     Mutant(
         "at most once",
-        "radishstack/target.py",
+        "radishstack/target_admission.py",
         "    return tuple(sorted(homes))",
         "    return ()",
     ),
@@ -96,13 +96,13 @@
     ),
     Mutant(
         "right adapter",
-        "radishstack/target.py",
+        "radishstack/target_schedule.py",
         "    return standing is residency_lib.Standing.RESIDENT",
         "    return standing is not residency_lib.Standing.ABSENT",
     ),
     Mutant(
         "never unloaded while serving",
-        "radishstack/target.py",
+        "radishstack/target_state.py",
         "        and slot.grants == 0",
         "        and slot.grants >= 0",
     ),
@@ -156,7 +156,7 @@
     ),
     Mutant(
         "leaving",
-        "radishstack/target.py",
+        "radishstack/target_admission.py",
         "    if target.leaving:\n        return result.Failure(",
         "    if False:\n        return result.Failure(",
     ),
