--- a/packages/radishd/src/radishd/connection/inbox.py
+++ b/packages/radishd/src/radishd/connection/inbox.py
@@ -17,6 +17,10 @@
         self._items: collections.deque[object] = collections.deque()
         self._wake: anyio.Event | None = None
 
+    def __len__(self) -> int:
+        """How many items wait."""
+        return len(self._items)
+
     def put(self, item: object) -> None:
         """Adds an item; never blocks. The peer's window bounds the number."""
         self._items.append(item)
--- a/packages/radishd/src/radishd/connection/link.py
+++ b/packages/radishd/src/radishd/connection/link.py
@@ -14,10 +14,16 @@
 from radishd.process import settings as settings_lib
 
 RECEIVE_BYTES = 65_536
+MAX_INBOX_ITEMS = 1_024
 MS_PER_S = 1000.0
 _SOCKET_ERRORS = (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError)
 
 
+_WINDOW_IGNORED = result.Failure(
+    result.FRAME_MALFORMED, "the peer sends without regard to its window"
+)
+
+
 class Link:
     """One connection to a target process."""
 
@@ -99,8 +105,12 @@
                     self._bad_frame(decoded)
                     return
                 inbox = self.inboxes.get(decoded.stream)
-                if inbox is not None:
-                    inbox.put(decoded.body)
+                if inbox is None:
+                    continue
+                if len(inbox) >= MAX_INBOX_ITEMS:
+                    self._bad_frame(_WINDOW_IGNORED)
+                    return
+                inbox.put(decoded.body)
 
     def _bad_frame(self, failure: result.Failure) -> None:
         logs.error(
--- a/packages/radishd/src/radishd/target.py
+++ b/packages/radishd/src/radishd/target.py
@@ -223,9 +223,10 @@
         if serving.run.ended is None:
             self.handle(event_lib.Cancelled(owner_id))
         elif not serving.run.keep_bytes:
-            self._drop(owner_id)
+            self.drop(owner_id)
 
-    def _drop(self, owner_id: bytes) -> None:
+    def drop(self, owner_id: bytes) -> None:
+        """Forgets a run and whoever reads it."""
         serving = self.servings.pop(owner_id, None)
         self.owners.pop(owner_id, None)
         if serving is not None and serving.run.keep_bytes:
@@ -267,7 +268,7 @@
         if attempt.key and ran:
             self._keep(serving)
         elif not serving.run.readers and not serving.orphaned_at_ms:
-            self._drop(attempt.attempt_id)
+            self.drop(attempt.attempt_id)
         self.handle(event_lib.RunEnded(attempt.attempt_id, ran))
 
     def _keep(self, serving: serving_lib.Serving) -> None:
@@ -604,7 +605,7 @@
     serving = process.servings.get(action.attempt_id)
     if serving is not None:
         serving.refuse(action.failure, process.load())
-    process._drop(action.attempt_id)
+    process.drop(action.attempt_id)
 
 
 @_perform.register
@@ -663,7 +664,7 @@
 @_perform.register
 def _forget(action: event_lib.Forget, process: TargetProcess) -> None:
     for attempt_id in action.attempt_ids:
-        process._drop(attempt_id)
+        process.drop(attempt_id)
 
 
 async def run(
