One pump of frames for both sides of a connection

Cause: link and listener repeated 24 lines of reading, decoding and writing.

Change: connection/pump.py serves both; a failure returned by whoever takes a frame ends the connection.

Ruled out: a base class for the two sides, which share nothing else.

--- a/packages/radishd/src/radishd/connection/link.py
+++ b/packages/radishd/src/radishd/connection/link.py
@@ -8,15 +8,14 @@
 from radishstack.connection import frame
 
 from radishd.connection import inbox as inbox_lib
+from radishd.connection import pump
 from radishd.connection import writer as writer_lib
 from radishd.process import clock
 from radishd.process import logs
 from radishd.process import settings as settings_lib
 
-RECEIVE_BYTES = 65_536
 MAX_INBOX_ITEMS = 1_024
 MS_PER_S = 1000.0
-_SOCKET_ERRORS = (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError)
 
 
 _WINDOW_IGNORED = result.Failure(
@@ -68,54 +67,27 @@
     async def run(self) -> None:
         """Reads and writes until the connection ends, then tells all."""
         try:
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._write)
-                await self._read()
-                tasks.cancel_scope.cancel()
+            failure = await pump.run(self._stream, self.writer, self._take)
+            if failure is not None:
+                logs.error(
+                    "bad_frame",
+                    failure.code,
+                    target=self.name,
+                    reason=failure.message,
+                )
         finally:
             self.lost = True
-            self.writer.close()
             for inbox in self.inboxes.values():
                 inbox.put(inbox_lib.LINK_LOST)
-            with anyio.CancelScope(shield=True):
-                await anyio.aclose_forcefully(self._stream)
 
-    async def _write(self) -> None:
-        try:
-            await self.writer.run()
-        except _SOCKET_ERRORS:
-            return
-        finally:
-            await anyio.aclose_forcefully(self._stream)
-
-    async def _read(self) -> None:
-        splitter = frame.Splitter()
-        while True:
-            try:
-                data = await self._stream.receive(RECEIVE_BYTES)
-            except (anyio.EndOfStream, *_SOCKET_ERRORS):
-                return
-            messages = splitter.feed(data)
-            if isinstance(messages, result.Failure):
-                self._bad_frame(messages)
-                return
-            for message in messages:
-                decoded = frame.decode(message)
-                if isinstance(decoded, result.Failure):
-                    self._bad_frame(decoded)
-                    return
-                inbox = self.inboxes.get(decoded.stream)
-                if inbox is None:
-                    continue
-                if len(inbox) >= MAX_INBOX_ITEMS:
-                    self._bad_frame(_WINDOW_IGNORED)
-                    return
-                inbox.put(decoded.body)
-
-    def _bad_frame(self, failure: result.Failure) -> None:
-        logs.error(
-            "bad_frame", failure.code, target=self.name, reason=failure.message
-        )
+    def _take(self, taken: frame.Frame) -> result.Failure | None:
+        inbox = self.inboxes.get(taken.stream)
+        if inbox is None:
+            return None
+        if len(inbox) >= MAX_INBOX_ITEMS:
+            return _WINDOW_IGNORED
+        inbox.put(taken.body)
+        return None
 
 
 class Links:
--- a/packages/radishd/src/radishd/connection/listener.py
+++ b/packages/radishd/src/radishd/connection/listener.py
@@ -11,6 +11,7 @@
 from radishstack import target_event as event_lib
 from radishstack.connection import frame
 
+from radishd.connection import pump
 from radishd.connection import writer as writer_lib
 from radishd.process import clock
 from radishd.process import logs
@@ -20,8 +21,6 @@
 if TYPE_CHECKING:
     from radishd import target as target_lib
 
-RECEIVE_BYTES = 65_536
-_SOCKET_ERRORS = (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError)
 _seal_ids = itertools.count(1)
 
 
@@ -69,45 +68,16 @@
         )
         self.writer.write(frame.encode(0, hello))
         try:
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._write)
-                await self._read()
-                tasks.cancel_scope.cancel()
+            failure = await pump.run(self.stream, self.writer, self._take)
+            if failure is not None:
+                self._end_bad(failure)
         finally:
-            self.writer.close()
             for stream, attempt_id in list(self.attempts.items()):
                 reader = serving_lib.ReaderId(self.writer, stream)
                 self.process.reader_left(attempt_id, reader, cut=True)
-            with anyio.CancelScope(shield=True):
-                await anyio.aclose_forcefully(self.stream)
 
-    async def _write(self) -> None:
-        try:
-            await self.writer.run()
-        except _SOCKET_ERRORS:
-            return
-        finally:
-            await anyio.aclose_forcefully(self.stream)
-
-    async def _read(self) -> None:
-        splitter = frame.Splitter()
-        while True:
-            try:
-                data = await self.stream.receive(RECEIVE_BYTES)
-            except (anyio.EndOfStream, *_SOCKET_ERRORS):
-                return
-            messages = splitter.feed(data)
-            if isinstance(messages, result.Failure):
-                self._end_bad(messages)
-                return
-            for message in messages:
-                decoded = frame.decode(message)
-                failure = decoded
-                if isinstance(decoded, frame.Frame):
-                    failure = _take(decoded.body, self, decoded.stream)
-                if isinstance(failure, result.Failure):
-                    self._end_bad(failure)
-                    return
+    def _take(self, taken: frame.Frame) -> result.Failure | None:
+        return _take(taken.body, self, taken.stream)
 
     def _end_bad(self, failure: result.Failure) -> None:
         """A bad frame ends its connection and nothing else."""
--- /dev/null
+++ b/packages/radishd/src/radishd/connection/pump.py
@@ -0,0 +1,73 @@
+"""Moving frames between one socket and whoever takes them."""
+
+from collections.abc import Callable
+
+import anyio
+import anyio.abc
+from radishstack import result
+from radishstack.connection import frame
+
+from radishd.connection import writer as writer_lib
+
+RECEIVE_BYTES = 65_536
+SOCKET_ERRORS = (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError)
+
+Take = Callable[[frame.Frame], result.Failure | None]
+
+
+async def run(
+    stream: anyio.abc.SocketStream, writer: writer_lib.Writer, take: Take
+) -> result.Failure | None:
+    """Reads and writes until a connection ends.
+
+    Args:
+        stream: The connected socket; closed when this returns.
+        writer: What is queued here is written.
+        take: Called with every frame; a failure ends the connection.
+
+    Returns:
+        What was wrong with a frame, or None if the peer ended it.
+    """
+    failure: result.Failure | None = None
+    try:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(_write, stream, writer)
+            failure = await _read(stream, take)
+            tasks.cancel_scope.cancel()
+    finally:
+        writer.close()
+        with anyio.CancelScope(shield=True):
+            await anyio.aclose_forcefully(stream)
+    return failure
+
+
+async def _write(
+    stream: anyio.abc.SocketStream, writer: writer_lib.Writer
+) -> None:
+    try:
+        await writer.run()
+    except SOCKET_ERRORS:
+        return
+    finally:
+        await anyio.aclose_forcefully(stream)
+
+
+async def _read(
+    stream: anyio.abc.SocketStream, take: Take
+) -> result.Failure | None:
+    splitter = frame.Splitter()
+    while True:
+        try:
+            data = await stream.receive(RECEIVE_BYTES)
+        except (anyio.EndOfStream, *SOCKET_ERRORS):
+            return None
+        messages = splitter.feed(data)
+        if isinstance(messages, result.Failure):
+            return messages
+        for message in messages:
+            decoded = frame.decode(message)
+            if isinstance(decoded, result.Failure):
+                return decoded
+            failure = take(decoded)
+            if failure is not None:
+                return failure
