Clock offsets are renewed

A connection took the smallest transit it had ever seen for the offset of its peer's clock.

Ruled out: exchanging wall clocks, which nobody promises to keep.

Conclusion: the error is bounded by the drift within two minutes.

--- a/packages/radishd/src/radishd/connection/listener.py
+++ b/packages/radishd/src/radishd/connection/listener.py
@@ -9,6 +9,7 @@
 from radishstack import attempt as attempt_lib
 from radishstack import result
 from radishstack import target_event as event_lib
+from radishstack.connection import clock_offset
 from radishstack.connection import frame
 
 from radishd.connection import pump
@@ -38,26 +39,7 @@
         self.writer = writer_lib.Writer(stream)
         self.attempts: dict[int, bytes] = {}
         self.highest_stream = -1
-        self.clock_offset_ms: int | None = None
-
-    def to_own_clock(self, sent_at_ms: int, at_ms: int) -> int:
-        """Converts a time on the peer's clock to this process's clock.
-
-        The smallest difference seen between arrival and sending is taken as
-        the offset. A frame that was held up on its way shows a larger one,
-        so its age is seen and its deadline is not prolonged.
-
-        Args:
-            sent_at_ms: When the frame was sent, on the peer's clock.
-            at_ms: The time to convert, on the peer's clock.
-
-        Returns:
-            The time here, never earlier than it truly was.
-        """
-        offset_ms = clock.now_ms() - sent_at_ms
-        if self.clock_offset_ms is None or offset_ms < self.clock_offset_ms:
-            self.clock_offset_ms = offset_ms
-        return at_ms + self.clock_offset_ms
+        self.offset = clock_offset.ClockOffset()
 
     async def run(self) -> None:
         """Reads and writes until the connection ends."""
@@ -113,7 +95,7 @@
 def _take_hello(
     body: frame.Hello, connection: Connection, stream: int
 ) -> result.Failure | None:
-    connection.to_own_clock(body.sent_at_ms, body.sent_at_ms)
+    connection.offset.observe(body.sent_at_ms, clock.now_ms())
     return connection.open_stream(stream)
 
 
@@ -124,6 +106,7 @@
     failure = connection.open_stream(stream)
     if failure is not None:
         return failure
+    connection.offset.observe(body.sent_at_ms, clock.now_ms())
     attempt = attempt_lib.Attempt(
         attempt_id=body.attempt_id,
         request_id=body.request_id,
@@ -133,12 +116,8 @@
         adapter=body.adapter,
         key=body.key,
         digest=body.digest,
-        accepted_at_ms=connection.to_own_clock(
-            body.sent_at_ms, body.accepted_at_ms
-        ),
-        deadline_at_ms=connection.to_own_clock(
-            body.sent_at_ms, body.deadline_at_ms
-        ),
+        accepted_at_ms=connection.offset.to_own(body.accepted_at_ms),
+        deadline_at_ms=connection.offset.to_own(body.deadline_at_ms),
         method=body.method,
         path=body.path,
         content_type=body.content_type,
