--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -87,6 +87,13 @@
         "        result.TARGET_UNREACHABLE,\n"
         '        f"{exchange.target} was lost',
     ),
+    Mutant(
+        "not run is true",
+        "radishstack/connection/clock_offset.py",
+        "        self._current_ms = min(self._current_ms, difference_ms)",
+        "        self._current_ms = max(self._current_ms, difference_ms)",
+        _test("test_clock_offset"),
+    ),
     Mutant(
         "right adapter",
         "radishstack/target.py",
