One way to refuse a waiting attempt; dead code removed

Cause: read while landing. Three handlers took an attempt out of the queue and refused it in the same three lines; Holder.advance was called by nobody, since a configuration applies a commit with follow and offer.

Change: target_state.refuse_waiting serves the three; the method and a stale line of a docstring are gone.

Ruled out: joining entry.run and target.run, whose shared lines are the start-up of different servers.

Measured: python -m tests test_target test_proofs test_fair test_path, 15 passed, 0 failed; test_proofs, test_path, test_pages and test_dissemination again after the removal, without a failure.

Conclusion: no behaviour changed.

--- a/bench/model.py
+++ b/bench/model.py
@@ -255,7 +255,6 @@
         stalled: Requests that waited for a load.
         stall_ms: How long they waited for it in all.
         first_ms: Time to the first token of each answered request.
-        by_customer: Answered requests by customer.
     """
 
     asked: int = 0
--- a/packages/radishstack/src/radishstack/target.py
+++ b/packages/radishstack/src/radishstack/target.py
@@ -127,9 +127,7 @@
         target.forecast.retry_after_ms(backoff.until_ms - now_ms),
     )
     for waiting in target.queue.waiting_for(event.adapter):
-        target.queue.remove(waiting.attempt_id)
-        attempt = target.attempts[waiting.attempt_id]
-        state_lib.refuse_claimed(target, attempt, failure, now_ms, actions)
+        state_lib.refuse_waiting(target, waiting, failure, now_ms, actions)
 
 
 @_handle.register
@@ -183,9 +181,7 @@
         target.forecast.retry_after_ms(target_admission.COLD_RETRY_MS),
     )
     for waiting in target.queue:
-        target.queue.remove(waiting.attempt_id)
-        attempt = target.attempts[waiting.attempt_id]
-        state_lib.refuse_claimed(target, attempt, failure, now_ms, actions)
+        state_lib.refuse_waiting(target, waiting, failure, now_ms, actions)
 
 
 @_handle.register
@@ -250,9 +246,7 @@
     )
     # What has not started goes elsewhere at once; what runs, ends here.
     for waiting in target.queue:
-        target.queue.remove(waiting.attempt_id)
-        attempt = target.attempts[waiting.attempt_id]
-        state_lib.refuse_claimed(target, attempt, failure, now_ms, actions)
+        state_lib.refuse_waiting(target, waiting, failure, now_ms, actions)
 
 
 @_handle.register
--- a/packages/radishstack/src/radishstack/target_state.py
+++ b/packages/radishstack/src/radishstack/target_state.py
@@ -243,3 +243,16 @@
     if attempt.key:
         target.ledger.refuse((attempt.service, attempt.key), now_ms)
     refuse(target, attempt, failure, actions)
+
+
+def refuse_waiting(
+    target: TargetState,
+    waiting: fair_queue.Waiting,
+    failure: result.Failure,
+    now_ms: int,
+    actions: Actions,
+) -> None:
+    """Takes an attempt out of the queue and refuses it as not run."""
+    target.queue.remove(waiting.attempt_id)
+    attempt = target.attempts[waiting.attempt_id]
+    refuse_claimed(target, attempt, failure, now_ms, actions)
--- a/packages/radishstack/src/radishstack/version/holder.py
+++ b/packages/radishstack/src/radishstack/version/holder.py
@@ -56,23 +56,6 @@
         self._replace(held)
         return True
 
-    def advance(self, commit: commit_lib.Commit) -> result.Outcome[Held]:
-        """Applies the next commit.
-
-        Args:
-            commit: The commit after the held version.
-
-        Returns:
-            What is now held, or why the commit does not follow it.
-        """
-        if commit.version <= self._held.version:
-            return self._held
-        held = follow(self._held, commit)
-        if isinstance(held, result.Failure):
-            return held
-        self._replace(held)
-        return held
-
     def _replace(self, held: Held) -> None:
         invariant.require(
             held.version > self._held.version,
