--- /dev/null
+++ b/packages/radishd/src/radishd/__main__.py
@@ -0,0 +1,5 @@
+"""Runs ``radishd`` as a module: ``python -m radishd``."""
+
+from radishd import cli
+
+cli.main()
--- a/packages/radishd/src/radishd/cli.py
+++ b/packages/radishd/src/radishd/cli.py
@@ -8,6 +8,8 @@
 from radishstack import result
 
 from radishd import entry
+from radishd import gateway
+from radishd import sidecar
 from radishd import target
 from radishd.process import exits
 from radishd.process import logs
@@ -54,10 +56,18 @@
     anyio.run(run_role, settings)
 
 
+_ROLES = {
+    settings_lib.Role.ENTRY: entry,
+    settings_lib.Role.TARGET: target,
+    settings_lib.Role.GATEWAY: gateway,
+    settings_lib.Role.SIDECAR: sidecar,
+}
+
+
 async def run_role(settings: settings_lib.Settings) -> None:
     """Runs one role until a signal has drained it."""
     stop = anyio.Event()
-    module = entry if settings.role is settings_lib.Role.ENTRY else target
+    module = _ROLES[settings.role]
 
     async def drive() -> None:
         await module.run(settings, stop=stop)
--- /dev/null
+++ b/packages/radishd/src/radishd/connection/http_client.py
@@ -0,0 +1,360 @@
+"""One HTTP/1.1 connection to a target or to the platform.
+
+``httpcore`` reads no response before the request's body is written, cannot
+skip a response that belongs to an earlier request, and takes several times
+the processor time for each event of a stream, so this drives the parser that
+``uvicorn`` uses, ``httptools``, on an asyncio transport.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import socket
+
+import httptools
+
+# Linux: unacknowledged bytes fail the connection after this, and an idle one
+# is probed each second, so that a peer behind a cut link is noticed within
+# about three seconds instead of minutes.
+USER_TIMEOUT_MS = 2_500
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 3
+# Unread bytes of an answer above which the peer is asked to wait.
+HIGH_WATER_BYTES = 256 * 1024
+MAX_HEADERS_BYTES = 64 * 1024
+INFORMATIONAL = 200
+NO_CONTENT = (204, 304)
+
+Headers = tuple[tuple[bytes, bytes], ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Head:
+    """Status and headers of a response; header names are in lower case."""
+
+    status: int
+    headers: Headers
+
+    def get(self, name: bytes) -> bytes | None:
+        """Returns the first header of a name, or None."""
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lost:
+    """A sentinel for "no more of this answer", with the reason.
+
+    Attributes:
+        reason: What was seen.
+        spoiled: Whether bytes came that are no answer.
+    """
+
+    reason: str
+    spoiled: bool = False
+
+
+class _Incoming:
+    """One response as far as it has been parsed."""
+
+    __slots__ = (
+        "chunks",
+        "complete",
+        "framed",
+        "head",
+        "header_list",
+        "keeps_alive",
+        "size_bytes",
+    )
+
+    def __init__(self) -> None:
+        self.head: Head | None = None
+        self.header_list: list[tuple[bytes, bytes]] = []
+        self.chunks: collections.deque[bytes] = collections.deque()
+        self.size_bytes = 0
+        self.complete = False
+        self.framed = False
+        self.keeps_alive = False
+
+
+class Connection(asyncio.Protocol):
+    """A connection that carries one request at a time."""
+
+    def __init__(self) -> None:
+        """Starts unconnected; ``open_connection`` connects it."""
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpResponseParser(self)
+        self._incoming: collections.deque[_Incoming] = collections.deque()
+        self._parsing: _Incoming | None = None
+        self._lost: Lost | None = None
+        self._waiter: asyncio.Future[None] | None = None
+        self._busy = False
+        self._paused = False
+        self.tainted = False
+        self.idle_since_ms = 0
+        self.uses = 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Sets the socket options that bound silence."""
+        self._transport = transport
+        sock = transport.get_extra_info("socket")
+        for level, option, value in (
+            (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+            (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+            (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+            (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+            (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+            (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+        ):
+            sock.setsockopt(level, option, value)
+
+    def data_received(self, data: bytes) -> None:
+        """Parses what arrived."""
+        if not self._busy:
+            # Nobody waits for an answer: a late second answer to an earlier
+            # request. Reused, the connection would give it to the next one.
+            self._fail(Lost("bytes without a request", spoiled=True))
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            self._fail(Lost(f"not an answer: {error}", spoiled=True))
+            return
+        self._wake()
+
+    def on_message_begin(self) -> None:
+        """Begins a response."""
+        self._parsing = _Incoming()
+        self._incoming.append(self._parsing)
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Takes a header."""
+        self._parsing.header_list.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        """Takes the end of the headers."""
+        incoming = self._parsing
+        status = self._parser.get_status_code()
+        incoming.head = Head(status, tuple(incoming.header_list))
+        names = {name for name, _ in incoming.header_list}
+        incoming.framed = (
+            b"content-length" in names
+            or b"transfer-encoding" in names
+            or status in NO_CONTENT
+        )
+        incoming.keeps_alive = self._parser.should_keep_alive()
+
+    def on_body(self, body: bytes) -> None:
+        """Takes a piece of the body."""
+        incoming = self._parsing
+        incoming.chunks.append(body)
+        incoming.size_bytes += len(body)
+        if incoming.size_bytes > HIGH_WATER_BYTES and not self._paused:
+            self._paused = True
+            self._transport.pause_reading()
+
+    def on_message_complete(self) -> None:
+        """Takes the end of a response."""
+        incoming = self._parsing
+        self._parsing = None
+        if incoming.head.status < INFORMATIONAL:
+            self._incoming.remove(incoming)
+            return
+        incoming.complete = True
+
+    def eof_received(self) -> bool:
+        """Takes the peer's end of the connection; ours follows."""
+        return False
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Takes the end of the connection."""
+        parsing = self._parsing
+        if (
+            error is None
+            and self._lost is None
+            and parsing is not None
+            and parsing.head is not None
+            and not parsing.framed
+        ):
+            # Without a length the answer ends with its connection; a reset
+            # is an error and never gets here.
+            parsing.complete = True
+            parsing.keeps_alive = False
+            self._parsing = None
+        if self._lost is None:
+            self._lost = Lost(repr(error) if error else "closed by peer")
+        self._wake()
+
+    def _fail(self, lost: Lost) -> None:
+        self._lost = lost
+        if self._transport is not None:
+            self._transport.abort()
+        self._wake()
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+    async def _wait(self) -> None:
+        self._waiter = asyncio.get_running_loop().create_future()
+        try:
+            await self._waiter
+        finally:
+            self._waiter = None
+
+    @property
+    def is_open(self) -> bool:
+        """Whether it can carry a request, as far as is known."""
+        return (
+            self._lost is None
+            and not self.tainted
+            and not self._transport.is_closing()
+        )
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether it carries a request."""
+        return self._busy
+
+    def announced_keep_s(self) -> int:
+        """Returns the idle seconds announced with the present response."""
+        return keep_alive_s(self._incoming[0].head)
+
+    def send(self, data: bytes) -> None:
+        """Sends a whole request."""
+        self._busy = True
+        self.uses += 1
+        self._transport.write(data)
+
+    async def head(self) -> Head | Lost:
+        """Waits for the head of the next response."""
+        while True:
+            if self._incoming and self._incoming[0].head is not None:
+                return self._incoming[0].head
+            if self._lost is not None:
+                return self._lost
+            await self._wait()
+
+    async def chunk(self) -> bytes | Lost:
+        """Waits for more of the body.
+
+        Returns:
+            The bytes that are there, empty at the end of a whole response.
+        """
+        incoming = self._incoming[0]
+        while True:
+            if incoming.chunks:
+                data = b"".join(incoming.chunks)
+                incoming.chunks.clear()
+                incoming.size_bytes = 0
+                if self._paused:
+                    self._paused = False
+                    self._transport.resume_reading()
+                return data
+            if incoming.complete:
+                return b""
+            if self._lost is not None:
+                return self._lost
+            await self._wait()
+
+    async def skip(self) -> Lost | None:
+        """Reads a response that is not wanted to its end, and drops it."""
+        while True:
+            data = await self.chunk()
+            if isinstance(data, Lost):
+                return data
+            if not data:
+                self._incoming.popleft()
+                self.tainted = True
+                return None
+
+    def finish(self) -> bool:
+        """Ends a request whose response is whole.
+
+        Returns:
+            Whether the connection may carry another one.
+        """
+        incoming = self._incoming.popleft()
+        clean = not self._incoming and self._parsing is None
+        self._busy = False
+        if not (incoming.keeps_alive and clean and self.is_open):
+            self.close()
+            return False
+        return True
+
+    def close(self) -> None:
+        """Closes it; a request under way is cut off."""
+        if self._transport is None:
+            return
+        if self._busy:
+            self._transport.abort()
+        else:
+            self._transport.close()
+
+
+async def open_connection(address: str, timeout_ms: float) -> Connection | Lost:
+    """Connects.
+
+    Args:
+        address: ``ip:port``.
+        timeout_ms: How long it may take.
+
+    Returns:
+        The connection, or why there is none.
+    """
+    host, _, port = address.rpartition(":")
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(timeout_ms / 1_000):
+            _, connection = await loop.create_connection(
+                Connection, host, int(port)
+            )
+    except TimeoutError:
+        return Lost("connect timed out")
+    except OSError as error:
+        return Lost(f"connect failed: {error}")
+    return connection
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """A whole response."""
+
+    head: Head
+    body: bytes
+
+
+async def read_answer(connection: Connection) -> Answer | Lost:
+    """Reads a whole response that is not a stream."""
+    head = await connection.head()
+    if isinstance(head, Lost):
+        return head
+    body = await read_body(connection)
+    if isinstance(body, Lost):
+        return body
+    return Answer(head, body)
+
+
+async def read_body(connection: Connection) -> bytes | Lost:
+    """Reads the rest of a body to its end."""
+    pieces = []
+    while True:
+        piece = await connection.chunk()
+        if isinstance(piece, Lost):
+            return piece
+        if not piece:
+            return b"".join(pieces)
+        pieces.append(piece)
+
+
+def keep_alive_s(head: Head) -> int:
+    """Returns the idle seconds that a peer announced, 0 if it did not."""
+    value = head.get(b"keep-alive") or b""
+    for part in value.split(b","):
+        name, _, number = part.strip().partition(b"=")
+        if name.lower() == b"timeout" and number.strip().isdigit():
+            return int(number)
+    return 0
--- /dev/null
+++ b/packages/radishd/src/radishd/connection/pool.py
@@ -0,0 +1,115 @@
+"""Kept connections to targets, and which of them may be trusted.
+
+A kept connection saves a handshake; one that the peer is about to close costs
+a request, which for a request that must not run twice is lost for good.
+"""
+
+import dataclasses
+
+from radishd.connection import http_client
+from radishd.process import clock
+
+# Idle time after which a connection is not trusted, where the peer said
+# nothing of its own; and the part of what it said that is used, since its
+# clock started earlier than ours.
+DEFAULT_IDLE_MS = 2_000
+KEEP_PART = 0.5
+MAX_IDLE_MS = 10_000
+# Requests that must not run twice take only connections used this recently.
+FRESH_MS = 1_500
+MAX_KEPT = 32
+MS_PER_S = 1_000
+
+
+@dataclasses.dataclass(slots=True)
+class _Kept:
+    connection: http_client.Connection
+    idle_since_ms: int
+    until_ms: int
+
+
+class Pool:
+    """Kept connections by address."""
+
+    def __init__(self, connect_timeout_ms: int) -> None:
+        """Starts empty.
+
+        Args:
+            connect_timeout_ms: How long a new connection may take.
+        """
+        self._kept: dict[str, list[_Kept]] = {}
+        self._connect_timeout_ms = connect_timeout_ms
+        self.opened = 0
+
+    async def take(
+        self, address: str, *, fresh: bool
+    ) -> http_client.Connection | http_client.Lost:
+        """Takes a kept connection, or opens one.
+
+        Args:
+            address: Where to.
+            fresh: Whether the request may not be sent again.
+
+        Returns:
+            The connection, or why there is none.
+        """
+        now_ms = clock.boot_ms()
+        kept = self._kept.get(address, [])
+        while kept:
+            one = kept.pop()
+            usable_until_ms = one.until_ms
+            if fresh:
+                fresh_until_ms = one.idle_since_ms + FRESH_MS
+                usable_until_ms = min(usable_until_ms, fresh_until_ms)
+            if one.connection.is_open and now_ms < usable_until_ms:
+                return one.connection
+            one.connection.close()
+        self.opened += 1
+        return await http_client.open_connection(
+            address, self._connect_timeout_ms
+        )
+
+    def give_back(
+        self, address: str, connection: http_client.Connection, keep_s: int
+    ) -> None:
+        """Keeps a connection whose response was whole.
+
+        Args:
+            address: Where it leads.
+            connection: The connection, already finished.
+            keep_s: Idle seconds that the peer announced, 0 if it did not.
+        """
+        kept = self._kept.setdefault(address, [])
+        if len(kept) >= MAX_KEPT:
+            connection.close()
+            return
+        now_ms = clock.boot_ms()
+        idle_ms = DEFAULT_IDLE_MS
+        if keep_s:
+            idle_ms = min(int(keep_s * MS_PER_S * KEEP_PART), MAX_IDLE_MS)
+        kept.append(_Kept(connection, now_ms, now_ms + idle_ms))
+
+    def drop(self, address: str) -> None:
+        """Closes what is kept for an address."""
+        for one in self._kept.pop(address, []):
+            one.connection.close()
+
+    def drop_all(self) -> None:
+        """Closes all that is kept, as after this process stood still."""
+        for address in list(self._kept):
+            self.drop(address)
+
+    def sweep(self) -> None:
+        """Closes what has been idle too long."""
+        now_ms = clock.boot_ms()
+        for address, kept in list(self._kept.items()):
+            stale = [
+                one
+                for one in kept
+                if now_ms >= one.until_ms or not one.connection.is_open
+            ]
+            for one in stale:
+                kept.remove(one)
+                one.connection.close()
+            if not kept:
+                del self._kept[address]
--- /dev/null
+++ b/packages/radishd/src/radishd/gateway.py
@@ -0,0 +1,811 @@
+"""The gateway role: takes callers' requests to registered targets.
+
+It keeps soft state only. Configuration, targets and announced versions are
+read from the platform's store, and from other gateways while the store does
+not answer; what engines hold is told by the process beside each.
+"""
+
+import dataclasses
+import functools
+import random
+from typing import Any
+
+import anyio
+import anyio.abc
+from radishstack import invariant
+from radishstack import result
+from radishstack.connection import fleet_wire
+from radishstack.process import adapter_keeper
+from radishstack.process import demand_book
+from radishstack.process import placement as placement_lib
+from radishstack.process import roster as roster_lib
+from radishstack.process import shared_budget
+from radishstack.request import forwarding
+from radishstack.version import route_table
+
+from radishd.connection import http_client
+from radishd.connection import pool as pool_lib
+from radishd.platform import front
+from radishd.platform import store as store_lib
+from radishd.platform import wire
+from radishd.process import admin
+from radishd.process import clock
+from radishd.process import decision_log
+from radishd.process import fleet_socket
+from radishd.process import follow
+from radishd.process import logs
+from radishd.process import metrics as metrics_lib
+from radishd.process import peers as peers_lib
+from radishd.process import settings as settings_lib
+from radishd.process import stillness
+from radishd.process import supervise
+from radishd.process import web
+from radishd.request import forward as forward_lib
+
+MS_PER_S = 1_000
+CONNECT_TIMEOUT_MS = 400
+# How often each process beside an engine is told what is used and wanted;
+# it believes a word for ten times as long.
+DEMAND_EVERY_MS = 200
+SWEEP_EVERY_MS = 500
+FORGET_VIEWS_MS = 5_000
+# A watch of the targets is renewed this often, so that a store that went
+# silent is noticed; the other two kinds change rarely and follow its lead.
+TARGETS_WAIT_MS = 2_000
+TARGETS_GATHER_MS = 800
+RARE_WAIT_MS = 15_000
+RARE_GATHER_MS = 120
+# The balancer takes a VM out after two misses a second apart; until then it
+# sends new connections, and for as long these are served.
+UNREADY_MS = 2_600
+EXIT_MARGIN_MS = 700
+# Gateways assumed to share the retry allowance while fewer are known.
+MIN_GATEWAYS = 6
+# Part of the allowance that is used, so that requests that are counted in
+# another window elsewhere do not break it.
+BUDGET_PART = 0.7
+HTTP_SERVER_ERROR = 500
+
+Outcome = forwarding.Outcome
+
+
+class Gateway:
+    """One gateway process."""
+
+    def __init__(
+        self,
+        settings: settings_lib.Settings,
+        metrics: metrics_lib.Metrics,
+        log: decision_log.DecisionLog,
+        random_source: random.Random,
+    ) -> None:
+        """Builds the gateway; nothing listens yet.
+
+        Args:
+            settings: Its settings, of the role gateway.
+            metrics: Its metrics.
+            log: Its decision log.
+            random_source: Its random source.
+        """
+        self.settings = settings
+        self.own = settings.gateway
+        self.metrics = metrics
+        self.log = log
+        self.random = random_source
+        self.holder = route_table.TableHolder()
+        self.roster = roster_lib.Roster(self.own.lapse_grace_ms)
+        _, _, domain = settings.failure_domain.partition("/")
+        self.placement = placement_lib.Placement(random_source, domain)
+        self.pool = pool_lib.Pool(CONNECT_TIMEOUT_MS)
+        self.books: dict[str, demand_book.DemandBook] = {}
+        self.budgets: dict[str, shared_budget.SharedBudget] = {}
+        self.news = anyio.Event()
+        self.draining = False
+        self.in_flight = 0
+        self.refusals: dict[int, int] = {}
+        self.socket: fleet_socket.FleetSocket | None = None
+        self.server: web.Server | None = None
+        store_address = settings.platform.url.removeprefix("http://")
+        self.store = store_lib.Store(store_address, metrics)
+        self.peers = peers_lib.Peers(
+            own=self.own.peers,
+            seeds=settings.seeds,
+            random_source=random_source,
+        )
+        self.followers = self._make_followers()
+        self.known: dict[str, dict[str, Any]] = {
+            kind: {} for kind in self.followers
+        }
+
+    def _make_followers(self) -> dict[str, follow.Follower]:
+        takes = {
+            wire.KIND_CONFIGURATION: (
+                self._take_configuration,
+                RARE_WAIT_MS,
+                RARE_GATHER_MS,
+            ),
+            wire.KIND_TARGETS: (
+                self._take_target,
+                TARGETS_WAIT_MS,
+                TARGETS_GATHER_MS,
+            ),
+            wire.KIND_VERSIONS: (
+                self._take_version,
+                RARE_WAIT_MS,
+                RARE_GATHER_MS,
+            ),
+        }
+        return {
+            kind: follow.Follower(
+                self.store,
+                kind,
+                _Sink(self, kind, take),
+                self.log,
+                wait_ms=wait_ms,
+                gather_ms=gather_ms,
+                on_back=self._store_back,
+            )
+            for kind, (take, wait_ms, gather_ms) in takes.items()
+        }
+
+    @property
+    def table(self) -> route_table.RouteTable:
+        """The route table in force here."""
+        return self.holder.table
+
+    # What is read from the store and from peers.
+
+    def _store_back(self, kind: str) -> None:
+        if kind != wire.KIND_TARGETS:
+            return
+        self.roster.outage_ended(clock.boot_ms())
+        # A watch that was under way in the outage may never be answered.
+        for name, follower in self.followers.items():
+            if name != kind:
+                follower.restart()
+
+    def _take_configuration(self, record: store_lib.Record) -> None:
+        if record.deleted or record.name != wire.CONFIGURATION_NAME:
+            return
+        table = wire.configuration(record.spec)
+        if isinstance(table, result.Failure):
+            self.log.must("configuration_unreadable", reason=table.message)
+            return
+        before = self.table.version
+        if not self.holder.offer(table):
+            return
+        self.log.must("configuration", version=table.version, before=before)
+        if self.server is not None:
+            web.set_idle_timeout(self.server, table.limits.idle_timeout_ms)
+
+    def _take_target(self, record: store_lib.Record) -> None:
+        if record.deleted:
+            dropped = self.roster.remove(record.name, clock.boot_ms())
+            self.log.write("target_unlisted", target=record.name, now=dropped)
+            return
+        listing = wire.target(record.name, record.spec)
+        if isinstance(listing, result.Failure):
+            self.log.must("target_unreadable", reason=listing.message)
+            return
+        known = self.roster.members.get(record.name)
+        if known is None or known.listing.leaving != listing.leaving:
+            self.log.write(
+                "target_listed",
+                target=record.name,
+                address=listing.address,
+                service=listing.service,
+                leaving=listing.leaving,
+            )
+        self.roster.upsert(listing)
+
+    def _take_version(self, record: store_lib.Record) -> None:
+        if record.deleted:
+            return
+        want = wire.announced(record.spec)
+        if isinstance(want, result.Failure):
+            self.log.must("version_unreadable", reason=want.message)
+            return
+        now_ms = clock.boot_ms()
+        if self.placement.announce(want.adapter, want.version, now_ms):
+            self.log.write(
+                "version_announced", adapter=want.adapter, version=want.version
+            )
+
+    def tell_news(self) -> None:
+        """Wakes the requests that wait for a change of residency."""
+        self.news.set()
+        self.news = anyio.Event()
+
+    # What a request asks of the gateway.
+
+    def pick_service(self, route: route_table.Route) -> str:
+        """Picks a service of a route by weight."""
+        if len(route.shares) == 1:
+            return route.shares[0].service
+        weights = [share.weight for share in route.shares]
+        if not any(weights):
+            return route.shares[0].service
+        return self.random.choices(route.shares, weights)[0].service
+
+    def spread(self, bounds_ms: tuple[int, int]) -> int:
+        """Returns a time within bounds, so that returners do not meet."""
+        return round(self.random.uniform(*bounds_ms))
+
+    def budget(self, service: str) -> shared_budget.SharedBudget:
+        """Returns this gateway's part of a service's retry budget."""
+        budget = self.budgets.get(service)
+        if budget is None:
+            gateways = max(MIN_GATEWAYS, len(self.peers.addresses) + 1)
+            budget = shared_budget.SharedBudget(
+                self.own.retry_ratio * BUDGET_PART,
+                self.own.retry_extra * BUDGET_PART / gateways,
+                self.own.retry_window_ms,
+            )
+            self.budgets[service] = budget
+        return budget
+
+    def has_other(self, service: str, member: roster_lib.Member) -> bool:
+        """Whether another target could take a request of a service."""
+        usable = self.roster.usable(service, clock.boot_ms())
+        return any(one is not member for one in usable)
+
+    def _book(self, address: str) -> demand_book.DemandBook:
+        return self.books.setdefault(address, demand_book.DemandBook())
+
+    def began(self, member: roster_lib.Member, adapter: str) -> None:
+        """Counts a request that is sent to an engine."""
+        self._book(member.listing.address).began(adapter)
+        view = self.placement.view_of(member)
+        if view is not None:
+            view.sent_since += 1
+
+    def ended(self, member: roster_lib.Member, adapter: str) -> None:
+        """Counts a request that an engine has ended."""
+        self._book(member.listing.address).ended(adapter)
+
+    async def want(self, member: roster_lib.Member, adapter: str) -> None:
+        """Asks for a load of an adapter."""
+        announced = self.placement.announced.get(adapter)
+        version = announced.version if announced is not None else 0
+        book = self._book(member.listing.address)
+        if book.want(adapter, version, clock.boot_ms()):
+            self.log.write(
+                "load_wanted",
+                adapter=adapter,
+                version=version,
+                target=member.listing.instance,
+            )
+        await self._send_demand(member)
+
+    def note_outcome(
+        self, instance: str, outcome: Outcome, adapter: str
+    ) -> None:
+        """Takes evidence on a target from a send that came to nothing."""
+        member = self.roster.members.get(instance)
+        if member is None:
+            return
+        now_ms = clock.boot_ms()
+        address = member.listing.address
+        if outcome is Outcome.UNSENT:
+            self.roster.unreachable(instance, now_ms)
+            self.pool.drop(address)
+        elif outcome is Outcome.GONE:
+            self.roster.ended(instance)
+            self.pool.drop(address)
+        elif outcome is Outcome.MISMATCH:
+            self.placement.disbelieve(member, adapter)
+        else:
+            self.roster.failed(instance, now_ms)
+
+    def note_failure_answer(self, instance: str, status: int) -> None:
+        """Takes evidence on a target from its own failure."""
+        if status >= HTTP_SERVER_ERROR:
+            self.roster.failed(instance, clock.boot_ms())
+
+    def keep(self, address: str, connection: http_client.Connection) -> None:
+        """Keeps a connection whose answer was read whole."""
+        keep_s = connection.announced_keep_s()
+        if connection.finish():
+            self.pool.give_back(address, connection, keep_s)
+
+    def put_away(self, connection: http_client.Connection) -> None:
+        """Closes a connection that was not kept."""
+        if connection.is_busy:
+            connection.close()
+
+    # The callers' port.
+
+    async def app(
+        self, scope: web.Scope, receive: web.Receive, send: web.Send
+    ) -> None:
+        """The ASGI application of the callers' port."""
+        if scope["type"] != "http":
+            return
+        arrived_at_ms = clock.boot_ms()
+        self.in_flight += 1
+        try:
+            await self._take(scope, receive, send, arrived_at_ms)
+        finally:
+            self.in_flight -= 1
+
+    async def _take(
+        self,
+        scope: web.Scope,
+        receive: web.Receive,
+        send: web.Send,
+        arrived_at_ms: int,
+    ) -> None:
+        request = front.decode(scope)
+        if isinstance(request, result.Failure):
+            await self._refuse(request, "", send)
+            return
+        body = await _read_body(receive, self.table.limits.max_body_bytes)
+        if body is None:
+            return
+        if isinstance(body, result.Failure):
+            await self._refuse(body, request.attempt_id, send)
+            return
+        # The route is looked up once the request is whole, so that a change
+        # that came while it was read is in force for it.
+        route = self._route(request)
+        if isinstance(route, result.Failure):
+            await self._refuse(route, request.attempt_id, send)
+            return
+        forward = forward_lib.Forward(
+            self, request, route, body, send, arrived_at_ms
+        )
+        self.budget(forward.service).earn(arrived_at_ms)
+        await self._run(forward, receive)
+
+    def _route(
+        self, request: front.Request
+    ) -> result.Outcome[route_table.Route]:
+        if not self.table.version:
+            return result.Failure(
+                result.NOT_READY,
+                "no configuration yet",
+                self.spread(forward_lib.NO_TARGET_RETRY_MS),
+            )
+        route = self.table.find(request.host, request.path)
+        if route is None:
+            return result.Failure(
+                result.ROUTE_UNKNOWN,
+                f"no route for {request.host}{request.path}",
+            )
+        return route
+
+    async def _refuse(
+        self, failure: result.Failure, attempt_id: str, send: web.Send
+    ) -> None:
+        self._count(failure)
+        self.log.write(
+            "request",
+            request=attempt_id,
+            code=failure.code.number,
+            reason=failure.message,
+            config=self.table.version,
+        )
+        status, headers, body = front.failure(failure, attempt_id)
+        if self.draining:
+            headers.append((b"connection", b"close"))
+        await send(
+            {
+                "type": "http.response.start",
+                "status": status,
+                "headers": headers,
+            }
+        )
+        await send({"type": "http.response.body", "body": body})
+
+    async def _run(
+        self, forward: forward_lib.Forward, receive: web.Receive
+    ) -> None:
+        left = False
+
+        async def watch() -> None:
+            nonlocal left
+            while (await receive())["type"] != "http.disconnect":
+                pass
+            left = True
+            tasks.cancel_scope.cancel()
+
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(watch)
+                await forward.run()
+                tasks.cancel_scope.cancel()
+        except* forward_lib.CutError:
+            # The server closes the connection without ending the answer.
+            raise forward_lib.CutError from None
+        except* Exception as group:
+            await self._broke(forward, group)
+        finally:
+            self._log_request(forward, left=left)
+
+    async def _broke(
+        self, forward: forward_lib.Forward, group: ExceptionGroup
+    ) -> None:
+        """Logs what stopped one request; the others go on."""
+        code = result.INTERNAL
+        for error in group.exceptions:
+            if isinstance(error, invariant.InvariantBrokenError):
+                code = error.code
+        logs.exception("request_broke", request=forward.request.attempt_id)
+        self.metrics.broken.inc({"code": str(code.number)})
+        forward.failure = result.Failure(code, repr(group.exceptions[0]))
+        if forward.began:
+            raise forward_lib.CutError
+        forward.state.may_have_run = forward.sent
+        failure = result.Failure(
+            result.INTERNAL, "this gateway broke off the request"
+        )
+        await forward.reply(failure)
+
+    def _count(self, failure: result.Failure | None) -> None:
+        number = failure.code.number if failure is not None else 0
+        self.metrics.requests.inc({"code": str(number)})
+        if number:
+            self.refusals[number] = self.refusals.get(number, 0) + 1
+
+    def _log_request(self, forward: forward_lib.Forward, *, left: bool) -> None:
+        failure = forward.failure
+        if left and failure is None:
+            failure = result.Failure(result.CANCELLED, "the caller left")
+        self._count(failure)
+        now_ms = clock.boot_ms()
+        fields: dict[str, Any] = {}
+        if failure is not None:
+            fields["reason"] = failure.message
+        if forward.needs_adapter:
+            fields["adapter"] = forward.request.adapter
+        self.log.write(
+            "request",
+            request=forward.request.attempt_id,
+            route=forward.route.name,
+            service=forward.service,
+            config=self.table.version,
+            status=forward.status,
+            code=failure.code.number if failure is not None else 0,
+            sends=forward.trail,
+            took_ms=now_ms - forward.arrived_at_ms,
+            left_ms=forward.deadline_at_ms - now_ms,
+            **fields,
+        )
+
+    # The processes beside engines.
+
+    def _spec_of(
+        self, member: roster_lib.Member
+    ) -> route_table.ServiceSpec | None:
+        spec = self.table.services.get(member.listing.service)
+        if spec is None or not spec.adapter_limit:
+            return None
+        return spec
+
+    async def _send_demand(self, member: roster_lib.Member) -> None:
+        spec = self._spec_of(member)
+        if spec is None or self.socket is None:
+            return
+        listing = member.listing
+        uses, wants = self._book(listing.address).take(clock.boot_ms())
+        announced = {
+            adapter: one.version
+            for adapter, one in self.placement.announced.items()
+        }
+        demand = adapter_keeper.Demand(
+            gateway=self.settings.name,
+            instance=listing.instance,
+            adapter_limit=spec.adapter_limit,
+            base_models=spec.base_models,
+            uses=uses,
+            wants=wants,
+            announced=announced,
+        )
+        host, _ = settings_lib.split_address(listing.address)
+        await self.socket.send(
+            (host, self.own.sidecar_port),
+            fleet_wire.DemandDatagram(demand, self.own.peers),
+        )
+
+    async def tell_demand(self) -> None:
+        """Tells every process beside an engine what is used and wanted."""
+        while True:
+            for member in list(self.roster.members.values()):
+                await self._send_demand(member)
+            await anyio.sleep(DEMAND_EVERY_MS / MS_PER_S)
+
+    def hear(
+        self, datagram: fleet_wire.Datagram, sender: fleet_socket.Address
+    ) -> None:
+        """Takes a datagram."""
+        if not isinstance(datagram, fleet_wire.State):
+            return
+        self.peers.heard(datagram.peer_addresses)
+        member = self.roster.members.get(datagram.instance)
+        if member is None:
+            return
+        host, _ = settings_lib.split_address(member.listing.address)
+        if host != sender[0]:
+            return
+        before = self.placement.views.get(member.listing.address)
+        view = placement_lib.View(
+            instance=datagram.instance,
+            heard_at_ms=clock.boot_ms(),
+            running=datagram.running,
+            queued=datagram.queued,
+            residents=datagram.residents,
+            pending=datagram.pending,
+        )
+        self.placement.hear(member.listing.address, view)
+        if before is None or before.residents != view.residents:
+            self.tell_news()
+
+    # Its own life.
+
+    async def sweep(self) -> None:
+        """Drops what is too old, now and then."""
+        while True:
+            await anyio.sleep(SWEEP_EVERY_MS / MS_PER_S)
+            now_ms = clock.boot_ms()
+            self.pool.sweep()
+            self.log.flush()
+            self.placement.forget(now_ms, FORGET_VIEWS_MS)
+            for name in self.roster.drop_lapsed(now_ms):
+                self.log.write("target_lapsed", target=name)
+            addresses = {
+                member.listing.address
+                for member in self.roster.members.values()
+            }
+            for address in list(self.books):
+                if address not in addresses and not self.books[address].busy:
+                    del self.books[address]
+
+    async def ask_peers(self) -> None:
+        """Asks another gateway while the store does not answer."""
+        while True:
+            await anyio.sleep(peers_lib.ASK_EVERY_MS / MS_PER_S)
+            failing = [
+                kind
+                for kind, follower in self.followers.items()
+                if follower.failing_since_ms
+            ]
+            if not failing:
+                continue
+            known = await self.peers.ask()
+            if known is not None:
+                self._take_known(known)
+
+    def _take_known(self, known: dict[str, Any]) -> None:
+        for kind, names in known.get("objects", {}).items():
+            follower = self.followers.get(kind)
+            if follower is None or not follower.failing_since_ms:
+                continue
+            records = [
+                store_lib.Record(name, spec) for name, spec in names.items()
+            ]
+            if known.get("fresh") and kind == wire.KIND_TARGETS:
+                self._drop_unlisted(names)
+            for record in records:
+                self.known[kind][record.name] = record.spec
+                _TAKES[kind](self, record)
+
+    def _drop_unlisted(self, names: dict[str, Any]) -> None:
+        for name in list(self.roster.members):
+            if name not in names:
+                self.known[wire.KIND_TARGETS].pop(name, None)
+                self._take_target(store_lib.Record(name, None, deleted=True))
+
+    def tell_known(self) -> dict[str, Any]:
+        """Returns what another gateway may take over from here."""
+        follower = self.followers[wire.KIND_TARGETS]
+        fresh = bool(follower.revision) and not follower.failing_since_ms
+        return {"objects": self.known, "fresh": fresh}
+
+    def stood_still(self, late_ms: int) -> None:
+        """Distrusts what was believed before this process stood still."""
+        self.metrics.still.inc({})
+        self.log.must("stood_still", late_ms=late_ms)
+        self.pool.drop_all()
+        self.store.drop_connections()
+        self.placement.views.clear()
+        self.roster.forget_evidence()
+        for follower in self.followers.values():
+            follower.restart()
+
+    def ready(self) -> str:
+        """Returns why it is not ready, empty if it is."""
+        if self.draining:
+            return "draining"
+        if not self.table.version:
+            return "no configuration"
+        if not self.roster.members:
+            return "no targets"
+        return ""
+
+    def status(self) -> dict[str, Any]:
+        """Returns what ``/status`` answers."""
+        now_ms = clock.boot_ms()
+        return {
+            "name": self.settings.name,
+            "config_version": self.table.version,
+            "in_flight": self.in_flight,
+            "draining": self.draining,
+            "refusals": self.refusals,
+            "targets": {
+                name: {
+                    "listing": dataclasses.asdict(member.listing),
+                    "health": dataclasses.asdict(member.health),
+                    "residents": dict(self.placement.residents(member, now_ms)),
+                }
+                for name, member in self.roster.members.items()
+            },
+        }
+
+    def refresh(self) -> None:
+        """Sets the gauges."""
+        self.metrics.version.set({}, self.table.version)
+        self.metrics.in_flight.set({}, self.in_flight)
+        self.metrics.log_dropped.set({}, self.log.dropped)
+
+
+class _Sink:
+    """Keeps the objects of one kind, and passes them to the gateway."""
+
+    def __init__(self, gateway: Gateway, kind: str, take: Any) -> None:
+        self._gateway = gateway
+        self._kind = kind
+        self._take = take
+
+    def whole(self, batch: store_lib.Batch) -> None:
+        """Takes all objects."""
+        known = {record.name: record.spec for record in batch.records}
+        missing = [
+            name
+            for name in self._gateway.known[self._kind]
+            if name not in known
+        ]
+        self._gateway.known[self._kind] = known
+        for name in missing:
+            self._take(store_lib.Record(name, None, deleted=True))
+        for record in batch.records:
+            self._take(record)
+        self._gateway.tell_news()
+
+    def changes(self, batch: store_lib.Batch) -> None:
+        """Takes changed objects."""
+        known = self._gateway.known[self._kind]
+        for record in batch.records:
+            if record.deleted:
+                known.pop(record.name, None)
+            else:
+                known[record.name] = record.spec
+            self._take(record)
+        self._gateway.tell_news()
+
+
+_TAKES = {
+    wire.KIND_CONFIGURATION: Gateway._take_configuration,
+    wire.KIND_TARGETS: Gateway._take_target,
+    wire.KIND_VERSIONS: Gateway._take_version,
+}
+
+
+async def _read_body(
+    receive: web.Receive, max_bytes: int
+) -> bytes | result.Failure | None:
+    """Reads a body; returns None if the caller left."""
+    pieces: list[bytes] = []
+    size_bytes = 0
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            return None
+        piece = message.get("body", b"")
+        size_bytes += len(piece)
+        if size_bytes > max_bytes:
+            return result.Failure(
+                result.BODY_TOO_LARGE, f"more than {max_bytes} bytes"
+            )
+        pieces.append(piece)
+        if not message.get("more_body"):
+            return b"".join(pieces)
+
+
+async def run(
+    settings: settings_lib.Settings,
+    *,
+    stop: anyio.Event,
+    task_status: anyio.abc.TaskStatus[Gateway] = anyio.TASK_STATUS_IGNORED,
+) -> None:
+    """Runs a gateway until it is told to stop, then drains it.
+
+    Args:
+        settings: Its settings.
+        stop: Set to start the drain.
+        task_status: Given the gateway once it listens.
+    """
+    own = settings.gateway
+    metrics = metrics_lib.Metrics(name=settings.name)
+    log = decision_log.open_log(vm=settings.name)
+    gateway = Gateway(settings, metrics, log, random.Random())
+    log.must("start", role=str(settings.role), listen=own.listen)
+    async with anyio.create_task_group() as tasks:
+        gateway.socket = await fleet_socket.open_socket(
+            own.control, metrics, gateway.hear
+        )
+        jobs = {
+            "receive": gateway.socket.run,
+            "tell_demand": gateway.tell_demand,
+            "sweep": gateway.sweep,
+            "ask_peers": gateway.ask_peers,
+            "stillness": functools.partial(
+                stillness.watch, gateway.stood_still
+            ),
+        }
+        for kind, follower in gateway.followers.items():
+            jobs[f"follow_{kind}"] = follower.run
+        for name, job in jobs.items():
+            tasks.start_soon(supervise.forever, name, job, metrics)
+        for app, address in (
+            (_admin_app(gateway), own.admin),
+            (peers_lib.make_app(gateway.tell_known), own.peers),
+            (_readiness_app(gateway), own.readiness),
+        ):
+            server = web.make_server(app, *settings_lib.split_address(address))
+            await tasks.start(functools.partial(web.serve, server))
+        gateway.server = web.make_server(
+            gateway.app,
+            *settings_lib.split_address(own.listen),
+            backlog=1_024,
+            http=web.ForwardingProtocol,
+            timeout_keep_alive=route_table.EMPTY.limits.idle_timeout_ms
+            // MS_PER_S,
+        )
+        await tasks.start(functools.partial(web.serve, gateway.server))
+        task_status.started(gateway)
+        await stop.wait()
+        await _drain(gateway)
+        tasks.cancel_scope.cancel()
+    log.must("stop", in_flight=gateway.in_flight)
+
+
+def _admin_app(gateway: Gateway) -> web.App:
+    return admin.make_app(
+        gateway.metrics,
+        ready=gateway.ready,
+        status=gateway.status,
+        refresh=gateway.refresh,
+    )
+
+
+def _readiness_app(gateway: Gateway) -> web.App:
+    async def app(
+        scope: web.Scope, receive: web.Receive, send: web.Send
+    ) -> None:
+        del scope, receive
+        status = 503 if gateway.ready() else 200
+        headers = [(b"content-length", b"0")]
+        await send(
+            {
+                "type": "http.response.start",
+                "status": status,
+                "headers": headers,
+            }
+        )
+        await send({"type": "http.response.body", "body": b""})
+
+    return app
+
+
+async def _drain(gateway: Gateway) -> None:
+    """Serves until the balancer has noticed, then finishes what is here."""
+    began_ms = clock.boot_ms()
+    gateway.draining = True
+    gateway.log.must("draining", in_flight=gateway.in_flight)
+    await anyio.sleep(UNREADY_MS / MS_PER_S)
+    gateway.server.should_exit = True
+    left_ms = gateway.own.shutdown_ms - EXIT_MARGIN_MS
+    left_ms -= clock.boot_ms() - began_ms
+    with anyio.move_on_after(max(0, left_ms) / MS_PER_S):
+        while gateway.in_flight or gateway.server.server_state.connections:
+            await anyio.sleep(web.START_POLL_S)
--- /dev/null
+++ b/packages/radishd/src/radishd/platform/front.py
@@ -0,0 +1,246 @@
+"""Callers' requests and targets' answers: headers, decoded and encoded."""
+
+import dataclasses
+import enum
+import json
+
+from radishstack import result
+
+from radishd.connection import http_client
+from radishd.process import web
+
+_ATTEMPT = b"x-attempt-id"
+_DEADLINE = b"x-deadline-ms"
+_MODEL = b"x-model"
+_LAST_EVENT = b"last-event-id"
+_INSTANCE = b"x-instance-id"
+_SIGNATURE = b"x-server-signature"
+_NOT_RUN = b"x-not-executed"
+_ENCODING = b"content-encoding"
+_CONNECTION = b"connection"
+_HOST = b"host"
+
+# Headers that concern one connection only.
+_HOP_BY_HOP = frozenset(
+    {
+        _CONNECTION,
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    }
+)
+# Headers that this system sets for targets; a caller's own would let it take
+# over another request's memory, place or priority.
+_OURS = frozenset(
+    {
+        _DEADLINE,
+        b"x-target-instance",
+        b"x-expected-version",
+        b"x-request-priority",
+        b"x-hold",
+        b"x-pin-ms",
+        b"x-kv-backup",
+        b"kv-from",
+        b"kv-fetch",
+    }
+)
+_DROPPED = _HOP_BY_HOP | _OURS
+# What a caller may not have dropped by naming it in its Connection header.
+_KEPT = frozenset(
+    {b"", _HOST, _ATTEMPT, _MODEL, b"x-token-count", b"x-prompt-prefix"}
+)
+_RESPONSE_DROPPED = _HOP_BY_HOP
+
+HTTP_SUCCESS = range(200, 300)
+HTTP_MISDIRECTED = 421
+# Callers take these as a promise that the request did not run.
+PROMISES = frozenset({408, 421, 429, 503})
+MS_PER_S = 1_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """A caller's request.
+
+    Attributes:
+        attempt_id: The caller's name for this attempt.
+        method: HTTP method.
+        target: Path and query as sent.
+        path: Path without the query.
+        host: Host header.
+        left_ms: How long the caller waits, 0 if it did not say.
+        adapter: ``model/name``, or a base model, empty for a plain service.
+        last_event_id: Where a stream is to go on.
+        headers: What is passed on.
+    """
+
+    attempt_id: str
+    method: str
+    target: bytes
+    path: str
+    host: str
+    left_ms: int
+    adapter: str
+    last_event_id: bytes
+    headers: http_client.Headers
+
+
+def decode(scope: web.Scope) -> result.Outcome[Request]:
+    """Decodes the head of a caller's request.
+
+    Args:
+        scope: The ASGI scope.
+
+    Returns:
+        The request, or why it cannot be served.
+    """
+    raw: list[tuple[bytes, bytes]] = scope["headers"]
+    first: dict[bytes, bytes] = {}
+    for name, value in raw:
+        first.setdefault(name, value)
+    if _ATTEMPT not in first:
+        return result.Failure(result.KEY_MISSING, "the attempt has no id")
+    named = {
+        part.strip().lower() for part in first.get(_CONNECTION, b"").split(b",")
+    }
+    dropped = _DROPPED | (named - _KEPT)
+    deadline = first.get(_DEADLINE, b"").strip()
+    return Request(
+        attempt_id=first[_ATTEMPT].decode("latin-1"),
+        method=scope["method"],
+        target=scope["radishstack.target"],
+        path=scope["path"],
+        host=first.get(_HOST, b"").decode("latin-1"),
+        left_ms=int(deadline) if deadline.isdigit() else 0,
+        adapter=first.get(_MODEL, b"").decode("latin-1").strip(),
+        last_event_id=first.get(_LAST_EVENT, b"").strip(),
+        headers=tuple(pair for pair in raw if pair[0] not in dropped),
+    )
+
+
+def encode(
+    request: Request,
+    body: bytes,
+    *,
+    instance: str,
+    left_ms: int,
+    version: int,
+    priority: int | None,
+    resume_after: bytes,
+) -> bytes:
+    """Encodes a request for a target.
+
+    Args:
+        request: The caller's request.
+        body: Its whole body.
+        instance: The only start of the target that may run it.
+        left_ms: Time that is left of the caller's.
+        version: Version that the adapter must have there, 0 for any.
+        priority: Rank among the target's requests, None for its default.
+        resume_after: Last event that the caller has, if the stream goes on.
+    """
+    lines = [
+        request.method.encode() + b" " + request.target + b" HTTP/1.1",
+    ]
+    for name, value in request.headers:
+        if name == _LAST_EVENT and resume_after:
+            continue
+        lines.append(name + b": " + value)
+    lines.append(b"X-Deadline-Ms: %d" % left_ms)
+    lines.append(b"X-Target-Instance: " + instance.encode())
+    if version:
+        lines.append(b"X-Expected-Version: %d" % version)
+    if priority is not None:
+        lines.append(b"X-Request-Priority: %d" % priority)
+    if resume_after:
+        lines.append(b"Last-Event-Id: " + resume_after)
+    if body or request.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
+        lines.append(b"Content-Length: %d" % len(body))
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
+class Kind(enum.Enum):
+    """What a target's answer is."""
+
+    SUCCESS = "success"
+    FAILURE = "failure"
+    UNPROVEN_PROMISE = "unproven_promise"
+    FOREIGN = "foreign"
+    SHED = "shed"
+    MISMATCH = "mismatch"
+    GONE = "gone"
+    SPOILED = "spoiled"
+
+
+def classify(head: http_client.Head, attempt_id: str, instance: str) -> Kind:
+    """Says what an answer is, from its head.
+
+    Args:
+        head: Status and headers.
+        attempt_id: The attempt that was sent.
+        instance: The start of the target that it was meant for.
+    """
+    answered = head.get(_ATTEMPT)
+    if answered is not None and answered.decode("latin-1") != attempt_id:
+        return Kind.FOREIGN
+    if head.status == HTTP_MISDIRECTED:
+        actual = head.get(_INSTANCE)
+        if actual is not None and actual.decode("latin-1") != instance:
+            return Kind.GONE
+        return Kind.MISMATCH
+    if head.get(_NOT_RUN) is not None:
+        return Kind.SHED
+    if head.status in HTTP_SUCCESS:
+        whole = (
+            answered is not None
+            and head.get(_SIGNATURE) is not None
+            and head.get(_ENCODING) is None
+        )
+        return Kind.SUCCESS if whole else Kind.SPOILED
+    if head.status in PROMISES:
+        # Passed on, the caller would take it as proof that nothing ran.
+        return Kind.UNPROVEN_PROMISE
+    return Kind.FAILURE
+
+
+def response_headers(head: http_client.Head) -> list[tuple[bytes, bytes]]:
+    """Returns the headers of a target's answer that the caller gets."""
+    return [pair for pair in head.headers if pair[0] not in _RESPONSE_DROPPED]
+
+
+def failure(
+    reason: result.Failure, attempt_id: str
+) -> tuple[int, list[tuple[bytes, bytes]], bytes]:
+    """Encodes a failure of ours for a caller.
+
+    Args:
+        reason: The failure.
+        attempt_id: The caller's name for the attempt.
+
+    Returns:
+        Status, headers and body.
+    """
+    error = {
+        "code": reason.code.number,
+        "type": reason.code.name,
+        "message": reason.message,
+        "executed": str(reason.executed),
+    }
+    body = json.dumps({"error": error}).encode()
+    headers = [
+        (b"content-type", b"application/json"),
+        (b"content-length", b"%d" % len(body)),
+    ]
+    if attempt_id:
+        headers.append((_ATTEMPT, attempt_id.encode("latin-1")))
+    if reason.retry_after_ms:
+        seconds = reason.retry_after_ms / MS_PER_S
+        headers.append((b"retry-after", f"{seconds:.3f}".encode()))
+    return reason.code.status, headers, body
--- /dev/null
+++ b/packages/radishd/src/radishd/platform/store.py
@@ -0,0 +1,163 @@
+"""Client of the platform's store of objects."""
+
+import dataclasses
+import json
+from typing import Any
+
+import anyio
+from radishstack import result
+
+from radishd.connection import http_client
+from radishd.connection import pool as pool_lib
+from radishd.process import metrics as metrics_lib
+
+HTTP_OK = 200
+HTTP_GONE = 410
+HTTP_TOO_MANY = 429
+CALL_TIMEOUT_MS = 1_500
+CONNECT_TIMEOUT_MS = 500
+MS_PER_S = 1_000
+MAX_PAGES = 1_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Record:
+    """One object.
+
+    Attributes:
+        name: Its name.
+        spec: Its content.
+        deleted: Whether it was removed.
+    """
+
+    name: str
+    spec: Any
+    deleted: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Batch:
+    """Objects, and the store's revision that they are as of."""
+
+    records: tuple[Record, ...]
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Expired:
+    """A sentinel: the history that a watch asked for is gone."""
+
+
+class Store:
+    """Reads objects; every call is counted, as every call is paid for."""
+
+    def __init__(self, address: str, metrics: metrics_lib.Metrics) -> None:
+        """Makes the client; nothing is connected yet.
+
+        Args:
+            address: ``ip:port`` of the store.
+            metrics: Where calls are counted.
+        """
+        self._address = address
+        self._pool = pool_lib.Pool(CONNECT_TIMEOUT_MS)
+        self._metrics = metrics
+
+    async def list(self, kind: str) -> result.Outcome[Batch]:
+        """Reads all objects of a kind, page by page."""
+        records: list[Record] = []
+        after = ""
+        for _ in range(MAX_PAGES):
+            query = f"?after={after}" if after else ""
+            body = await self._get(f"{kind}{query}", CALL_TIMEOUT_MS)
+            if isinstance(body, result.Failure):
+                return body
+            if isinstance(body, Expired):
+                return result.Failure(result.STORE_CORRUPT, f"list of {kind}")
+            page = [_record(raw) for raw in body.get("items") or ()]
+            records.extend(page)
+            if not body.get("hasMore") or not page:
+                return Batch(tuple(records), int(body["at"]))
+            after = page[-1].name
+        return result.Failure(result.STORE_CORRUPT, f"{kind}: endless pages")
+
+    async def watch(
+        self, kind: str, revision: int, wait_ms: int
+    ) -> result.Outcome[Batch] | Expired:
+        """Waits for changes since a revision.
+
+        Args:
+            kind: Kind of object.
+            revision: Changes after this one.
+            wait_ms: How long the store holds the call at most.
+
+        Returns:
+            The changes, which may be none, or that their history is gone.
+        """
+        path = f"{kind}?watch={revision}&waitMs={wait_ms}"
+        body = await self._get(path, wait_ms + CALL_TIMEOUT_MS)
+        if isinstance(body, result.Failure | Expired):
+            return body
+        records = []
+        for event in body.get("events") or ():
+            record = _record(event["object"])
+            if event.get("deleted"):
+                record = dataclasses.replace(record, deleted=True)
+            records.append(record)
+        return Batch(tuple(records), int(body.get("at", revision)))
+
+    async def _get(
+        self, path: str, timeout_ms: int
+    ) -> result.Outcome[dict[str, Any]] | Expired:
+        outcome: Any = None
+        with anyio.move_on_after(timeout_ms / MS_PER_S):
+            outcome = await self._call(path)
+        if outcome is None:
+            outcome = result.Failure(
+                result.STORE_UNAVAILABLE, f"no answer in {timeout_ms} ms"
+            )
+        label = "failed" if isinstance(outcome, result.Failure) else "answered"
+        self._metrics.store_calls.inc({"outcome": label})
+        return outcome
+
+    async def _call(
+        self, path: str
+    ) -> result.Outcome[dict[str, Any]] | Expired:
+        connection = await self._pool.take(self._address, fresh=False)
+        if isinstance(connection, http_client.Lost):
+            return result.Failure(result.STORE_UNAVAILABLE, connection.reason)
+        try:
+            connection.send(
+                f"GET /-/objects/{path} HTTP/1.1\r\n"
+                f"Host: {self._address}\r\n\r\n".encode()
+            )
+            answer = await http_client.read_answer(connection)
+        except BaseException:
+            connection.close()
+            raise
+        if isinstance(answer, http_client.Lost):
+            connection.close()
+            return result.Failure(result.STORE_UNAVAILABLE, answer.reason)
+        if connection.finish():
+            self._pool.give_back(
+                self._address,
+                connection,
+                http_client.keep_alive_s(answer.head),
+            )
+        if answer.head.status == HTTP_GONE:
+            return Expired()
+        if answer.head.status != HTTP_OK:
+            return result.Failure(
+                result.STORE_UNAVAILABLE, f"status {answer.head.status}"
+            )
+        try:
+            return json.loads(answer.body)
+        except ValueError as error:
+            return result.Failure(result.STORE_CORRUPT, repr(error))
+
+    def drop_connections(self) -> None:
+        """Trusts no kept connection, as after this process stood still."""
+        self._pool.drop_all()
+
+
+def _record(raw: Any) -> Record:
+    return Record(raw["metadata"]["name"], raw.get("spec"))
--- /dev/null
+++ b/packages/radishd/src/radishd/platform/wire.py
@@ -0,0 +1,208 @@
+"""Decodes the platform's objects once, into the product's types."""
+
+from collections.abc import Mapping
+import json
+from typing import Any
+
+from radishstack import result
+from radishstack.process import adapter_keeper
+from radishstack.process import roster
+from radishstack.version import route_table
+
+from radishd.process import logs
+
+# The kinds of objects that the platform keeps.
+KIND_CONFIGURATION = "config"
+KIND_TARGETS = "servers"
+KIND_VERSIONS = "versions"
+# The one object of the configuration.
+CONFIGURATION_NAME = "main"
+
+_IDEMPOTENT = "idempotent"
+_NON_IDEMPOTENT = "non_idempotent"
+_STREAMING = "streaming"
+_DRAINING = "draining"
+_MIN_ATTEMPTS = 1
+
+Fields = Mapping[str, Any]
+
+
+def configuration(spec: Fields) -> result.Outcome[route_table.RouteTable]:
+    """Decodes the operator's configuration.
+
+    Args:
+        spec: The object's content.
+
+    Returns:
+        The route table, or what could not be read.
+    """
+    try:
+        routes = [_route(raw) for raw in spec.get("routes") or ()]
+        services = [_service(raw) for raw in spec.get("services") or ()]
+        limits = spec.get("limits") or {}
+        return route_table.make_table(
+            int(spec["version"]),
+            routes,
+            services,
+            route_table.Limits(
+                int(limits.get("maxHeaderBytes", 16_384)),
+                int(limits.get("maxBodyBytes", 4 * 1024 * 1024)),
+                int(limits.get("idleTimeoutMs", 15_000)),
+            ),
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        return result.Failure(result.STORE_CORRUPT, f"configuration: {error!r}")
+
+
+def _route(raw: Fields) -> route_table.Route:
+    shares = raw.get("backends")
+    if shares:
+        split = tuple(
+            route_table.Share(one["service"], float(one.get("weight", 1)))
+            for one in shares
+        )
+    else:
+        split = (route_table.Share(raw["service"], 1.0),)
+    # Despite its general name, `type` says what may be repeated; a streaming
+    # route's answers may be only where it is marked resumable.
+    kind = raw["type"]
+    if kind not in (_IDEMPOTENT, _NON_IDEMPOTENT, _STREAMING):
+        logs.warn("route_kind_unknown", route=raw["name"], kind=kind)
+    repeat = route_table.Repeat.ONCE
+    if kind == _IDEMPOTENT:
+        repeat = route_table.Repeat.IDEMPOTENT
+    return route_table.Route(
+        name=raw["name"],
+        host=raw["host"].lower(),
+        path_prefix=raw["pathPrefix"],
+        repeat=repeat,
+        streams=kind == _STREAMING,
+        resumable=bool(raw.get("resumable")),
+        timeout_ms=int(raw["timeoutMs"]),
+        objective_ms=int(raw.get("targetLatencyMs", raw["timeoutMs"])),
+        gap_objective_ms=int(raw.get("gapTargetMs") or 0),
+        priority=int(raw.get("priority") or 0),
+        # Counts targets, not sends.
+        max_targets=max(_MIN_ATTEMPTS, int(raw.get("maxAttempts") or 1)),
+        shares=split,
+    )
+
+
+def _service(raw: Fields) -> route_table.ServiceSpec:
+    engine = raw.get("engine")
+    limit, models = 0, ()
+    if engine:
+        models = tuple(model["name"] for model in engine.get("models") or ())
+        limit = _adapter_limit(engine)
+    return route_table.ServiceSpec(
+        raw["name"], int(raw.get("maxConnections") or 64), limit, models
+    )
+
+
+def _adapter_limit(engine: Fields) -> int:
+    """Returns how many adapters fit beside the largest base model."""
+    slots = int(engine.get("adapterSlots") or 0)
+    models = engine.get("models") or ()
+    adapter_mb = max(
+        (float(one.get("adapterMb") or 0) for one in models), default=0.0
+    )
+    if not slots or not adapter_mb:
+        return slots
+    base_mb = max(float(one["weightsMb"]) for one in models)
+    room_mb = float(engine.get("weightsMb") or 0) - base_mb
+    return max(0, min(slots, int(room_mb // adapter_mb)))
+
+
+def target(name: str, spec: Fields) -> result.Outcome[roster.Listing]:
+    """Decodes a registered target.
+
+    Args:
+        name: The object's name, which is the target's instance.
+        spec: The object's content.
+
+    Returns:
+        The target, or what could not be read.
+    """
+    try:
+        return roster.Listing(
+            instance=name,
+            service=spec["service"],
+            address=spec["address"],
+            failure_domain=spec.get("zone", ""),
+            # A target that leaves at short notice also says in how long.
+            leaving=spec.get("state") == _DRAINING or "remainingMs" in spec,
+            slot_count=int(spec.get("slots") or 1),
+            residents=_residents(spec.get("models") or ()),
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        return result.Failure(result.STORE_CORRUPT, f"target {name}: {error!r}")
+
+
+def _residents(models: Any) -> dict[str, int]:
+    residents = {}
+    for model in models:
+        base = model["name"]
+        residents[base] = int(model.get("version") or 0)
+        for adapter in model.get("adapters") or ():
+            name, _, version = str(adapter).partition("@")
+            residents[f"{base}/{name}"] = int(version or 0)
+    return residents
+
+
+def announced(spec: Fields) -> result.Outcome[adapter_keeper.Want]:
+    """Decodes the announcement of a new version.
+
+    Returns:
+        The adapter, or the base model where none is named, and its version.
+    """
+    try:
+        name = spec["model"]
+        if spec.get("adapter"):
+            name = f"{name}/{spec['adapter']}"
+        return adapter_keeper.Want(name, int(spec["version"]))
+    except (KeyError, TypeError, ValueError) as error:
+        return result.Failure(result.STORE_CORRUPT, f"version: {error!r}")
+
+
+def report(body: bytes) -> result.Outcome[adapter_keeper.Report]:
+    """Decodes an engine's report on itself."""
+    try:
+        raw = json.loads(body)
+        in_transit = {}
+        for entry in raw.get("incoming") or ():
+            name, _, version = str(entry).partition("@")
+            in_transit[name] = int(version or 0)
+        return adapter_keeper.Report(
+            accepted_count=int(raw["sequence"]),
+            residents=_residents(raw.get("models") or ()),
+            in_transit=in_transit,
+            busy=bool(raw.get("busy")),
+            running=int(raw.get("running") or 0),
+            queued=int(raw.get("waiting") or 0),
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        return result.Failure(result.STORE_CORRUPT, f"report: {error!r}")
+
+
+def order(order_: adapter_keeper.Order, holder: str, fence: int) -> bytes:
+    """Encodes an order to an engine.
+
+    Args:
+        order_: The order.
+        holder: Name of the process that gives it.
+        fence: Its fencing number.
+    """
+    base, _, adapter = order_.adapter.partition("/")
+    loads = order_.operation is adapter_keeper.Operation.LOAD
+    body: dict[str, Any] = {
+        "operation": "model_load" if loads else "model_unload",
+        "model": base,
+        "expect": order_.accepted_count,
+        "holder": holder,
+        "fencingToken": fence,
+    }
+    if adapter:
+        body["adapter"] = adapter
+    if order_.version:
+        body["version"] = order_.version
+    return json.dumps(body).encode()
--- a/packages/radishd/src/radishd/process/clock.py
+++ b/packages/radishd/src/radishd/process/clock.py
@@ -10,6 +10,16 @@
     return time.monotonic_ns() // NS_PER_MS
 
 
+def boot_ms() -> int:
+    """Returns the clock that goes on while the VM is suspended.
+
+    A deadline kept on the monotonic clock would grow by the time that the VM
+    was suspended, and targets would be given time that the caller no longer
+    has.
+    """
+    return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // NS_PER_MS
+
+
 def unix_ms() -> int:
     """Returns the wall clock in milliseconds since 1970."""
     return time.time_ns() // NS_PER_MS
--- /dev/null
+++ b/packages/radishd/src/radishd/process/decision_log.py
@@ -0,0 +1,112 @@
+"""The log of decisions: JSON lines on standard output, bounded, not blocking.
+
+A reader that stands still must not stop the process, and a flood of requests
+must not spend its processor time on logging. Lines over the rate, and lines
+that the reader does not take, are dropped and counted, and the count is
+logged.
+"""
+
+import collections
+import contextlib
+import json
+import os
+import sys
+import time
+from typing import Any
+
+# Lines a second that a process writes at most, and the burst above it: twice
+# the requests of one gateway at the planned peak.
+RATE_PER_S = 60.0
+BURST = 240.0
+# Bytes that wait for a slow reader before lines are dropped.
+MAX_WAITING_BYTES = 256 * 1024
+NS_PER_S = 1_000_000_000
+
+
+class DecisionLog:
+    """Writes decisions of one process."""
+
+    def __init__(self, fd: int, **always: str) -> None:
+        """Makes the descriptor non-blocking.
+
+        Args:
+            fd: Where lines go.
+            **always: Fields of every line.
+        """
+        self._fd = fd
+        self._always = always
+        self._waiting: collections.deque[bytes] = collections.deque()
+        self._waiting_bytes = 0
+        self._tokens = BURST
+        self._refilled_ns = time.monotonic_ns()
+        self.dropped = 0
+        self.written = 0
+        with contextlib.suppress(OSError):
+            os.set_blocking(fd, False)
+
+    def write(self, event: str, **fields: Any) -> None:
+        """Logs one decision; drops it when over the rate."""
+        if not self._take_token():
+            self.dropped += 1
+            return
+        self.must(event, **fields)
+
+    def must(self, event: str, **fields: Any) -> None:
+        """Logs a rare event, such as a start or a lost dependency."""
+        if self.dropped:
+            fields["dropped_lines"] = self.dropped
+            self.dropped = 0
+        at_ms = time.time_ns() // 1_000_000
+        line = {"at_ms": at_ms, "event": event, **self._always, **fields}
+        data = json.dumps(line, separators=(",", ":"), default=str)
+        self._push(data.encode() + b"\n")
+
+    def _take_token(self) -> bool:
+        now_ns = time.monotonic_ns()
+        gained = (now_ns - self._refilled_ns) / NS_PER_S * RATE_PER_S
+        self._tokens = min(BURST, self._tokens + gained)
+        self._refilled_ns = now_ns
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+    def _push(self, data: bytes) -> None:
+        if self._waiting_bytes + len(data) > MAX_WAITING_BYTES:
+            self.dropped += 1
+            return
+        self._waiting.append(data)
+        self._waiting_bytes += len(data)
+        self.flush()
+
+    def flush(self) -> None:
+        """Writes what the reader takes now."""
+        while self._waiting:
+            data = self._waiting[0]
+            try:
+                size = os.write(self._fd, data)
+            except BlockingIOError:
+                return
+            except OSError:
+                # The reader is gone; nothing else can be told to anybody.
+                self._waiting.clear()
+                self._waiting_bytes = 0
+                return
+            self._waiting_bytes -= size
+            if size < len(data):
+                self._waiting[0] = data[size:]
+                return
+            self._waiting.popleft()
+            self.written += 1
+
+
+def open_log(**always: str) -> DecisionLog:
+    """Opens the decision log on standard output.
+
+    Args:
+        **always: Fields of every line, for example ``vm``.
+
+    Returns:
+        The log.
+    """
+    return DecisionLog(sys.stdout.fileno(), **always)
--- /dev/null
+++ b/packages/radishd/src/radishd/process/follow.py
@@ -0,0 +1,135 @@
+"""Follows one kind of the store's objects: a list, then watches.
+
+A watch that hears nothing may have been forgotten by the store or cut off
+silently, so it is bounded; one whose history is gone begins with a new list.
+"""
+
+from collections.abc import Callable
+import random
+import typing
+
+import anyio
+from radishstack import result
+
+from radishd.platform import store as store_lib
+from radishd.process import clock
+from radishd.process import decision_log
+
+MS_PER_S = 1_000
+# Pause after a failed call, doubled up to the maximum and spread at random:
+# the store counts refused calls too.
+RETRY_FIRST_MS = 100
+RETRY_MAX_MS = 800
+
+
+class Sink(typing.Protocol):
+    """Takes what a follower reads."""
+
+    def whole(self, batch: store_lib.Batch) -> None:
+        """Takes all objects."""
+
+    def changes(self, batch: store_lib.Batch) -> None:
+        """Takes changed objects."""
+
+
+class Follower:
+    """Follows one kind of object.
+
+    Attributes:
+        failing_since_ms: Since when the store does not answer, 0 if it does.
+        revision: Revision read last, 0 before the first list.
+    """
+
+    def __init__(
+        self,
+        store: store_lib.Store,
+        kind: str,
+        sink: Sink,
+        log: decision_log.DecisionLog,
+        *,
+        wait_ms: int,
+        gather_ms: int,
+        on_back: Callable[[str], None] = lambda kind: None,
+    ) -> None:
+        """Makes a follower that has read nothing.
+
+        Args:
+            store: The store.
+            kind: Kind of object.
+            sink: Takes what is read.
+            log: Where a lost and regained store is logged.
+            wait_ms: How long one watch waits.
+            gather_ms: Pause after changes, in which further ones gather:
+                each answer of a watch is a call that is paid for.
+            on_back: Called when the store answers again.
+        """
+        self._store = store
+        self._kind = kind
+        self._sink = sink
+        self._log = log
+        self._wait_ms = wait_ms
+        self._gather_ms = gather_ms
+        self._on_back = on_back
+        self._random = random.Random()
+        self._retry_ms = RETRY_FIRST_MS
+        self._restart: anyio.CancelScope | None = None
+        self.failing_since_ms = 0
+        self.revision = 0
+
+    def restart(self) -> None:
+        """Begins anew, when the watch under way is not trusted any more."""
+        self.revision = 0
+        if self._restart is not None:
+            self._restart.cancel()
+
+    async def run(self) -> None:
+        """Follows until cancelled."""
+        while True:
+            with anyio.CancelScope() as self._restart:
+                while True:
+                    await self._round()
+
+    async def _round(self) -> None:
+        if not self.revision:
+            listed = await self._store.list(self._kind)
+            if isinstance(listed, result.Failure):
+                await self._failed(listed)
+                return
+            self._answered()
+            self.revision = listed.revision
+            self._sink.whole(listed)
+            return
+        changed = await self._store.watch(
+            self._kind, self.revision, self._wait_ms
+        )
+        if isinstance(changed, store_lib.Expired):
+            self._log.must("store_history_gone", kind=self._kind)
+            self.revision = 0
+            return
+        if isinstance(changed, result.Failure):
+            await self._failed(changed)
+            return
+        self._answered()
+        self.revision = max(self.revision, changed.revision)
+        if changed.records:
+            self._sink.changes(changed)
+            await anyio.sleep(self._gather_ms / MS_PER_S)
+
+    async def _failed(self, failure: result.Failure) -> None:
+        if not self.failing_since_ms:
+            self.failing_since_ms = clock.boot_ms()
+            self._log.must(
+                "store_lost", kind=self._kind, reason=failure.message
+            )
+        pause_ms = self._retry_ms * self._random.uniform(0.5, 1.5)
+        self._retry_ms = min(self._retry_ms * 2, RETRY_MAX_MS)
+        await anyio.sleep(pause_ms / MS_PER_S)
+
+    def _answered(self) -> None:
+        self._retry_ms = RETRY_FIRST_MS
+        if not self.failing_since_ms:
+            return
+        lost_ms = clock.boot_ms() - self.failing_since_ms
+        self.failing_since_ms = 0
+        self._log.must("store_back", kind=self._kind, after_ms=lost_ms)
+        self._on_back(self._kind)
--- a/packages/radishd/src/radishd/process/metrics.py
+++ b/packages/radishd/src/radishd/process/metrics.py
@@ -1,7 +1,25 @@
 """The metrics of a process; ``docs/OPERATORS.md`` explains each."""
 
+import math
+
 import aioprometheus
 
+# From a call on the same VM to the longest time that callers wait.
+LATENCY_BUCKETS_MS = [
+    1.0,
+    5.0,
+    10.0,
+    25.0,
+    50.0,
+    100.0,
+    200.0,
+    400.0,
+    800.0,
+    1_600.0,
+    5_000.0,
+    math.inf,
+]
+
 
 class Metrics:
     """All metrics of one process, in one registry."""
@@ -46,6 +64,31 @@
         self.control_bytes = counter(
             "control_bytes_total", "Bytes of probes and digests by direction"
         )
+        self.control_lost = counter(
+            "control_lost_total", "Datagrams that could not be sent"
+        )
+        self.sends = counter("sends_total", "Sends to targets by outcome")
+        self.orders = counter("orders_total", "Orders to the engine by verdict")
+        self.still = counter(
+            "standstills_total", "Times that this process stood still"
+        )
+        self.log_dropped = gauge(
+            "log_dropped_lines", "Log lines dropped since the last one written"
+        )
+        self.first_byte_ms = aioprometheus.Histogram(
+            "radishstack_first_byte_ms",
+            "Time from a request's arrival to its first byte, by service",
+            labels,
+            registry,
+            LATENCY_BUCKETS_MS,
+        )
+        self.order_ms = aioprometheus.Histogram(
+            "radishstack_order_ms",
+            "Time from an order to its answer",
+            labels,
+            registry,
+            LATENCY_BUCKETS_MS,
+        )
         self.version = gauge("config_version", "Configuration version held")
         self.in_flight = gauge("in_flight", "Requests or runs in flight")
         self.queued = gauge("queued", "Attempts queued")
--- /dev/null
+++ b/packages/radishd/src/radishd/process/peers.py
@@ -0,0 +1,106 @@
+"""Other gateways: who they are, and what one takes over from another."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import json
+import random
+from typing import Any
+
+import anyio
+
+from radishd.connection import http_client
+from radishd.process import logs
+from radishd.process import web
+
+# While the store does not answer, one peer is asked this often.
+ASK_EVERY_MS = 700
+ASK_TIMEOUT_MS = 800
+CONNECT_TIMEOUT_MS = 300
+MAX_PEERS = 1_024
+PATH = "/known"
+MS_PER_S = 1_000
+HTTP_OK = 200
+HTTP_NOT_FOUND = 404
+
+
+class Peers:
+    """The other gateways that are known here."""
+
+    def __init__(
+        self,
+        *,
+        own: str,
+        seeds: Iterable[str],
+        random_source: random.Random,
+    ) -> None:
+        """Starts with the seeds of the settings.
+
+        Args:
+            own: This gateway's own address, which is no peer.
+            seeds: Addresses to begin with; they may be stale.
+            random_source: Chooses whom to ask.
+        """
+        self._own = own
+        self._random = random_source
+        self.addresses = {seed for seed in seeds if seed != own}
+
+    def heard(self, addresses: Iterable[str]) -> None:
+        """Learns of gateways that a process beside an engine hears."""
+        for address in addresses:
+            if address != self._own and len(self.addresses) < MAX_PEERS:
+                self.addresses.add(address)
+
+    async def ask(self) -> dict[str, Any] | None:
+        """Asks one peer what it knows."""
+        if not self.addresses:
+            return None
+        address = self._random.choice(sorted(self.addresses))
+        connection = await http_client.open_connection(
+            address, CONNECT_TIMEOUT_MS
+        )
+        if isinstance(connection, http_client.Lost):
+            logs.info("peer_unreachable", peer=address)
+            return None
+        try:
+            head = f"GET {PATH} HTTP/1.1\r\nHost: {address}\r\n\r\n"
+            connection.send(head.encode())
+            with anyio.move_on_after(ASK_TIMEOUT_MS / MS_PER_S):
+                answer = await http_client.read_answer(connection)
+                if isinstance(answer, http_client.Lost):
+                    return None
+                if answer.head.status != HTTP_OK:
+                    return None
+                known: dict[str, Any] = json.loads(answer.body)
+                return known
+            return None
+        finally:
+            connection.close()
+
+
+def make_app(tell_known: Callable[[], dict[str, Any]]) -> web.App:
+    """Makes the application that peers ask.
+
+    Args:
+        tell_known: Returns what is known here.
+    """
+
+    async def app(
+        scope: web.Scope, receive: web.Receive, send: web.Send
+    ) -> None:
+        del receive
+        if scope["type"] != "http":
+            return
+        known = scope["path"] == PATH
+        status = HTTP_OK if known else HTTP_NOT_FOUND
+        body = json.dumps(tell_known()).encode() if known else b""
+        headers = [(b"content-length", b"%d" % len(body))]
+        await send(
+            {
+                "type": "http.response.start",
+                "status": status,
+                "headers": headers,
+            }
+        )
+        await send({"type": "http.response.body", "body": body})
+
+    return app
--- a/packages/radishd/src/radishd/process/settings.py
+++ b/packages/radishd/src/radishd/process/settings.py
@@ -34,6 +34,8 @@
 
     ENTRY = "entry"
     TARGET = "target"
+    GATEWAY = "gateway"
+    SIDECAR = "sidecar"
 
 
 @_settings()
@@ -138,6 +140,55 @@
     drain_ms: DurationMs = 30_000
 
 
+@_settings()
+class GatewaySettings:
+    """Settings of the gateway role: an entry VM before registered targets.
+
+    Attributes:
+        listen: Where callers connect.
+        readiness: Where the balancer asks whether it is ready.
+        peers: Where other gateways ask for what is known here.
+        control: Where datagrams are sent from and received, UDP.
+        sidecar_port: UDP port of the process beside each engine.
+        admin: Where metrics and status are served.
+        retry_ratio: Extra sends that a request earns, over all gateways.
+        retry_extra: Fixed allowance of extra sends, over all gateways.
+        retry_window_ms: Window of the two.
+        lapse_grace_ms: How long after an outage of the list a target that is
+            missing from it is still believed.
+        shutdown_ms: Time between the first signal and the forced end.
+    """
+
+    listen: Address
+    readiness: Address
+    peers: Address
+    control: Address
+    sidecar_port: Annotated[int, pydantic.Field(ge=1, le=65_535)]
+    admin: Address
+    retry_ratio: Annotated[float, pydantic.Field(ge=0, le=1)] = 0.2
+    retry_extra: Annotated[float, pydantic.Field(ge=0)] = 50.0
+    retry_window_ms: DurationMs = 10_000
+    lapse_grace_ms: DurationMs = 2_500
+    shutdown_ms: DurationMs = 8_000
+
+
+@_settings()
+class SidecarSettings:
+    """Settings of the sidecar role: the process beside one engine.
+
+    Attributes:
+        engine: ``ip:port`` of the engine.
+        control: Where datagrams are sent from and received, UDP.
+        admin: Where metrics and status are served.
+        thaw_ms: How long no order is given after this process stood still.
+    """
+
+    engine: Address
+    control: Address
+    admin: Address
+    thaw_ms: DurationMs = 400
+
+
 @_settings()
 class Settings:
     """Settings of one process.
@@ -149,6 +200,8 @@
         platform: Where the platform is.
         entry: Required for the role entry.
         target: Required for the role target.
+        gateway: Required for the role gateway.
+        sidecar: Required for the role sidecar.
         seeds: Some target processes, asked for the configuration when this
             process starts while the object API is down.
         log_level: Lowest level that is logged.
@@ -162,6 +215,8 @@
     platform: PlatformSettings
     entry: EntrySettings | None = None
     target: TargetSettings | None = None
+    gateway: GatewaySettings | None = None
+    sidecar: SidecarSettings | None = None
     seeds: tuple[Address, ...] = ()
     log_level: Annotated[
         str, pydantic.Field(pattern="^(DEBUG|INFO|WARNING|ERROR)$")
@@ -186,12 +241,9 @@
         return document_lib.explain(error)
     if settings.role is Role.ENTRY and settings.entry is None:
         return dataclasses.replace(settings, entry=EntrySettings())
-    if settings.role is Role.TARGET and settings.target is None:
-        return (
-            document_lib.Problem(
-                "target", "(missing)", "add the settings of the target role"
-            ),
-        )
+    if getattr(settings, settings.role) is None:
+        mend = f"add the settings of the {settings.role} role"
+        return (document_lib.Problem(settings.role, "(missing)", mend),)
     return settings
 
 
--- a/packages/radishd/src/radishd/process/web.py
+++ b/packages/radishd/src/radishd/process/web.py
@@ -7,6 +7,7 @@
 
 import anyio
 import uvicorn
+from uvicorn.protocols.http import httptools_impl
 
 Scope = MutableMapping[str, Any]
 Message = MutableMapping[str, Any]
@@ -15,6 +16,7 @@
 App = Callable[[Scope, Receive, Send], Awaitable[None]]
 
 START_POLL_S = 0.005
+MS_PER_S = 1_000
 
 
 class Server(uvicorn.Server):
@@ -25,6 +27,22 @@
         await self._serve(sockets)
 
 
+TARGET = "radishstack.target"
+
+
+class ForwardingProtocol(httptools_impl.HttpToolsProtocol):
+    """Keeps the request target as the caller sent it.
+
+    ASGI splits it into a path and a query; put together again, an empty
+    query or an unusual escape would reach the target changed.
+    """
+
+    def on_url(self, url: bytes) -> None:
+        """Takes a piece of the request target."""
+        super().on_url(url)
+        self.scope[TARGET] = self.url
+
+
 def make_server(app: App, host: str, port: int, **options: Any) -> Server:
     """Makes a server that has not started.
 
@@ -37,11 +55,11 @@
     Returns:
         The server.
     """
+    options.setdefault("http", "httptools")
     config = uvicorn.Config(
         app,
         host=host,
         port=port,
-        http="httptools",
         interface="asgi3",
         log_config=None,
         ws="none",
@@ -80,3 +98,18 @@
         finally:
             server.should_exit = True
             tasks.cancel_scope.cancel()
+
+
+def set_idle_timeout(server: Server, timeout_ms: int) -> None:
+    """Changes how long idle connections of callers are kept.
+
+    Connections that are open take the new time with their next request.
+
+    Args:
+        server: The server.
+        timeout_ms: The time.
+    """
+    timeout_s = timeout_ms / MS_PER_S
+    server.config.timeout_keep_alive = timeout_s
+    for connection in server.server_state.connections:
+        connection.timeout_keep_alive = timeout_s
--- /dev/null
+++ b/packages/radishd/src/radishd/request/forward.py
@@ -0,0 +1,523 @@
+"""Takes one caller's request to targets, and an answer back.
+
+The decisions are in ``radishstack``: where to (``placement``), and what
+follows when a send comes to nothing (``forwarding``).
+"""
+
+import dataclasses
+import enum
+from typing import Any
+
+import anyio
+from radishstack import invariant
+from radishstack import result
+from radishstack.process import roster as roster_lib
+from radishstack.request import event_stream
+from radishstack.request import forwarding
+from radishstack.version import route_table
+
+from radishd.connection import http_client
+from radishd.platform import front
+from radishd.process import clock
+from radishd.process import web
+
+MS_PER_S = 1_000
+# A waiting request asks again for its adapter this often; datagrams are lost
+# now and then.
+WANT_AGAIN_MS = 60
+# A request waits for a load at most this long, and never more than this part
+# of what it has left: refused early enough, its caller still gets a second
+# try elsewhere.
+MAX_LOAD_WAIT_MS = 1_500
+LOAD_WAIT_PART = 0.45
+# When to come back after a refusal, by what it takes to change: a full or
+# restarted target is another one's turn at once, a load takes a moment.
+SHED_RETRY_MS = (30, 150)
+LOAD_RETRY_MS = (150, 400)
+NO_TARGET_RETRY_MS = (300, 900)
+# A repeatable request leaves a silent target after this part of its
+# objective, while there is time for another answer within the route's.
+SILENCE_PART = 0.75
+MIN_SILENCE_MS = 150
+# A stream that pauses is moved shortly before the pause counts as late.
+GAP_PART = 0.8
+MAX_BUFFERED_BYTES = 8 * 1024 * 1024
+PRIORITY_MAX = 9
+
+Outcome = forwarding.Outcome
+
+
+class CutError(Exception):
+    """An answer that has begun cannot be ended whole; cut it visibly."""
+
+
+class Pace(enum.Enum):
+    """Marks that a peer was silent for longer than was allowed."""
+
+    SILENT = "silent"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Send:
+    """One send to one start of a target."""
+
+    member: roster_lib.Member
+    connection: http_client.Connection
+    sent_at_ms: int
+
+
+class Forward:
+    """One request of a caller."""
+
+    def __init__(
+        self,
+        gateway: Any,
+        request: front.Request,
+        route: route_table.Route,
+        body: bytes,
+        send: web.Send,
+        arrived_at_ms: int,
+    ) -> None:
+        """Takes a request that has been read whole.
+
+        Args:
+            gateway: The gateway.
+            request: Its head.
+            route: Its route.
+            body: Its body.
+            send: Where the answer goes.
+            arrived_at_ms: When it arrived.
+        """
+        self.gateway = gateway
+        self.request = request
+        self.route = route
+        self.body = body
+        self.state = forwarding.Forwarding(route)
+        self.service = gateway.pick_service(route)
+        self.deadline_at_ms = arrived_at_ms + route.timeout_ms
+        if request.left_ms:
+            caller_ms = arrived_at_ms + request.left_ms
+            self.deadline_at_ms = min(self.deadline_at_ms, caller_ms)
+        self.arrived_at_ms = arrived_at_ms
+        self.began = False
+        self.events = event_stream.EventStream()
+        self.events.last_id = request.last_event_id
+        self.failure: result.Failure | None = None
+        self.trail: list[str] = []
+        self.status = 0
+        self.sent = False
+        self._send = send
+        spec = gateway.table.services.get(self.service)
+        self.needs_adapter = bool(
+            spec is not None and spec.adapter_limit and request.adapter
+        )
+
+    def left_ms(self) -> int:
+        """Returns how long the caller still waits."""
+        return self.deadline_at_ms - clock.boot_ms()
+
+    async def run(self) -> None:
+        """Serves the request; raises ``CutError`` to cut its answer."""
+        left_s = max(0, self.left_ms()) / MS_PER_S
+        with anyio.move_on_after(left_s) as scope:
+            await self._serve()
+        if not scope.cancelled_caught:
+            return
+        if self.began:
+            self.failure = result.Failure(
+                result.ROUTE_TIMEOUT, "the stream had not ended in time"
+            )
+            raise CutError
+        await self.reply(self.state.timed_out(sent=self.sent))
+
+    async def _serve(self) -> None:
+        while True:
+            placed = await self._place()
+            if isinstance(placed, result.Failure):
+                await self._give_up(placed)
+                return
+            member, version = placed
+            outcome = await self._try(member, version)
+            if outcome is None:
+                return
+            instance = member.listing.instance
+            self.trail.append(f"{instance}:{outcome.value}")
+            self.gateway.metrics.sends.inc({"outcome": outcome.value})
+            step = self._next_step(instance, outcome)
+            if step is forwarding.Step.GIVE_UP:
+                await self._give_up(self.state.failure)
+                return
+
+    def _next_step(self, instance: str, outcome: Outcome) -> forwarding.Step:
+        gateway = self.gateway
+        gateway.note_outcome(instance, outcome, self.request.adapter)
+        paid = True
+        if outcome is not Outcome.UNSENT:
+            retries = not self.state.may_have_run and outcome in (
+                Outcome.SHED,
+                Outcome.MISMATCH,
+                Outcome.GONE,
+            )
+            worth_paying = self.route.repeatable or retries
+            paid = worth_paying and gateway.budget(self.service).spend(
+                clock.boot_ms()
+            )
+        return self.state.ended(instance, outcome, self.left_ms(), paid=paid)
+
+    async def _place(
+        self,
+    ) -> tuple[roster_lib.Member, int] | result.Failure:
+        gateway = self.gateway
+        if not self.needs_adapter:
+            member = gateway.placement.plain(
+                gateway.roster.usable(self.service, clock.boot_ms()),
+                frozenset(self.state.avoided),
+            )
+            if member is None:
+                return self._no_target()
+            return member, 0
+        return await self._place_adapter()
+
+    async def _place_adapter(
+        self,
+    ) -> tuple[roster_lib.Member, int] | result.Failure:
+        gateway = self.gateway
+        adapter = self.request.adapter
+        wait_ms = min(MAX_LOAD_WAIT_MS, self.left_ms() * LOAD_WAIT_PART)
+        until_ms = clock.boot_ms() + wait_ms
+        while True:
+            now_ms = clock.boot_ms()
+            usable = gateway.roster.usable(self.service, now_ms)
+            choice = gateway.placement.choose(
+                adapter, usable, frozenset(self.state.avoided), now_ms
+            )
+            if choice.load is not None:
+                await gateway.want(choice.load, adapter)
+            if choice.send is not None:
+                return choice.send, choice.version
+            if choice.load is None:
+                return self._no_target()
+            if now_ms >= until_ms:
+                return result.Failure(
+                    result.ADAPTER_LOADING,
+                    f"{adapter} was not loaded in {wait_ms:.0f} ms",
+                    gateway.spread(LOAD_RETRY_MS),
+                )
+            pause_ms = min(WANT_AGAIN_MS, until_ms - now_ms)
+            with anyio.move_on_after(pause_ms / MS_PER_S):
+                await gateway.news.wait()
+
+    def _no_target(self) -> result.Failure:
+        if self.state.failure is not None:
+            return self.state.failure
+        code = result.NO_TARGET
+        if self.state.may_have_run:
+            code = result.OUTCOME_UNKNOWN
+        return result.Failure(
+            code,
+            f"no target of {self.service} can take it",
+            self.gateway.spread(NO_TARGET_RETRY_MS),
+        )
+
+    async def _try(
+        self, member: roster_lib.Member, version: int
+    ) -> Outcome | None:
+        """Sends to one target; returns None once the caller is answered."""
+        gateway = self.gateway
+        listing = member.listing
+        member.health.in_flight += 1
+        if self.needs_adapter:
+            gateway.began(member, self.request.adapter)
+        connection: http_client.Connection | http_client.Lost | None = None
+        try:
+            connection = await gateway.pool.take(
+                listing.address, fresh=not self.route.repeatable
+            )
+            if isinstance(connection, http_client.Lost):
+                return Outcome.UNSENT
+            send = self._start(member, connection, version)
+            return await self._answer(send)
+        finally:
+            member.health.in_flight -= 1
+            if self.needs_adapter:
+                gateway.ended(member, self.request.adapter)
+            if isinstance(connection, http_client.Connection):
+                gateway.put_away(connection)
+
+    def _start(
+        self,
+        member: roster_lib.Member,
+        connection: http_client.Connection,
+        version: int,
+    ) -> Send:
+        listing = member.listing
+        left_ms = self.left_ms()
+        invariant.require(
+            not self.request.left_ms or left_ms <= self.request.left_ms,
+            result.DEADLINE_GREW,
+            f"{left_ms} of {self.request.left_ms} ms",
+        )
+        self.state.sending(listing.instance)
+        priority = None
+        if self.needs_adapter:
+            priority = min(PRIORITY_MAX, self.route.priority + 1)
+        data = front.encode(
+            self.request,
+            self.body,
+            instance=listing.instance,
+            left_ms=max(1, left_ms),
+            version=version,
+            priority=priority,
+            resume_after=self.events.last_id if self.route.resumable else b"",
+        )
+        self.sent = True
+        connection.send(data)
+        return Send(member, connection, clock.boot_ms())
+
+    async def _answer(self, send: Send) -> Outcome | None:
+        head = await self._head(send)
+        if head is Pace.SILENT:
+            return Outcome.SILENT
+        if isinstance(head, http_client.Lost):
+            return Outcome.SPOILED if head.spoiled else Outcome.LOST
+        instance = send.member.listing.instance
+        match front.classify(head, self.request.attempt_id, instance):
+            case front.Kind.SHED:
+                return await self._drained(send, Outcome.SHED)
+            case front.Kind.MISMATCH:
+                return await self._drained(send, Outcome.MISMATCH)
+            case front.Kind.GONE:
+                return await self._drained(send, Outcome.GONE)
+            case front.Kind.SPOILED:
+                return Outcome.SPOILED
+            case front.Kind.UNPROVEN_PROMISE:
+                return Outcome.FAILED
+            case front.Kind.FAILURE:
+                return await self._failure(send, head)
+        if self.route.streams:
+            return await self._stream(send, head)
+        return await self._whole(send, head)
+
+    async def _head(
+        self, send: Send
+    ) -> http_client.Head | http_client.Lost | Pace:
+        """Waits for the head of the answer to this very attempt."""
+        connection = send.connection
+        instance = send.member.listing.instance
+        while True:
+            head: http_client.Head | http_client.Lost | None = None
+            with anyio.move_on_after(self._patience_s(send)):
+                head = await connection.head()
+            if head is None:
+                return Pace.SILENT
+            if isinstance(head, http_client.Lost):
+                return head
+            kind = front.classify(head, self.request.attempt_id, instance)
+            if kind is not front.Kind.FOREIGN:
+                return head
+            # A second answer to the request before came late; ours is next.
+            lost = await connection.skip()
+            if lost is not None:
+                return lost
+
+    def _patience_s(self, send: Send) -> float:
+        """Returns how long a target may be silent before it is left."""
+        left_ms = max(0, self.left_ms())
+        movable = (
+            self.route.repeatable
+            and self.state.may_use_another
+            and self.gateway.has_other(self.service, send.member)
+        )
+        if not movable:
+            return left_ms / MS_PER_S + 1
+        part = GAP_PART if self.began else SILENCE_PART
+        objective_ms = self.route.objective_ms
+        if self.began:
+            objective_ms = self.route.gap_objective_ms or objective_ms
+        silence_ms = max(MIN_SILENCE_MS, objective_ms * part)
+        if left_ms < 2 * silence_ms:
+            return left_ms / MS_PER_S + 1
+        return silence_ms / MS_PER_S
+
+    async def _drained(self, send: Send, outcome: Outcome) -> Outcome:
+        """Reads a refusal to its end, so that its connection can be kept."""
+        body = await http_client.read_body(send.connection)
+        if not isinstance(body, http_client.Lost):
+            self.gateway.keep(send.member.listing.address, send.connection)
+        return outcome
+
+    async def _failure(
+        self, send: Send, head: http_client.Head
+    ) -> Outcome | None:
+        """Passes a target's failure on, unless another target may do."""
+        body = await http_client.read_body(send.connection)
+        if isinstance(body, http_client.Lost):
+            return Outcome.SPOILED if body.spoiled else Outcome.LOST
+        self.gateway.keep(send.member.listing.address, send.connection)
+        instance = send.member.listing.instance
+        may_retry = (
+            self.route.repeatable
+            and not self.began
+            and self.state.may_use_another
+            and self.state.sends < forwarding.MAX_SENDS
+            and self.left_ms() > forwarding.MIN_LEFT_MS
+            and self.gateway.has_other(self.service, send.member)
+        )
+        if may_retry and self.gateway.budget(self.service).can_spend(
+            clock.boot_ms()
+        ):
+            return Outcome.FAILED
+        if self.began:
+            return Outcome.FAILED
+        self.gateway.note_failure_answer(instance, head.status)
+        self.trail.append(f"{instance}:{head.status}")
+        await self._reply_whole(head, body)
+        return None
+
+    async def _whole(
+        self, send: Send, head: http_client.Head
+    ) -> Outcome | None:
+        """Passes an answer on once it is there whole.
+
+        An answer that is cut on its way could otherwise not be replaced by
+        another target's, nor by a failure that says what happened.
+        """
+        pieces: list[bytes] = []
+        size_bytes = 0
+        while True:
+            piece: bytes | http_client.Lost | None = None
+            with anyio.move_on_after(self._patience_s(send)):
+                piece = await send.connection.chunk()
+            if piece is None:
+                return Outcome.SILENT
+            if isinstance(piece, http_client.Lost):
+                return Outcome.SPOILED if piece.spoiled else Outcome.LOST
+            if not piece:
+                break
+            pieces.append(piece)
+            size_bytes += len(piece)
+            if size_bytes > MAX_BUFFERED_BYTES:
+                return Outcome.SPOILED
+        self._note_success(send)
+        self.gateway.keep(send.member.listing.address, send.connection)
+        await self._reply_whole(head, b"".join(pieces))
+        return None
+
+    def _note_success(self, send: Send) -> None:
+        now_ms = clock.boot_ms()
+        instance = send.member.listing.instance
+        took_ms = now_ms - send.sent_at_ms
+        self.gateway.roster.answered(instance, took_ms)
+        self.gateway.metrics.sends.inc({"outcome": "answered"})
+        self.trail.append(f"{instance}:ok")
+        first_ms = now_ms - self.arrived_at_ms
+        self.gateway.metrics.first_byte_ms.observe(
+            {"service": self.service}, first_ms
+        )
+
+    async def _reply_whole(self, head: http_client.Head, body: bytes) -> None:
+        self.status = head.status
+        headers = front.response_headers(head)
+        headers.append((b"content-length", b"%d" % len(body)))
+        await self._respond(head.status, headers, body)
+
+    async def _respond(
+        self, status: int, headers: list[tuple[bytes, bytes]], body: bytes
+    ) -> None:
+        self.began = True
+        if self.gateway.draining:
+            headers.append((b"connection", b"close"))
+        await self._send(
+            {
+                "type": "http.response.start",
+                "status": status,
+                "headers": headers,
+            }
+        )
+        await self._send({"type": "http.response.body", "body": body})
+
+    async def _stream(
+        self, send: Send, head: http_client.Head
+    ) -> Outcome | None:
+        """Passes whole events on as they come."""
+        self.events.restart()
+        noted = False
+        while True:
+            piece: bytes | http_client.Lost | None = None
+            with anyio.move_on_after(self._patience_s(send)):
+                piece = await send.connection.chunk()
+            if piece is None:
+                return Outcome.SILENT
+            if isinstance(piece, http_client.Lost):
+                return Outcome.SPOILED if piece.spoiled else Outcome.LOST
+            if not piece:
+                return await self._end_stream(send, head)
+            events = self.events.feed(piece)
+            if not events:
+                continue
+            if not noted:
+                noted = True
+                self._note_success(send)
+            await self._begin_stream(head)
+            await self._send(
+                {
+                    "type": "http.response.body",
+                    "body": events,
+                    "more_body": True,
+                }
+            )
+
+    async def _begin_stream(self, head: http_client.Head) -> None:
+        if self.began:
+            return
+        self.began = True
+        self.status = head.status
+        headers = front.response_headers(head)
+        if self.gateway.draining:
+            headers.append((b"connection", b"close"))
+        await self._send(
+            {
+                "type": "http.response.start",
+                "status": head.status,
+                "headers": headers,
+            }
+        )
+
+    async def _end_stream(
+        self, send: Send, head: http_client.Head
+    ) -> Outcome | None:
+        self.gateway.keep(send.member.listing.address, send.connection)
+        await self._begin_stream(head)
+        rest = self.events.rest()
+        await self._send({"type": "http.response.body", "body": rest})
+        return None
+
+    async def _give_up(self, failure: result.Failure) -> None:
+        self.failure = failure
+        if self.began:
+            # An end that looks whole would pass for the whole answer.
+            raise CutError
+        if (
+            failure.executed is result.Executed.NO
+            and not failure.retry_after_ms
+        ):
+            failure = dataclasses.replace(
+                failure, retry_after_ms=self.gateway.spread(SHED_RETRY_MS)
+            )
+        await self.reply(failure)
+
+    async def reply(self, failure: result.Failure) -> None:
+        """Answers with a failure of ours."""
+        invariant.require(
+            not (
+                failure.executed is result.Executed.NO
+                and self.state.may_have_run
+                and not self.route.repeatable
+            ),
+            result.REFUSED_AND_RUN,
+            f"{failure.code.name} after a possible run",
+        )
+        self.failure = failure
+        status, headers, body = front.failure(failure, self.request.attempt_id)
+        self.status = status
+        await self._respond(status, headers, body)
--- /dev/null
+++ b/packages/radishstack/src/radishstack/connection/fleet_wire.py
@@ -0,0 +1,154 @@
+"""Datagrams between gateways and the processes beside engines, typed.
+
+Both sides repeat their word several times a second, so a lost datagram costs
+a moment of freshness and nothing else.
+"""
+
+import dataclasses
+import functools
+import pathlib
+
+import capnp
+
+from radishstack import result
+from radishstack.process import adapter_keeper
+
+MAX_DATAGRAM_BYTES = 32 * 1024
+# One datagram carries at most this many entries of a list; what is left out
+# comes with the next one.
+MAX_ENTRIES = 256
+
+_wire = capnp.load(str(pathlib.Path(__file__).with_name("fleet.capnp")))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DemandDatagram:
+    """A gateway's demand and where its peers reach it."""
+
+    demand: adapter_keeper.Demand
+    peer_address: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class State:
+    """An engine's state, in the word of the process beside it.
+
+    Attributes:
+        instance: Start of the engine.
+        running: Requests that run.
+        queued: Requests that wait.
+        residents: Versions of what it holds, by adapter.
+        pending: Adapters that are loaded or will be.
+        peer_addresses: Gateways that this process hears.
+    """
+
+    instance: str
+    running: int
+    queued: int
+    residents: dict[str, int]
+    pending: frozenset[str]
+    peer_addresses: tuple[str, ...]
+
+
+Datagram = DemandDatagram | State
+
+
+@functools.singledispatch
+def encode(datagram: Datagram) -> bytes:
+    """Encodes a datagram."""
+    raise TypeError(type(datagram))
+
+
+@encode.register
+def _(datagram: DemandDatagram) -> bytes:
+    demand = datagram.demand
+    body = {
+        "gateway": demand.gateway,
+        "instance": demand.instance,
+        "adapterLimit": demand.adapter_limit,
+        "baseModels": list(demand.base_models),
+        "uses": [
+            {
+                "adapter": use.adapter,
+                "inFlight": use.in_flight,
+                "sent": use.sent,
+            }
+            for use in demand.uses[:MAX_ENTRIES]
+        ],
+        "wants": [
+            {"adapter": want.adapter, "version": want.version}
+            for want in demand.wants[:MAX_ENTRIES]
+        ],
+        "announced": [
+            {"adapter": adapter, "version": version}
+            for adapter, version in list(demand.announced.items())[:MAX_ENTRIES]
+        ],
+        "peerAddress": datagram.peer_address,
+    }
+    return _wire.FleetDatagram.new_message(demand=body).to_bytes()
+
+
+@encode.register
+def _(datagram: State) -> bytes:
+    body = {
+        "instance": datagram.instance,
+        "running": datagram.running,
+        "queued": datagram.queued,
+        "residents": [
+            {"adapter": adapter, "version": version}
+            for adapter, version in datagram.residents.items()
+        ],
+        "pending": sorted(datagram.pending),
+        "peerAddresses": list(datagram.peer_addresses),
+    }
+    return _wire.FleetDatagram.new_message(state=body).to_bytes()
+
+
+def decode(data: bytes) -> result.Outcome[Datagram]:
+    """Decodes a datagram.
+
+    Args:
+        data: What arrived.
+
+    Returns:
+        The datagram, or why it is none.
+    """
+    if len(data) > MAX_DATAGRAM_BYTES:
+        return result.Failure(result.FRAME_TOO_LARGE, f"{len(data)} bytes")
+    try:
+        with _wire.FleetDatagram.from_bytes(data) as message:
+            if message.which() == "demand":
+                return _decode_demand(message.demand)
+            return _decode_state(message.state)
+    except (capnp.KjException, ValueError) as error:
+        return result.Failure(result.FRAME_MALFORMED, str(error))
+
+
+def _decode_demand(body: object) -> DemandDatagram:
+    demand = adapter_keeper.Demand(
+        gateway=body.gateway,
+        instance=body.instance,
+        adapter_limit=body.adapterLimit,
+        base_models=tuple(body.baseModels),
+        uses=tuple(
+            adapter_keeper.Use(use.adapter, use.inFlight, use.sent)
+            for use in body.uses
+        ),
+        wants=tuple(
+            adapter_keeper.Want(want.adapter, want.version)
+            for want in body.wants
+        ),
+        announced={one.adapter: one.version for one in body.announced},
+    )
+    return DemandDatagram(demand, body.peerAddress)
+
+
+def _decode_state(body: object) -> State:
+    return State(
+        instance=body.instance,
+        running=body.running,
+        queued=body.queued,
+        residents={one.adapter: one.version for one in body.residents},
+        pending=frozenset(body.pending),
+        peer_addresses=tuple(body.peerAddresses),
+    )
--- /dev/null
+++ b/packages/radishstack/src/radishstack/process/adapter_keeper.py
@@ -0,0 +1,359 @@
+"""Which adapters one engine holds: the orders of the process beside it.
+
+Only this process gives its engine orders. What the engine holds is read anew
+before every order, since an order can be accepted without an answer, or be
+carried out seconds late; each order names the count of orders that the engine
+has accepted, so of two that were decided on the same report one is refused.
+"""
+
+from collections.abc import Mapping
+import dataclasses
+import enum
+
+from radishstack import invariant
+from radishstack import result
+from radishstack.process import popularity
+
+# A gateway's word on its use of this engine is believed this long. It is
+# renewed several times a second; after this the gateway is gone, and the
+# engine itself still protects runs from an unload.
+DEMAND_MS = 2_000
+# A want is renewed while requests wait; one that is not renewed has nobody
+# waiting any more.
+WANT_MS = 600
+# No eviction right after a use: a gateway may be sending the next request.
+IDLE_MS = 120
+# Adapters that may be in transit to one engine.
+MAX_IN_TRANSIT = 4
+# An order without an answer is decided anew after this; the engine refuses
+# one of the two.
+DOUBT_MS = 700
+# After a load order that the engine refused, others go first.
+REFUSED_MS = 500
+# Half-life of an adapter's count of requests: popularity moves in seconds.
+HALF_LIFE_MS = 10_000
+
+
+class Operation(enum.StrEnum):
+    """What an order asks for."""
+
+    LOAD = "load"
+    UNLOAD = "unload"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Order:
+    """One order.
+
+    Attributes:
+        operation: Load or unload.
+        adapter: The adapter, ``model/name``, or a base model.
+        version: Version to load, 0 for the newest.
+        accepted_count: Orders that the engine had accepted when this one was
+            decided; the engine refuses it if others came between.
+    """
+
+    operation: Operation
+    adapter: str
+    version: int
+    accepted_count: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Report:
+    """What the engine says of itself.
+
+    Attributes:
+        accepted_count: Orders that it accepted since its start.
+        residents: Versions of adapters and base models that it holds.
+        in_transit: Versions of adapters on their way to it.
+        busy: Whether it carries out an order that excludes others.
+        running: Requests that run.
+        queued: Requests that wait.
+    """
+
+    accepted_count: int
+    residents: Mapping[str, int]
+    in_transit: Mapping[str, int]
+    busy: bool
+    running: int
+    queued: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Use:
+    """A gateway's use of one adapter.
+
+    Attributes:
+        adapter: The adapter.
+        in_flight: Requests it has there now.
+        sent: Requests it sent since its last word.
+    """
+
+    adapter: str
+    in_flight: int
+    sent: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Want:
+    """An adapter that a gateway has requests for, and its lowest version."""
+
+    adapter: str
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Demand:
+    """A gateway's word to the process beside an engine.
+
+    Attributes:
+        gateway: Name of the gateway.
+        instance: Start of the engine that it knows.
+        adapter_limit: Adapters that the engine can hold.
+        base_models: Base models of the engine's service.
+        uses: Its use of adapters there.
+        wants: Adapters that it waits for.
+        announced: Announced versions that it knows.
+    """
+
+    gateway: str
+    instance: str
+    adapter_limit: int
+    base_models: tuple[str, ...]
+    uses: tuple[Use, ...]
+    wants: tuple[Want, ...]
+    announced: Mapping[str, int]
+
+
+def base_of(adapter: str) -> str:
+    """Returns the base model of an adapter; a base model is its own."""
+    return adapter.partition("/")[0]
+
+
+def is_base(adapter: str) -> bool:
+    """Whether a name is that of a base model."""
+    return "/" not in adapter
+
+
+@dataclasses.dataclass(slots=True)
+class _Wanted:
+    version: int
+    since_ms: int
+    until_ms: int
+
+
+class Keeper:
+    """Decides the orders of one engine."""
+
+    def __init__(self) -> None:
+        """Starts without a report and without demand."""
+        self.report: Report | None = None
+        self.report_at_ms = 0
+        self.adapter_limit = 0
+        self.base_models: tuple[str, ...] = ()
+        self.announced: dict[str, int] = {}
+        self.wanted: dict[str, _Wanted] = {}
+        self.last_use_ms: dict[str, int] = {}
+        self.popularity = popularity.Popularity(HALF_LIFE_MS)
+        self._in_flight: dict[str, tuple[int, dict[str, int]]] = {}
+        self._doubt_until_ms = 0
+        self._refused_until_ms: dict[str, int] = {}
+        self._hold_until_ms = 0
+
+    def restarted(self) -> None:
+        """Takes that the engine runs anew, and knows nothing of before."""
+        self.report = None
+        self._doubt_until_ms = 0
+        self._refused_until_ms.clear()
+
+    def hold(self, until_ms: int) -> None:
+        """Gives no orders for a while, as after standing still."""
+        self.report = None
+        self._hold_until_ms = until_ms
+
+    def hear(self, demand: Demand, now_ms: int) -> None:
+        """Takes a gateway's word."""
+        if demand.adapter_limit:
+            self.adapter_limit = demand.adapter_limit
+            self.base_models = demand.base_models
+        for adapter, version in demand.announced.items():
+            if version > self.announced.get(adapter, 0):
+                self.announced[adapter] = version
+        in_flight = {}
+        for use in demand.uses:
+            if use.in_flight:
+                in_flight[use.adapter] = use.in_flight
+            self.last_use_ms[use.adapter] = now_ms
+            for _ in range(use.sent):
+                self.popularity.touch(use.adapter, now_ms)
+        self._in_flight[demand.gateway] = (now_ms, in_flight)
+        for want in demand.wants:
+            wanted = self.wanted.get(want.adapter)
+            if wanted is None:
+                wanted = _Wanted(want.version, now_ms, 0)
+                self.wanted[want.adapter] = wanted
+            wanted.version = max(wanted.version, want.version)
+            wanted.until_ms = now_ms + WANT_MS
+
+    def observe(self, report: Report, now_ms: int) -> None:
+        """Takes the engine's own report."""
+        if (
+            self.report is not None
+            and report.accepted_count != self.report.accepted_count
+        ):
+            self._doubt_until_ms = 0
+        self.report = report
+        self.report_at_ms = now_ms
+
+    def in_flight(self, adapter: str, now_ms: int) -> int:
+        """Returns how many requests gateways have on an adapter."""
+        return sum(
+            own.get(adapter, 0)
+            for heard_at_ms, own in self._in_flight.values()
+            if now_ms - heard_at_ms <= DEMAND_MS
+        )
+
+    def pending(self, now_ms: int) -> frozenset[str]:
+        """Returns the adapters that are loaded or will be."""
+        report = self.report
+        in_transit = report.in_transit if report is not None else {}
+        return frozenset(in_transit) | frozenset(self._open_wants(now_ms))
+
+    def _open_wants(self, now_ms: int) -> list[str]:
+        report = self.report
+        if report is None:
+            return []
+        for adapter in [
+            name
+            for name, wanted in self.wanted.items()
+            if wanted.until_ms < now_ms
+        ]:
+            del self.wanted[adapter]
+        wants = [
+            name
+            for name, wanted in self.wanted.items()
+            if report.residents.get(name, -1) < wanted.version
+            or name not in report.residents
+        ]
+        return sorted(wants, key=lambda name: self.wanted[name].since_ms)
+
+    def decide(self, now_ms: int) -> Order | None:
+        """Decides the next order.
+
+        Returns:
+            The order, or None if none helps now.
+        """
+        report = self.report
+        if report is None or report.busy or now_ms < self._hold_until_ms:
+            return None
+        if now_ms < self._doubt_until_ms:
+            return None
+        base = self._missing_base(report)
+        if base is not None:
+            return self._order(Operation.LOAD, base, 0, now_ms)
+        for adapter in self._open_wants(now_ms):
+            if adapter in report.in_transit:
+                continue
+            if base_of(adapter) not in report.residents or is_base(adapter):
+                continue
+            if self._refused_until_ms.get(adapter, 0) > now_ms:
+                continue
+            return self._make_room_or_load(report, adapter, now_ms)
+        return self._retire(report, now_ms)
+
+    def _missing_base(self, report: Report) -> str | None:
+        """Returns the base model that an empty engine is to load."""
+        if any(is_base(name) for name in report.residents):
+            return None
+        wanted = [base_of(name) for name in self.wanted]
+        for name in wanted:
+            if name in self.base_models:
+                return name
+        return self.base_models[0] if self.base_models else None
+
+    def _occupied(self, report: Report) -> int:
+        held = sum(not is_base(name) for name in report.residents)
+        return held + len(report.in_transit)
+
+    def _make_room_or_load(
+        self, report: Report, adapter: str, now_ms: int
+    ) -> Order | None:
+        if len(report.in_transit) >= MAX_IN_TRANSIT:
+            return None
+        if self._occupied(report) < self.adapter_limit:
+            version = self.announced.get(adapter, 0)
+            return self._order(Operation.LOAD, adapter, version, now_ms)
+        victim = self._victim(report, now_ms)
+        if victim is None:
+            return None
+        return self._order(Operation.UNLOAD, victim, 0, now_ms)
+
+    def _retire(self, report: Report, now_ms: int) -> Order | None:
+        """Unloads an idle adapter whose version is out of date."""
+        for adapter, version in report.residents.items():
+            if is_base(adapter) or version >= self.announced.get(adapter, 0):
+                continue
+            if self._idle(adapter, now_ms):
+                return self._order(Operation.UNLOAD, adapter, 0, now_ms)
+        return None
+
+    def _idle(self, adapter: str, now_ms: int) -> bool:
+        if self.in_flight(adapter, now_ms):
+            return False
+        return now_ms - self.last_use_ms.get(adapter, -IDLE_MS) >= IDLE_MS
+
+    def _needed(self, report: Report, adapter: str) -> bool:
+        """Whether requests wait for the version that the engine holds."""
+        wanted = self.wanted.get(adapter)
+        return wanted is not None and (
+            report.residents.get(adapter, -1) >= wanted.version
+        )
+
+    def _victim(self, report: Report, now_ms: int) -> str | None:
+        """Returns the idle adapter that is least likely to be asked for."""
+        idle = [
+            name
+            for name in report.residents
+            if not is_base(name)
+            and not self._needed(report, name)
+            and self._idle(name, now_ms)
+        ]
+        if not idle:
+            return None
+        return min(
+            idle,
+            key=lambda name: (
+                report.residents[name] >= self.announced.get(name, 0),
+                self.popularity.value(name, now_ms),
+                self.last_use_ms.get(name, 0),
+                name,
+            ),
+        )
+
+    def _order(
+        self, operation: Operation, adapter: str, version: int, now_ms: int
+    ) -> Order:
+        report = self.report
+        if operation is Operation.LOAD and not is_base(adapter):
+            # One adapter too many makes the engine crash with all its runs.
+            invariant.require(
+                self._occupied(report) < self.adapter_limit,
+                result.SLOTS_OVERFILLED,
+                f"load of {adapter} into {self.adapter_limit} slots",
+            )
+        if operation is Operation.UNLOAD:
+            invariant.require(
+                self.in_flight(adapter, now_ms) == 0,
+                result.UNLOAD_WHILE_SERVING,
+                f"unload of {adapter} in use",
+            )
+        self._doubt_until_ms = now_ms + DOUBT_MS
+        return Order(operation, adapter, version, report.accepted_count)
+
+    def settled(self, order: Order, accepted: bool, now_ms: int) -> None:
+        """Takes an answer to an order; the next one needs a new report."""
+        self.report = None
+        self._doubt_until_ms = 0
+        if not accepted:
+            self._refused_until_ms[order.adapter] = now_ms + REFUSED_MS
--- /dev/null
+++ b/packages/radishstack/src/radishstack/process/placement.py
@@ -0,0 +1,306 @@
+"""Where a forwarded request goes, and where a missing adapter is loaded.
+
+A target that holds the adapter takes the request, the least loaded first.
+Where none does, every gateway computes the same home for the load from the
+rendezvous order, without a message, and passes over targets that are full.
+One copy of an adapter also keeps its prompt cache in one place; a second copy
+is made once the first one's target is busy.
+"""
+
+from collections.abc import Mapping
+import dataclasses
+import random
+
+from radishstack.process import adapter_keeper
+from radishstack.process import roster as roster_lib
+from radishstack.version import rendezvous
+
+# Time to load an adapter that the target did not hold recently, and the step
+# by which one more running request delays the others, as configured engines
+# publish them; both only rank targets.
+LOAD_MS = 250.0
+REQUEST_COST_MS = 6.0
+QUEUED_COST_MS = 40.0
+# A copy elsewhere is worth its load once the holders are this much later
+# than an idle target would be.
+SPREAD_ABOVE_MS = 260.0
+# A failed send costs the caller a new attempt, about one objective.
+FAILURE_COST_MS = 800.0
+FAR_COST_MS = 3.0
+# A target process that was not heard for this long gets no load orders.
+SILENT_MS = 1_500
+# Loads waiting at one target before the next in the order is taken.
+MAX_PENDING_LOADS = 6
+# How long an older version still serves while the new one is loaded. The
+# platform's bound is longer by the time that a request may wait.
+OLD_VERSION_MS = 2_500
+LATENCY_FLOOR_MS = 20.0
+
+
+@dataclasses.dataclass(slots=True)
+class View:
+    """A target process' last word on its engine.
+
+    Attributes:
+        instance: Which start of the engine it spoke of.
+        heard_at_ms: When the word arrived.
+        running: Requests that run there.
+        queued: Requests that wait there.
+        residents: Versions by adapter.
+        pending: Adapters being loaded or waiting for a load.
+        sent_since: Requests sent there by this process since the word.
+    """
+
+    instance: str
+    heard_at_ms: int
+    running: int
+    queued: int
+    residents: dict[str, int]
+    pending: frozenset[str]
+    sent_since: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Announced:
+    """A version that the operator announced, and when it was learned."""
+
+    version: int
+    at_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Choice:
+    """What to do with a request now.
+
+    Attributes:
+        send: Target to send to, None to wait for a load.
+        load: Target that is to load the adapter, None if none needs to.
+        version: Version believed at ``send``, 0 if unknown.
+    """
+
+    send: roster_lib.Member | None
+    load: roster_lib.Member | None
+    version: int = 0
+
+
+class Placement:
+    """Residency and load of the targets, as one gateway believes them."""
+
+    def __init__(self, random_source: random.Random, near: str) -> None:
+        """Starts knowing nothing.
+
+        Args:
+            random_source: Breaks ties, so that gateways do not herd.
+            near: This process' failure domain.
+        """
+        self.views: dict[str, View] = {}
+        self.announced: dict[str, Announced] = {}
+        self._random = random_source
+        self._near = near
+
+    def announce(self, adapter: str, version: int, now_ms: int) -> bool:
+        """Learns of a new version; returns whether it is news."""
+        known = self.announced.get(adapter)
+        if known is not None and known.version >= version:
+            return False
+        self.announced[adapter] = Announced(version, now_ms)
+        return True
+
+    def hear(self, address: str, view: View) -> None:
+        """Takes a target process' word, keyed by the target's address."""
+        self.views[address] = view
+
+    def forget(self, now_ms: int, keep_ms: int) -> None:
+        """Drops words that are too old to mean anything."""
+        self.views = {
+            address: view
+            for address, view in self.views.items()
+            if now_ms - view.heard_at_ms < keep_ms
+        }
+
+    def disbelieve(self, member: roster_lib.Member, adapter: str) -> None:
+        """Takes a target's word that it does not hold an adapter."""
+        view = self.view_of(member)
+        if view is not None:
+            view.residents.pop(adapter, None)
+            return
+        listing = member.listing
+        residents = {
+            name: version
+            for name, version in listing.residents.items()
+            if name != adapter
+        }
+        member.listing = dataclasses.replace(listing, residents=residents)
+
+    def view_of(self, member: roster_lib.Member) -> View | None:
+        """Returns the word on this very start of a target."""
+        view = self.views.get(member.listing.address)
+        if view is None or view.instance != member.listing.instance:
+            return None
+        return view
+
+    def residents(
+        self, member: roster_lib.Member, now_ms: int
+    ) -> Mapping[str, int]:
+        """Returns what a target is believed to hold."""
+        view = self.view_of(member)
+        if view is not None and now_ms - view.heard_at_ms <= SILENT_MS:
+            return view.residents
+        return member.listing.residents
+
+    def cost_ms(self, member: roster_lib.Member, now_ms: int) -> float:
+        """Estimates how much later than at an idle target a request starts."""
+        health = member.health
+        view = self.view_of(member)
+        running, queued = health.in_flight, 0
+        if view is not None and now_ms - view.heard_at_ms <= SILENT_MS:
+            running = max(running, view.running + view.sent_since)
+            queued = view.queued
+        slots = max(1, member.listing.slot_count)
+        cost_ms = REQUEST_COST_MS * running
+        cost_ms += QUEUED_COST_MS * (queued + max(0, running - slots))
+        cost_ms += FAILURE_COST_MS * health.failure_share
+        if member.listing.failure_domain != self._near:
+            cost_ms += FAR_COST_MS
+        return cost_ms
+
+    def plain(
+        self,
+        usable: list[roster_lib.Member],
+        excluded: frozenset[str],
+    ) -> roster_lib.Member | None:
+        """Chooses a target of a service without adapters.
+
+        Args:
+            usable: Targets that may get work.
+            excluded: Instances that already had this request.
+
+        Returns:
+            The target expected to answer first, or None.
+        """
+        best: roster_lib.Member | None = None
+        best_ms = 0.0
+        for member in usable:
+            if member.listing.instance in excluded:
+                continue
+            health = member.health
+            latency_ms = max(health.latency_ms, LATENCY_FLOOR_MS)
+            slots = max(1, member.listing.slot_count)
+            cost_ms = latency_ms * (1 + health.in_flight / slots)
+            cost_ms += FAILURE_COST_MS * health.failure_share
+            cost_ms *= self._random.uniform(0.9, 1.1)
+            if best is None or cost_ms < best_ms:
+                best, best_ms = member, cost_ms
+        return best
+
+    def choose(
+        self,
+        adapter: str,
+        usable: list[roster_lib.Member],
+        excluded: frozenset[str],
+        now_ms: int,
+    ) -> Choice:
+        """Chooses for a request that needs an adapter.
+
+        Args:
+            adapter: The adapter.
+            usable: Targets of the service that may get work.
+            excluded: Instances that already had this request.
+            now_ms: Now.
+
+        Returns:
+            Where to send it, and where to have the adapter loaded.
+        """
+        candidates = [
+            member
+            for member in usable
+            if member.listing.instance not in excluded
+        ]
+        if not candidates:
+            return Choice(None, None)
+        announced = self.announced.get(adapter)
+        floor = announced.version if announced is not None else 0
+        best = self._cheapest(adapter, candidates, floor, now_ms)
+        if best is not None:
+            held = self.residents(best, now_ms).get(adapter, 0)
+            if self.cost_ms(best, now_ms) <= SPREAD_ABOVE_MS:
+                return Choice(best, None, held if floor else 0)
+            home = self._home(adapter, candidates, floor, now_ms)
+            return Choice(best, home, held if floor else 0)
+        home = self._home(adapter, candidates, floor, now_ms)
+        if announced is not None:
+            old = self._cheapest(adapter, candidates, 0, now_ms)
+            if old is not None and now_ms - announced.at_ms < OLD_VERSION_MS:
+                # Serving the old version for a moment longer spares callers
+                # the wait for a replacement, which begins only when all
+                # runs on the old one have ended.
+                return Choice(old, home)
+        return Choice(None, home)
+
+    def _cheapest(
+        self,
+        adapter: str,
+        candidates: list[roster_lib.Member],
+        floor: int,
+        now_ms: int,
+    ) -> roster_lib.Member | None:
+        holders = [
+            member
+            for member in candidates
+            if self.residents(member, now_ms).get(adapter, -1) >= floor
+        ]
+        if not holders:
+            return None
+        return min(
+            holders,
+            key=lambda one: (self.cost_ms(one, now_ms), one.listing.instance),
+        )
+
+    def _home(
+        self,
+        adapter: str,
+        candidates: list[roster_lib.Member],
+        floor: int,
+        now_ms: int,
+    ) -> roster_lib.Member | None:
+        by_name = {}
+        for member in candidates:
+            view = self.view_of(member)
+            if view is None or now_ms - view.heard_at_ms > SILENT_MS:
+                continue
+            if adapter in view.pending:
+                return member
+            held = view.residents.get(adapter, -1)
+            if held >= floor:
+                continue
+            by_name[member.listing.address] = member
+        if not by_name:
+            return None
+        base = adapter_keeper.base_of(adapter)
+        running = {
+            address: member
+            for address, member in by_name.items()
+            if base in self.views[address].residents
+        }
+        # An engine that is down, or has just restarted, holds no base model;
+        # a load there would wait for seconds.
+        by_name = running or by_name
+        ordered = rendezvous.order(adapter, by_name)
+        stale = [
+            address
+            for address in ordered
+            if adapter in self.views[address].residents
+        ]
+        fresh = [address for address in ordered if address not in stale]
+        # A target that still serves the old version comes last: replacing
+        # it there makes its callers wait.
+        for address in fresh + stale:
+            member = by_name[address]
+            pending = len(self.views[address].pending)
+            costly = self.cost_ms(member, now_ms) > SPREAD_ABOVE_MS
+            if pending < MAX_PENDING_LOADS and not costly:
+                return member
+        return min(
+            by_name.values(),
+            key=lambda one: len(self.views[one.listing.address].pending),
+        )
--- /dev/null
+++ b/packages/radishstack/src/radishstack/process/roster.py
@@ -0,0 +1,234 @@
+"""Which targets exist, which are leaving, and which are in doubt.
+
+Two sources are joined. The platform's list says what was registered; it lags,
+and entries lapse while the store that keeps it is down. Own evidence (refused
+connections, answers that failed) is fresh but local.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+import dataclasses
+
+# Failure estimate: weight of the newest outcome. With 0.25, three failures in
+# a row pass ``SICK_ABOVE`` and five good answers bring it back under.
+FAILURE_WEIGHT = 0.25
+SICK_ABOVE = 0.5
+# A target that could not be reached is left alone this long, doubling up to
+# the maximum: a restarted engine is back within seconds.
+EJECT_FIRST_MS = 300
+EJECT_MAX_MS = 2_400
+# Latency estimate: weight of the newest answer.
+LATENCY_WEIGHT = 0.2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Listing:
+    """One target as the platform lists it.
+
+    Attributes:
+        instance: Name of this start of the target; a restart has another.
+        service: Its service.
+        address: ``ip:port``.
+        failure_domain: Where it runs.
+        leaving: Whether it said that it leaves.
+        slot_count: Requests it runs at once.
+        residents: Versions of what it held, by adapter.
+    """
+
+    instance: str
+    service: str
+    address: str
+    failure_domain: str
+    leaving: bool
+    slot_count: int
+    residents: Mapping[str, int] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(slots=True)
+class Health:
+    """What this process saw of a target itself.
+
+    Attributes:
+        failure_share: Decayed share of failures among its outcomes.
+        latency_ms: Decayed time to the first byte, 0 while unknown.
+        ejected_until_ms: Until when it gets no work.
+        ejections: Ejections in a row.
+        in_flight: Requests of this process that it has.
+    """
+
+    failure_share: float = 0.0
+    latency_ms: float = 0.0
+    ejected_until_ms: int = 0
+    ejections: int = 0
+    in_flight: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Member:
+    """A target with what is believed of it.
+
+    Attributes:
+        listing: What the platform lists.
+        health: What was seen here.
+        lapses_at_ms: When it is given up since the list lost it, 0 if not.
+        gone: Whether it was seen to have ended.
+    """
+
+    listing: Listing
+    health: Health
+    lapses_at_ms: int = 0
+    gone: bool = False
+
+
+class Roster:
+    """All targets that this process knows."""
+
+    def __init__(self, lapse_grace_ms: int) -> None:
+        """Starts empty.
+
+        Args:
+            lapse_grace_ms: How long after an outage of the list an entry
+                that is missing from it is still believed.
+        """
+        self.members: dict[str, Member] = {}
+        self._by_service: dict[str, list[Member]] = {}
+        self._lapse_grace_ms = lapse_grace_ms
+        self._outage_ended_ms = -lapse_grace_ms
+
+    def _index(self) -> None:
+        by_service: dict[str, list[Member]] = {}
+        for member in self.members.values():
+            own = by_service.setdefault(member.listing.service, [])
+            own.append(member)
+        self._by_service = by_service
+
+    def outage_ended(self, now_ms: int) -> None:
+        """Notes that the list can be read again.
+
+        Entries lapse while the platform cannot renew them; taking their
+        absence for death right after an outage would empty the roster.
+        """
+        self._outage_ended_ms = now_ms
+
+    def upsert(self, listing: Listing) -> None:
+        """Takes one entry of the list."""
+        member = self.members.get(listing.instance)
+        if member is None:
+            self.members[listing.instance] = Member(listing, Health())
+            self._index()
+            return
+        member.listing = listing
+        member.lapses_at_ms = 0
+
+    def remove(self, instance: str, now_ms: int) -> bool:
+        """Takes that the list lost an entry.
+
+        Returns:
+            Whether it is dropped at once.
+        """
+        member = self.members.get(instance)
+        if member is None:
+            return False
+        grace_end_ms = self._outage_ended_ms + self._lapse_grace_ms
+        if now_ms < grace_end_ms and not member.listing.leaving:
+            member.lapses_at_ms = grace_end_ms
+            return False
+        del self.members[instance]
+        self._index()
+        return True
+
+    def replace_all(
+        self, listings: Iterable[Listing], now_ms: int
+    ) -> list[str]:
+        """Takes a whole list.
+
+        Returns:
+            Instances that were dropped.
+        """
+        seen = set()
+        for listing in listings:
+            seen.add(listing.instance)
+            self.upsert(listing)
+        missing = [name for name in self.members if name not in seen]
+        return [name for name in missing if self.remove(name, now_ms)]
+
+    def drop_lapsed(self, now_ms: int) -> list[str]:
+        """Drops entries whose grace has passed."""
+        lapsed = [
+            name
+            for name, member in self.members.items()
+            if member.lapses_at_ms and now_ms >= member.lapses_at_ms
+        ]
+        for name in lapsed:
+            del self.members[name]
+        if lapsed:
+            self._index()
+        return lapsed
+
+    def of_service(self, service: str) -> list[Member]:
+        """Returns the members of a service, leaving ones included."""
+        return self._by_service.get(service, [])
+
+    def usable(self, service: str, now_ms: int) -> list[Member]:
+        """Returns the targets that may get new work.
+
+        Ejection never empties a service: with every target in doubt, the
+        doubt is more likely about this process or its links.
+        """
+        staying = [
+            member
+            for member in self.of_service(service)
+            if not member.listing.leaving and not member.gone
+        ]
+        trusted = [
+            member
+            for member in staying
+            if member.health.ejected_until_ms <= now_ms
+        ]
+        return trusted or staying
+
+    def unreachable(self, instance: str, now_ms: int) -> None:
+        """Notes that a target could not be reached, and leaves it alone."""
+        member = self.members.get(instance)
+        if member is None:
+            return
+        health = member.health
+        pause_ms = min(EJECT_FIRST_MS * 2**health.ejections, EJECT_MAX_MS)
+        health.ejections = min(health.ejections + 1, 8)
+        health.ejected_until_ms = now_ms + pause_ms
+        self.failed(instance, now_ms)
+
+    def failed(self, instance: str, now_ms: int) -> None:
+        """Notes a failure of a target."""
+        member = self.members.get(instance)
+        if member is None:
+            return
+        health = member.health
+        health.failure_share += FAILURE_WEIGHT * (1 - health.failure_share)
+        if health.failure_share > SICK_ABOVE:
+            health.ejected_until_ms = max(
+                health.ejected_until_ms, now_ms + EJECT_FIRST_MS
+            )
+
+    def answered(self, instance: str, took_ms: float) -> None:
+        """Notes a good answer and the time to its first byte."""
+        member = self.members.get(instance)
+        if member is None:
+            return
+        health = member.health
+        health.failure_share -= FAILURE_WEIGHT * health.failure_share
+        health.ejections = 0
+        known_ms = health.latency_ms or took_ms
+        health.latency_ms = known_ms + LATENCY_WEIGHT * (took_ms - known_ms)
+
+    def ended(self, instance: str) -> None:
+        """Notes proof that this start of a target is over."""
+        member = self.members.get(instance)
+        if member is not None:
+            member.gone = True
+
+    def forget_evidence(self) -> None:
+        """Drops what was seen before this process stood still."""
+        for member in self.members.values():
+            member.health.ejected_until_ms = 0
+            member.health.ejections = 0
--- /dev/null
+++ b/packages/radishstack/src/radishstack/request/event_stream.py
@@ -0,0 +1,87 @@
+"""Whole events of a server-sent event stream, each exactly once.
+
+A target can stop in the middle of an event, and a stream that goes on at
+another target may begin with events that the caller has. Only whole events
+are passed on, so that what the caller has is always a prefix of the stream.
+"""
+
+ID_FIELD = b"id:"
+# An event larger than this is not held back any longer for its end.
+MAX_EVENT_BYTES = 1024 * 1024
+
+
+class EventStream:
+    """Cuts a byte stream into events and drops repeated ones."""
+
+    __slots__ = ("_pending", "last_id", "passed")
+
+    def __init__(self) -> None:
+        """Starts before the first event."""
+        self._pending = b""
+        self.last_id = b""
+        self.passed = 0
+
+    def restart(self) -> None:
+        """Begins to read another answer of the same stream."""
+        self._pending = b""
+
+    def feed(self, data: bytes) -> bytes:
+        """Takes bytes of an answer.
+
+        Args:
+            data: The next bytes.
+
+        Returns:
+            The whole events among what was taken so far, without those that
+            were returned before.
+        """
+        self._pending += data
+        passed = []
+        while True:
+            size_bytes = _event_end(self._pending)
+            if size_bytes == 0:
+                break
+            event = self._pending[:size_bytes]
+            self._pending = self._pending[size_bytes:]
+            if self._is_new(event):
+                passed.append(event)
+                self.passed += 1
+        return b"".join(passed)
+
+    @property
+    def is_between_events(self) -> bool:
+        """Whether nothing of a further event has been taken."""
+        return not self._pending
+
+    def rest(self) -> bytes:
+        """Takes what is left after the last event of a complete answer."""
+        rest, self._pending = self._pending, b""
+        return rest
+
+    def _is_new(self, event: bytes) -> bool:
+        number = _event_id(event)
+        if number is None:
+            return True
+        if self.last_id.isdigit() and number.isdigit():
+            if int(number) <= int(self.last_id):
+                return False
+        elif number == self.last_id:
+            return False
+        self.last_id = number
+        return True
+
+
+def _event_end(data: bytes) -> int:
+    ends = [
+        position + len(mark)
+        for mark in (b"\n\n", b"\r\n\r\n")
+        if (position := data.find(mark)) >= 0
+    ]
+    return min(ends, default=0)
+
+
+def _event_id(event: bytes) -> bytes | None:
+    for line in event.splitlines():
+        if line.startswith(ID_FIELD):
+            return line[len(ID_FIELD) :].strip()
+    return None
--- /dev/null
+++ b/packages/radishstack/src/radishstack/request/forwarding.py
@@ -0,0 +1,152 @@
+"""What follows when a send of a forwarded request has come to nothing.
+
+The rule that everything else bends to: a request that may have run is sent
+again only if its route allows it to run twice. What proves that it has not
+run is a connection that was never opened, or the target's own word.
+"""
+
+import dataclasses
+import enum
+
+from radishstack import invariant
+from radishstack import result
+from radishstack.version import route_table
+
+# Sends that never reached a target; each costs one connect timeout at most.
+MAX_UNSENT = 3
+# Sends in all of one attempt, those with proof that nothing ran included.
+MAX_SENDS = 4
+# With less than this left, another send cannot be answered in time.
+MIN_LEFT_MS = 60
+
+
+class Outcome(enum.Enum):
+    """How a send ended."""
+
+    UNSENT = "unsent"
+    SHED = "shed"
+    MISMATCH = "mismatch"
+    GONE = "gone"
+    LOST = "lost"
+    SPOILED = "spoiled"
+    SILENT = "silent"
+    FAILED = "failed"
+
+
+_UNPROVEN = frozenset(
+    {Outcome.LOST, Outcome.SPOILED, Outcome.SILENT, Outcome.FAILED}
+)
+_CODES = {
+    Outcome.UNSENT: result.TARGET_UNREACHABLE,
+    Outcome.SHED: result.TARGET_SHED,
+    Outcome.MISMATCH: result.TARGET_MISMATCH,
+    Outcome.GONE: result.TARGET_MISMATCH,
+    Outcome.LOST: result.ANSWER_LOST,
+    Outcome.SPOILED: result.ANSWER_SPOILED,
+    Outcome.SILENT: result.ANSWER_LOST,
+    Outcome.FAILED: result.TARGET_FAILED,
+}
+
+
+class Step(enum.Enum):
+    """What to do next."""
+
+    ELSEWHERE = "elsewhere"
+    SAME_TARGET = "same_target"
+    GIVE_UP = "give_up"
+
+
+@dataclasses.dataclass(slots=True)
+class Forwarding:
+    """The sends of one attempt.
+
+    Attributes:
+        route: Its route.
+        may_have_run: Whether a send may have run it.
+        unsent: Sends that never reached a target.
+        sends: Sends that reached one.
+        reached: Instances that were sent to.
+        avoided: Instances not to be chosen again.
+        failure: Why it is given up, if it is.
+    """
+
+    route: route_table.Route
+    may_have_run: bool = False
+    unsent: int = 0
+    sends: int = 0
+    reached: set[str] = dataclasses.field(default_factory=set)
+    avoided: set[str] = dataclasses.field(default_factory=set)
+    failure: result.Failure | None = None
+
+    def sending(self, instance: str) -> None:
+        """Notes a send, just before its first byte leaves."""
+        invariant.require(
+            not self.may_have_run or self.route.repeatable,
+            result.SENT_AFTER_POSSIBLE_RUN,
+            f"{self.route.name} to {instance}",
+        )
+        self.sends += 1
+        self.reached.add(instance)
+
+    @property
+    def may_use_another(self) -> bool:
+        """Whether a target that was not reached yet may be sent to."""
+        return len(self.reached) < self.route.max_targets
+
+    def ended(
+        self, instance: str, outcome: Outcome, left_ms: int, *, paid: bool
+    ) -> Step:
+        """Decides what follows the end of a send.
+
+        Args:
+            instance: Where it went.
+            outcome: How it ended.
+            left_ms: Time that the caller still has.
+            paid: Whether the retry budget allows another send.
+
+        Returns:
+            The next step; ``failure`` is set when it is to give up.
+        """
+        if outcome is Outcome.UNSENT:
+            self.unsent += 1
+            self.avoided.add(instance)
+            if self.unsent <= MAX_UNSENT and left_ms > MIN_LEFT_MS:
+                return Step.ELSEWHERE
+            return self._give_up(outcome)
+        if outcome is Outcome.GONE:
+            # That start of the target is over, so the request is free to go
+            # to another, as if this send had not been.
+            self.reached.discard(instance)
+            self.avoided.add(instance)
+        if outcome in _UNPROVEN:
+            self.may_have_run = True
+        if self.may_have_run and not self.route.repeatable:
+            return self._give_up(outcome)
+        exhausted = self.sends >= MAX_SENDS or left_ms <= MIN_LEFT_MS
+        if exhausted or not paid:
+            return self._give_up(outcome)
+        if self.may_use_another:
+            self.avoided.add(instance)
+            return Step.ELSEWHERE
+        if outcome is Outcome.MISMATCH:
+            return Step.SAME_TARGET
+        return self._give_up(outcome)
+
+    def _give_up(self, outcome: Outcome) -> Step:
+        code = _CODES[outcome]
+        if self.may_have_run and code.executed is result.Executed.NO:
+            code = result.OUTCOME_UNKNOWN
+        self.failure = result.Failure(
+            code, f"the last send was {outcome.value}"
+        )
+        return Step.GIVE_UP
+
+    def timed_out(self, *, sent: bool) -> result.Failure:
+        """Returns the failure of a request whose time is up."""
+        if sent or self.may_have_run:
+            return result.Failure(
+                result.ROUTE_TIMEOUT, "the target had not answered in time"
+            )
+        return result.Failure(
+            result.ROUTE_TIMEOUT_UNSENT, "no target could take it in time"
+        )
--- a/packages/radishstack/src/radishstack/result.py
+++ b/packages/radishstack/src/radishstack/result.py
@@ -96,6 +96,12 @@
 LEDGER_FULL = Code(2018, "ledger_full", 503, Executed.UNKNOWN)
 NOT_HOME = Code(2019, "not_home", 503, Executed.UNKNOWN)
 
+ROUTE_UNKNOWN = Code(1014, "route_unknown", 404)
+ADAPTER_LOADING = Code(2020, "adapter_loading", 503, elsewhere=True)
+TARGET_SHED = Code(2021, "target_shed", 503, elsewhere=True)
+TARGET_MISMATCH = Code(2022, "target_mismatch", 503, elsewhere=True)
+ROUTE_TIMEOUT_UNSENT = Code(2023, "route_timeout_unsent", 503)
+
 OUTCOME_UNKNOWN = Code(3001, "outcome_unknown", 504, Executed.UNKNOWN)
 KEY_QUARANTINED = Code(3002, "key_quarantined", 503, Executed.UNKNOWN)
 HOME_UNREACHABLE = Code(3003, "home_unreachable", 503, Executed.UNKNOWN)
@@ -106,6 +112,10 @@
 RUN_UNKNOWN = Code(3008, "run_unknown", 502, Executed.UNKNOWN)
 PRIOR_HOME_UNKNOWN = Code(3009, "prior_home_unknown", 503, Executed.UNKNOWN)
 
+ROUTE_TIMEOUT = Code(3010, "route_timeout", 504, Executed.UNKNOWN)
+ANSWER_LOST = Code(3011, "answer_lost", 502, Executed.UNKNOWN)
+ANSWER_SPOILED = Code(3012, "answer_spoiled", 502, Executed.UNKNOWN)
+
 CHANGE_CONFLICT = Code(4001, "change_conflict", 409)
 CHANGE_INVALID = Code(4002, "change_invalid", 400)
 STORE_UNAVAILABLE = Code(4003, "store_unavailable", 503)
@@ -133,6 +143,11 @@
 CHUNK_ORDER_BROKEN = Code(9008, "chunk_order_broken", 500, Executed.UNKNOWN)
 GRANT_MISCOUNTED = Code(9009, "grant_miscounted", 500, Executed.UNKNOWN)
 REPLY_TWICE = Code(9010, "reply_twice", 500, Executed.UNKNOWN)
+SLOTS_OVERFILLED = Code(9012, "slots_overfilled", 500)
+SENT_AFTER_POSSIBLE_RUN = Code(
+    9013, "sent_after_possible_run", 500, Executed.UNKNOWN
+)
+DEADLINE_GREW = Code(9014, "deadline_grew", 500, Executed.UNKNOWN)
 INTERNAL = Code(9011, "internal", 500, Executed.UNKNOWN)
 
 BY_NUMBER: dict[int, Code] = {
--- /dev/null
+++ b/packages/radishstack/src/radishstack/version/route_table.py
@@ -0,0 +1,192 @@
+"""Which service a forwarded request belongs to, and what its route allows.
+
+A route table is one accepted version of the operator's routes. It is matched
+by host and by the longest path prefix, and a holder of tables only ever goes
+forward: a process that served a version never serves an older one.
+"""
+
+from collections.abc import Mapping
+import dataclasses
+import enum
+
+from radishstack import invariant
+from radishstack import result
+
+
+class Repeat(enum.StrEnum):
+    """How often a request may run."""
+
+    IDEMPOTENT = "idempotent"
+    ONCE = "once"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Share:
+    """A service and its weight among the services of one route."""
+
+    service: str
+    weight: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Route:
+    """One route.
+
+    Attributes:
+        name: Its name.
+        host: Host it serves, in lower case.
+        path_prefix: Path prefix, with a slash at both ends.
+        repeat: Whether a request may run more than once.
+        streams: Whether the answer is a stream of events.
+        resumable: Whether a stream may go on at another target.
+        timeout_ms: Longest time a caller is kept waiting.
+        objective_ms: Time within which an answer, or the first event of a
+            stream, is on time.
+        gap_objective_ms: Longest pause between two events that is on time.
+        priority: Rank, 0 the most urgent.
+        max_targets: Most targets that one attempt may be sent to.
+        shares: Services that take its requests.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    repeat: Repeat
+    streams: bool
+    resumable: bool
+    timeout_ms: int
+    objective_ms: int
+    gap_objective_ms: int
+    priority: int
+    max_targets: int
+    shares: tuple[Share, ...]
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether a request may be sent again after it may have run."""
+        if self.streams:
+            return self.resumable
+        return self.repeat is Repeat.IDEMPOTENT
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceSpec:
+    """What is configured of one service.
+
+    Attributes:
+        name: Its name.
+        max_connections: Connections one target takes from all callers.
+        adapter_limit: Adapters that one target can hold at once, 0 if the
+            service has no adapters.
+        base_models: Base models of its engines.
+    """
+
+    name: str
+    max_connections: int
+    adapter_limit: int = 0
+    base_models: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limits:
+    """What callers may send, and how long they may stay idle."""
+
+    max_header_bytes: int
+    max_body_bytes: int
+    idle_timeout_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RouteTable:
+    """One accepted version of the routes.
+
+    Attributes:
+        version: Version number; 0 is the table before any is known.
+        routes: All routes by host, the longest prefix first.
+        services: Services by name.
+        limits: Bounds for callers.
+    """
+
+    version: int
+    routes: Mapping[str, tuple[Route, ...]]
+    services: Mapping[str, ServiceSpec]
+    limits: Limits
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Finds the route of a request.
+
+        Args:
+            host: Host header, with or without a port.
+            path: Path without the query.
+
+        Returns:
+            The route with the longest matching prefix, or None.
+        """
+        name = host.partition(":")[0].lower()
+        for route in self.routes.get(name, ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
+
+
+EMPTY = RouteTable(0, {}, {}, Limits(16_384, 4 * 1024 * 1024, 15_000))
+
+
+def make_table(
+    version: int,
+    routes: list[Route],
+    services: list[ServiceSpec],
+    limits: Limits,
+) -> RouteTable:
+    """Sorts routes for matching.
+
+    Args:
+        version: Version number.
+        routes: The routes in any order.
+        services: The services.
+        limits: Bounds for callers.
+
+    Returns:
+        The table.
+    """
+    by_host: dict[str, list[Route]] = {}
+    for route in routes:
+        by_host.setdefault(route.host, []).append(route)
+    ordered = {
+        host: tuple(sorted(own, key=lambda one: -len(one.path_prefix)))
+        for host, own in by_host.items()
+    }
+    return RouteTable(
+        version, ordered, {one.name: one for one in services}, limits
+    )
+
+
+class TableHolder:
+    """Holds the newest table and never goes back."""
+
+    def __init__(self) -> None:
+        """Starts without a table."""
+        self.table = EMPTY
+
+    def offer(self, table: RouteTable) -> bool:
+        """Takes a table if it is newer.
+
+        An answer of the store, of a lagging replica of it, or of a peer can
+        be older than what is in force here; taking it would serve a route
+        that the operator has removed.
+
+        Args:
+            table: The table.
+
+        Returns:
+            Whether it was newer.
+        """
+        if table.version <= self.table.version:
+            return False
+        invariant.require(
+            table.version > self.table.version,
+            result.VERSION_FELL,
+            f"{self.table.version} to {table.version}",
+        )
+        self.table = table
+        return True
