--- a/packages/radishctl/src/radishctl/cli.py
+++ b/packages/radishctl/src/radishctl/cli.py
@@ -14,6 +14,7 @@
 from radishd.process import settings as settings_lib
 from radishd.process import store as store_lib
 from radishstack import result
+from radishstack.version import checks
 from radishstack.version import commit as commit_lib
 from radishstack.version import document as document_lib
 from radishstack.version import operation as operation_lib
@@ -109,7 +110,7 @@
         for key in operation_lib.writes(operation)
     ]
     value = getattr(operation, "value", getattr(operation, "source", ""))
-    return operation.op, ", ".join(paths), document_lib.shorten(value)
+    return operation.op, ", ".join(paths), checks.shorten(value)
 
 
 @config.command()
--- a/packages/radishd/src/radishd/cli.py
+++ b/packages/radishd/src/radishd/cli.py
@@ -1,5 +1,6 @@
 """``radishd``: run a process, check its settings, or show a demo."""
 
+import importlib
 import pathlib
 import sys
 
@@ -7,10 +8,6 @@
 import click
 from radishstack import result
 
-from radishd import entry
-from radishd import gateway
-from radishd import sidecar
-from radishd import target
 from radishd.process import exits
 from radishd.process import logs
 from radishd.process import settings as settings_lib
@@ -53,28 +50,41 @@
     """
     settings = _read(path)
     logs.configure(settings.log_level, name=settings.name)
-    anyio.run(run_role, settings)
+    anyio.run(run_role, settings, path)
 
 
+# The module of each role is imported only where it runs: the others would
+# cost each process some ten megabytes for code that it never uses.
 _ROLES = {
-    settings_lib.Role.ENTRY: entry,
-    settings_lib.Role.TARGET: target,
-    settings_lib.Role.GATEWAY: gateway,
-    settings_lib.Role.SIDECAR: sidecar,
+    settings_lib.Role.ENTRY: "radishd.entry",
+    settings_lib.Role.TARGET: "radishd.target",
+    settings_lib.Role.GATEWAY: "radishd.gateway",
+    settings_lib.Role.SIDECAR: "radishd.sidecar",
 }
+_RELOADABLE = (settings_lib.Role.GATEWAY, settings_lib.Role.SIDECAR)
 
 
-async def run_role(settings: settings_lib.Settings) -> None:
-    """Runs one role until a signal has drained it."""
+async def run_role(settings: settings_lib.Settings, path: pathlib.Path) -> None:
+    """Runs one role until a signal has drained it.
+
+    Args:
+        settings: Settings of the process.
+        path: Where they were read, and are read again on SIGHUP.
+    """
     stop = anyio.Event()
-    module = _ROLES[settings.role]
+    reloads = signals.Reloads()
+    module = importlib.import_module(_ROLES[settings.role])
 
     async def drive() -> None:
-        await module.run(settings, stop=stop)
+        if settings.role in _RELOADABLE:
+            await module.run(settings, stop=stop, reloads=reloads)
+        else:
+            await module.run(settings, stop=stop)
         tasks.cancel_scope.cancel()
 
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(signals.stop_on_signal, stop)
+        tasks.start_soon(signals.reload_on_signal, path, reloads)
         tasks.start_soon(drive)
 
 
--- a/packages/radishd/src/radishd/gateway.py
+++ b/packages/radishd/src/radishd/gateway.py
@@ -37,6 +37,7 @@
 from radishd.process import metrics as metrics_lib
 from radishd.process import peers as peers_lib
 from radishd.process import settings as settings_lib
+from radishd.process import signals
 from radishd.process import stillness
 from radishd.process import supervise
 from radishd.process import web
@@ -45,8 +46,8 @@
 MS_PER_S = 1_000
 CONNECT_TIMEOUT_MS = 400
 # How often each process beside an engine is told what is used and wanted;
-# it believes a word for ten times as long.
-DEMAND_EVERY_MS = 200
+# it believes a word for five times as long.
+DEMAND_EVERY_MS = 400
 SWEEP_EVERY_MS = 500
 FORGET_VIEWS_MS = 5_000
 # A watch of the targets is renewed this often, so that a store that went
@@ -612,6 +613,14 @@
         for follower in self.followers.values():
             follower.restart()
 
+    def reload(self, settings: settings_lib.Settings) -> None:
+        """Takes settings that were read again; addresses stay as they are."""
+        self.settings = settings
+        self.own = settings.gateway
+        self.peers.heard(settings.seeds)
+        self.budgets.clear()
+        self.log.must("reload", config=self.table.version)
+
     def ready(self) -> str:
         """Returns why it is not ready, empty if it is."""
         if self.draining:
@@ -715,6 +724,7 @@
     settings: settings_lib.Settings,
     *,
     stop: anyio.Event,
+    reloads: signals.Reloads,
     task_status: anyio.abc.TaskStatus[Gateway] = anyio.TASK_STATUS_IGNORED,
 ) -> None:
     """Runs a gateway until it is told to stop, then drains it.
@@ -722,12 +732,14 @@
     Args:
         settings: Its settings.
         stop: Set to start the drain.
+        reloads: Tells it of settings that were read again.
         task_status: Given the gateway once it listens.
     """
     own = settings.gateway
     metrics = metrics_lib.Metrics(name=settings.name)
     log = decision_log.open_log(vm=settings.name)
     gateway = Gateway(settings, metrics, log, random.Random())
+    reloads.on_reload = gateway.reload
     log.must("start", role=str(settings.role), listen=own.listen)
     async with anyio.create_task_group() as tasks:
         gateway.socket = await fleet_socket.open_socket(
--- a/packages/radishd/src/radishd/platform/engine.py
+++ b/packages/radishd/src/radishd/platform/engine.py
@@ -11,10 +11,12 @@
 from radishd.connection import pool as pool_lib
 from radishd.platform import wire
 
-# The engine answers on its own VM within a millisecond; an order that is not
-# answered by then may have been accepted all the same.
+# The engine answers on its own VM within some milliseconds. An order that is
+# not answered by then may have been accepted, or may be later; the next report
+# tells, so nothing is gained by waiting longer, and all who wait for a load
+# would wait with it.
 REPORT_TIMEOUT_MS = 500
-ORDER_TIMEOUT_MS = 500
+ORDER_TIMEOUT_MS = 60
 CONNECT_TIMEOUT_MS = 300
 MS_PER_S = 1_000
 # One process on one VM gives this engine its orders, so its number never has
--- a/packages/radishd/src/radishd/process/settings.py
+++ b/packages/radishd/src/radishd/process/settings.py
@@ -10,7 +10,7 @@
 import pydantic
 import pydantic.dataclasses
 from radishstack import result
-from radishstack.version import document as document_lib
+from radishstack.version import checks
 import yaml
 
 _settings = functools.partial(
@@ -21,7 +21,7 @@
     config=pydantic.ConfigDict(extra="forbid"),
 )
 
-Address = document_lib.Address
+Address = checks.Address
 Url = Annotated[
     str, pydantic.Field(pattern=r"^http://\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")
 ]
@@ -116,7 +116,7 @@
         drain_ms: How long a drain waits for runs in flight.
     """
 
-    kind: document_lib.TargetKind
+    kind: checks.TargetKind
     listen: Address
     admin: Address
     url: Url
@@ -134,7 +134,7 @@
     keep_total_bytes: Size = 64 * 1024 * 1024
     max_answer_bytes: Size = 16 * 1024 * 1024
     quarantine_ms: Annotated[int, pydantic.Field(ge=0, le=3_600_000)] = (
-        document_lib.DEFAULT_RETRY_WINDOW_MS
+        checks.DEFAULT_RETRY_WINDOW_MS
     )
     site_loads_per_s: Annotated[float, pydantic.Field(gt=0)] = 4.0
     drain_ms: DurationMs = 30_000
@@ -208,7 +208,7 @@
     """
 
     role: Role
-    name: document_lib.Name
+    name: checks.Name
     failure_domain: Annotated[
         str, pydantic.Field(pattern=r"^[a-z0-9-]+/[a-z0-9-]+$")
     ]
@@ -226,7 +226,7 @@
 _SETTINGS = pydantic.TypeAdapter(Settings)
 
 
-def parse(raw: object) -> Settings | tuple[document_lib.Problem, ...]:
+def parse(raw: object) -> Settings | tuple[checks.Problem, ...]:
     """Builds settings from plain data.
 
     Args:
@@ -238,12 +238,12 @@
     try:
         settings = _SETTINGS.validate_python(raw)
     except pydantic.ValidationError as error:
-        return document_lib.explain(error)
+        return checks.explain(error)
     if settings.role is Role.ENTRY and settings.entry is None:
         return dataclasses.replace(settings, entry=EntrySettings())
     if getattr(settings, settings.role) is None:
         mend = f"add the settings of the {settings.role} role"
-        return (document_lib.Problem(settings.role, "(missing)", mend),)
+        return (checks.Problem(settings.role, "(missing)", mend),)
     return settings
 
 
--- a/packages/radishd/src/radishd/process/signals.py
+++ b/packages/radishd/src/radishd/process/signals.py
@@ -1,12 +1,26 @@
-"""Signals: the first starts the drain, the second ends the process."""
+"""Signals: the first ends with a drain, the second at once; one reloads."""
 
+from collections.abc import Callable
 import os
+import pathlib
 import signal
 
 import anyio
+from radishstack import result
 
 from radishd.process import exits
 from radishd.process import logs
+from radishd.process import settings as settings_lib
+
+OnReload = Callable[[settings_lib.Settings], None]
+
+
+class Reloads:
+    """Whom to tell when the settings file has been read again."""
+
+    def __init__(self) -> None:
+        """Starts with nobody."""
+        self.on_reload: OnReload | None = None
 
 
 async def stop_on_signal(stop: anyio.Event) -> None:
@@ -25,3 +39,25 @@
                 os._exit(exits.CUT_AT_SHUTDOWN)
             logs.info("draining", signal=int(number))
             stop.set()
+
+
+async def reload_on_signal(path: pathlib.Path, reloads: Reloads) -> None:
+    """Reads the settings again on each SIGHUP, which ends no process.
+
+    Settings that cannot be used are logged, and those in force stay.
+
+    Args:
+        path: The settings file.
+        reloads: Whom to tell.
+    """
+    with anyio.open_signal_receiver(signal.SIGHUP) as signals:
+        async for _ in signals:
+            settings = settings_lib.read(path)
+            if isinstance(settings, result.Failure):
+                logs.error(
+                    "reload_refused", settings.code, reason=settings.message
+                )
+                continue
+            logs.info("reloaded", path=str(path))
+            if reloads.on_reload is not None:
+                reloads.on_reload(settings)
--- a/packages/radishd/src/radishd/sidecar.py
+++ b/packages/radishd/src/radishd/sidecar.py
@@ -21,6 +21,7 @@
 from radishd.process import fleet_socket
 from radishd.process import metrics as metrics_lib
 from radishd.process import settings as settings_lib
+from radishd.process import signals
 from radishd.process import stillness
 from radishd.process import supervise
 from radishd.process import web
@@ -31,7 +32,7 @@
 IDLE_POLL_MS = 100
 PENDING_POLL_MS = 15
 # How often gateways are told the state when nothing changed.
-TELL_EVERY_MS = 200
+TELL_EVERY_MS = 400
 GATEWAY_MS = 3_000
 MAX_GATEWAYS = 512
 
@@ -153,11 +154,8 @@
             ordered = await self.engine.order(order, self.instance)
             now_ms = clock.boot_ms()
             self._note(order, ordered, now_ms - began_ms)
-            if ordered.verdict is Verdict.UNANSWERED:
-                return
-            accepted = ordered.verdict is Verdict.ACCEPTED
             refused = ordered.verdict is Verdict.REFUSED
-            self.keeper.settled(order, accepted or not refused, now_ms)
+            self.keeper.settled(order, now_ms, refused=refused)
             if ordered.verdict is Verdict.OTHER_INSTANCE and ordered.detail:
                 self._set_instance(ordered.detail)
             report = await self.engine.report()
@@ -232,6 +230,12 @@
         self.engine.drop_connections()
         self.keeper.hold(clock.boot_ms() + self.own.thaw_ms)
 
+    def reload(self, settings: settings_lib.Settings) -> None:
+        """Takes settings that were read again; addresses stay as they are."""
+        self.settings = settings
+        self.own = settings.sidecar
+        self.log.must("reload")
+
     def ready(self) -> str:
         """Returns why it is not ready, empty if it is."""
         return "engine does not answer" if self.engine_lost else ""
@@ -259,6 +263,7 @@
     settings: settings_lib.Settings,
     *,
     stop: anyio.Event,
+    reloads: signals.Reloads,
     task_status: anyio.abc.TaskStatus[Sidecar] = anyio.TASK_STATUS_IGNORED,
 ) -> None:
     """Runs the process until it is told to stop.
@@ -266,12 +271,14 @@
     Args:
         settings: Its settings.
         stop: Set to stop it.
+        reloads: Tells it of settings that were read again.
         task_status: Given the process once it listens.
     """
     own = settings.sidecar
     metrics = metrics_lib.Metrics(name=settings.name)
     log = decision_log.open_log(vm=settings.name)
     sidecar = Sidecar(settings, metrics, log)
+    reloads.on_reload = sidecar.reload
     log.must("start", role=str(settings.role), engine=own.engine)
     async with anyio.create_task_group() as tasks:
         sidecar.socket = await fleet_socket.open_socket(
--- a/packages/radishd/src/radishd/target.py
+++ b/packages/radishd/src/radishd/target.py
@@ -18,7 +18,7 @@
 from radishstack.connection import frame
 from radishstack.process import ledger as ledger_lib
 from radishstack.process import load_budget
-from radishstack.version import document as document_lib
+from radishstack.version import checks
 from radishstack.version import holder as holder_lib
 
 from radishd.connection import backend
@@ -718,7 +718,7 @@
         tasks.start_soon(spread.run)
         tasks.start_soon(process.tick)
         tasks.start_soon(process.watch_vms)
-        if own.kind is document_lib.TargetKind.ENGINE:
+        if own.kind is checks.TargetKind.ENGINE:
             tasks.start_soon(process.watch_engine)
         app = admin.make_app(
             metrics,
--- a/packages/radishstack/src/radishstack/connection/fleet_wire.py
+++ b/packages/radishstack/src/radishstack/connection/fleet_wire.py
@@ -85,7 +85,7 @@
         ],
         "peerAddress": datagram.peer_address,
     }
-    return _wire.FleetDatagram.new_message(demand=body).to_bytes()
+    return _wire.FleetDatagram.new_message(demand=body).to_bytes_packed()
 
 
 @encode.register
@@ -101,7 +101,7 @@
         "pending": sorted(datagram.pending),
         "peerAddresses": list(datagram.peer_addresses),
     }
-    return _wire.FleetDatagram.new_message(state=body).to_bytes()
+    return _wire.FleetDatagram.new_message(state=body).to_bytes_packed()
 
 
 def decode(data: bytes) -> result.Outcome[Datagram]:
@@ -116,10 +116,10 @@
     if len(data) > MAX_DATAGRAM_BYTES:
         return result.Failure(result.FRAME_TOO_LARGE, f"{len(data)} bytes")
     try:
-        with _wire.FleetDatagram.from_bytes(data) as message:
-            if message.which() == "demand":
-                return _decode_demand(message.demand)
-            return _decode_state(message.state)
+        message = _wire.FleetDatagram.from_bytes_packed(data)
+        if message.which() == "demand":
+            return _decode_demand(message.demand)
+        return _decode_state(message.state)
     except (capnp.KjException, ValueError) as error:
         return result.Failure(result.FRAME_MALFORMED, str(error))
 
--- a/packages/radishstack/src/radishstack/process/adapter_keeper.py
+++ b/packages/radishstack/src/radishstack/process/adapter_keeper.py
@@ -25,9 +25,6 @@
 IDLE_MS = 120
 # Adapters that may be in transit to one engine.
 MAX_IN_TRANSIT = 4
-# An order without an answer is decided anew after this; the engine refuses
-# one of the two.
-DOUBT_MS = 700
 # After a load order that the engine refused, others go first.
 REFUSED_MS = 500
 # Half-life of an adapter's count of requests: popularity moves in seconds.
@@ -157,14 +154,12 @@
         self.last_use_ms: dict[str, int] = {}
         self.popularity = popularity.Popularity(HALF_LIFE_MS)
         self._in_flight: dict[str, tuple[int, dict[str, int]]] = {}
-        self._doubt_until_ms = 0
         self._refused_until_ms: dict[str, int] = {}
         self._hold_until_ms = 0
 
     def restarted(self) -> None:
         """Takes that the engine runs anew, and knows nothing of before."""
         self.report = None
-        self._doubt_until_ms = 0
         self._refused_until_ms.clear()
 
     def hold(self, until_ms: int) -> None:
@@ -202,8 +197,7 @@
             self.report is not None
             and report.accepted_count != self.report.accepted_count
         ):
-            self._doubt_until_ms = 0
-        self.report = report
+            self.report = report
         self.report_at_ms = now_ms
 
     def in_flight(self, adapter: str, now_ms: int) -> int:
@@ -247,8 +241,6 @@
         report = self.report
         if report is None or report.busy or now_ms < self._hold_until_ms:
             return None
-        if now_ms < self._doubt_until_ms:
-            return None
         base = self._missing_base(report)
         if base is not None:
             return self._order(Operation.LOAD, base, 0, now_ms)
@@ -348,12 +340,18 @@
                 result.UNLOAD_WHILE_SERVING,
                 f"unload of {adapter} in use",
             )
-        self._doubt_until_ms = now_ms + DOUBT_MS
         return Order(operation, adapter, version, report.accepted_count)
 
-    def settled(self, order: Order, accepted: bool, now_ms: int) -> None:
-        """Takes an answer to an order; the next one needs a new report."""
+    def settled(self, order: Order, now_ms: int, *, refused: bool) -> None:
+        """Takes the end of an order; the next one needs a new report.
+
+        Args:
+            order: The order.
+            now_ms: Now.
+            refused: Whether the engine refused it for what it asks. Without
+                an answer it counts as not refused: the same order may be
+                given again, since the engine takes only one of the two.
+        """
         self.report = None
-        self._doubt_until_ms = 0
-        if not accepted:
+        if refused:
             self._refused_until_ms[order.adapter] = now_ms + REFUSED_MS
--- a/packages/radishstack/src/radishstack/target.py
+++ b/packages/radishstack/src/radishstack/target.py
@@ -13,7 +13,7 @@
 from radishstack import target_schedule
 from radishstack import target_state as state_lib
 from radishstack.process import fair_queue
-from radishstack.version import document as document_lib
+from radishstack.version import checks
 from radishstack.version import rendezvous
 
 TargetSettings = state_lib.TargetSettings
@@ -75,7 +75,7 @@
     window_ms = (
         service.retry_window_ms
         if service is not None
-        else document_lib.DEFAULT_RETRY_WINDOW_MS
+        else checks.DEFAULT_RETRY_WINDOW_MS
     )
     answer = target.ledger.seal(
         event.key, asker=event.asker, window_ms=window_ms, now_ms=now_ms
@@ -172,7 +172,7 @@
     event: event_lib.EngineLost, target: Target, now_ms: int, actions: Actions
 ) -> None:
     del event
-    target.engine_up = target.settings.kind is document_lib.TargetKind.PLAIN
+    target.engine_up = target.settings.kind is checks.TargetKind.PLAIN
     if target.engine_up:
         return
     failure = result.Failure(
--- a/packages/radishstack/src/radishstack/target_schedule.py
+++ b/packages/radishstack/src/radishstack/target_schedule.py
@@ -6,7 +6,7 @@
 from radishstack import target_state as state_lib
 from radishstack.process import fair_queue
 from radishstack.process import residency as residency_lib
-from radishstack.version import document as document_lib
+from radishstack.version import checks
 
 
 def schedule(
@@ -22,7 +22,7 @@
         if waiting is None:
             break
         _dispatch(target, waiting, now_ms, actions)
-    if target.settings.kind is document_lib.TargetKind.ENGINE:
+    if target.settings.kind is checks.TargetKind.ENGINE:
         _schedule_loads(target, now_ms, actions)
 
 
--- a/packages/radishstack/src/radishstack/target_state.py
+++ b/packages/radishstack/src/radishstack/target_state.py
@@ -16,6 +16,7 @@
 from radishstack.process import load_budget
 from radishstack.process import popularity as popularity_lib
 from radishstack.process import residency as residency_lib
+from radishstack.version import checks
 from radishstack.version import document as document_lib
 from radishstack.version import holder as holder_lib
 
@@ -39,12 +40,12 @@
     """
 
     name: str
-    kind: document_lib.TargetKind
+    kind: checks.TargetKind
     slot_count: int = 8
     max_running: int = 16
     max_queued: int = 512
     max_parallel_loads: int = 2
-    quarantine_ms: int = document_lib.DEFAULT_RETRY_WINDOW_MS
+    quarantine_ms: int = checks.DEFAULT_RETRY_WINDOW_MS
     first_order: int = 0
 
 
@@ -102,7 +103,7 @@
             budget or load_budget.BudgetSettings(), now_ms
         )
         self.residency.order = settings.first_order
-        self.engine_up = settings.kind is document_lib.TargetKind.PLAIN
+        self.engine_up = settings.kind is checks.TargetKind.PLAIN
         self.leaving = False
         self.attempts: dict[bytes, attempt_lib.Attempt] = {}
         self.asking: dict[bytes, attempt_lib.Attempt] = {}
--- /dev/null
+++ b/packages/radishstack/src/radishstack/version/checks.py
@@ -0,0 +1,65 @@
+"""Types and problems that the document and the settings share."""
+
+import dataclasses
+import enum
+from typing import Annotated
+from typing import Any
+
+import pydantic
+
+NAME_PATTERN = r"^[a-z0-9][a-z0-9._-]{0,62}$"
+ADDRESS_PATTERN = r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$"
+DEFAULT_RETRY_WINDOW_MS = 120_000
+
+Name = Annotated[str, pydantic.Field(pattern=NAME_PATTERN)]
+Address = Annotated[str, pydantic.Field(pattern=ADDRESS_PATTERN)]
+
+
+class TargetKind(enum.StrEnum):
+    """What stands behind a target process."""
+
+    ENGINE = "engine"
+    PLAIN = "plain"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Problem:
+    """One thing wrong with a document or with settings.
+
+    Attributes:
+        path: Where, for example ``services.booking.timeout_ms``.
+        value: What stands there, shortened.
+        mend: What to write instead.
+    """
+
+    path: str
+    value: str
+    mend: str
+
+    def __str__(self) -> str:
+        """One line for a person."""
+        return f"{self.path}: {self.value}: {self.mend}"
+
+
+def shorten(value: object, limit: int = 60) -> str:
+    """Renders a value for a message, at most ``limit`` characters."""
+    text = repr(value)
+    return text if len(text) <= limit else text[: limit - 1] + "…"
+
+
+def explain(error: pydantic.ValidationError) -> tuple[Problem, ...]:
+    """Turns a validation error into problems with path, value and mend."""
+    return tuple(_explain_one(detail) for detail in error.errors())
+
+
+def _explain_one(detail: Any) -> Problem:
+    path = ".".join(str(part) for part in detail["loc"]) or "(whole)"
+    mend = detail["msg"]
+    match detail["type"]:
+        case "unexpected_keyword_argument" | "extra_forbidden":
+            mend = "unknown key; remove it or correct its spelling"
+        case "missing" | "missing_argument" | "missing_keyword_only_argument":
+            return Problem(path, "(missing)", "add this key")
+        case "string_pattern_mismatch":
+            mend = f"write a text that matches {detail['ctx']['pattern']}"
+    return Problem(path, shorten(detail["input"]), mend)
--- a/packages/radishstack/src/radishstack/version/document.py
+++ b/packages/radishstack/src/radishstack/version/document.py
@@ -9,15 +9,12 @@
 import pydantic
 import pydantic.dataclasses
 
-NAME_PATTERN = r"^[a-z0-9][a-z0-9._-]{0,62}$"
-ADDRESS_PATTERN = r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$"
+from radishstack.version import checks
+
 MAX_TIMEOUT_MS = 600_000
 DEFAULT_TIMEOUT_MS = 30_000
-DEFAULT_RETRY_WINDOW_MS = 120_000
 MAX_PLACEMENTS_PER_SERVICE = 64
 
-Name = Annotated[str, pydantic.Field(pattern=NAME_PATTERN)]
-Address = Annotated[str, pydantic.Field(pattern=ADDRESS_PATTERN)]
 Share = Annotated[float, pydantic.Field(ge=0.0, le=1.0)]
 TimeoutMs = Annotated[int, pydantic.Field(ge=1, le=MAX_TIMEOUT_MS)]
 Count = Annotated[int, pydantic.Field(ge=1, le=1_000_000)]
@@ -39,13 +36,6 @@
     PLAIN = "plain"
 
 
-class TargetKind(enum.StrEnum):
-    """What stands behind a target process."""
-
-    ENGINE = "engine"
-    PLAIN = "plain"
-
-
 class Priority(enum.StrEnum):
     """Priority class of a service, the most urgent first."""
 
@@ -64,7 +54,7 @@
         max_in_flight: Bound on its requests at one target, queued or running.
     """
 
-    name: Name
+    name: checks.Name
     share: Annotated[float, pydantic.Field(gt=0.0, le=1000.0)] = 1.0
     max_in_flight: Count = 64
 
@@ -94,9 +84,9 @@
         current: The version a request without one gets.
     """
 
-    name: Name
-    service: Name
-    base_model: Name
+    name: checks.Name
+    service: checks.Name
+    base_model: checks.Name
     versions: Annotated[
         tuple[AdapterVersion, ...], pydantic.Field(min_length=1)
     ]
@@ -115,11 +105,11 @@
         base_model: The engine's base model.
     """
 
-    name: Name
-    kind: TargetKind
-    address: Address
+    name: checks.Name
+    kind: checks.TargetKind
+    address: checks.Address
     failure_domain: str
-    base_model: Name | None = None
+    base_model: checks.Name | None = None
 
 
 @_entity()
@@ -144,21 +134,21 @@
         retry_window_ms: How long a key is remembered after it ran.
     """
 
-    name: Name
-    customer: Name
+    name: checks.Name
+    customer: checks.Name
     kind: ServiceKind = ServiceKind.MODEL
-    targets: Annotated[tuple[Name, ...], pydantic.Field(min_length=1)]
-    adapter: Name | None = None
+    targets: Annotated[tuple[checks.Name, ...], pydantic.Field(min_length=1)]
+    adapter: checks.Name | None = None
     idempotent: bool = True
     priority: Priority = Priority.NORMAL
     stall_weight: Share = 0.75
-    warm: tuple[Name, ...] = ()
+    warm: tuple[checks.Name, ...] = ()
     warm_targets: Annotated[int, pydantic.Field(ge=1, le=16)] = 1
     timeout_ms: TimeoutMs = DEFAULT_TIMEOUT_MS
     max_timeout_ms: TimeoutMs = MAX_TIMEOUT_MS
     max_queued: Count = 256
     retry_window_ms: Annotated[int, pydantic.Field(ge=1_000, le=3_600_000)] = (
-        DEFAULT_RETRY_WINDOW_MS
+        checks.DEFAULT_RETRY_WINDOW_MS
     )
 
 
@@ -180,15 +170,15 @@
         version: The version, or the adapter's current one.
     """
 
-    name: Name
-    service: Name
+    name: checks.Name
+    service: checks.Name
     position: Annotated[int, pydantic.Field(ge=0, le=10_000)]
     header: Annotated[str, pydantic.Field(pattern=r"^[a-z0-9-]+$")] | None = (
         None
     )
     equals: str | None = None
     share: Annotated[float, pydantic.Field(gt=0.0, le=1.0)] = 1.0
-    adapter: Name
+    adapter: checks.Name
     version: int | None = None
 
 
@@ -202,7 +192,7 @@
         until_at_ms: When that version was accepted, Unix time.
     """
 
-    targets: tuple[Name, ...]
+    targets: tuple[checks.Name, ...]
     until_version: int
     until_at_ms: int
 
@@ -221,12 +211,18 @@
             kept by the system, not by operators.
     """
 
-    customers: dict[Name, Customer] = dataclasses.field(default_factory=dict)
-    services: dict[Name, Service] = dataclasses.field(default_factory=dict)
-    adapters: dict[Name, Adapter] = dataclasses.field(default_factory=dict)
-    targets: dict[Name, Target] = dataclasses.field(default_factory=dict)
-    rules: dict[Name, Rule] = dataclasses.field(default_factory=dict)
-    placements: dict[Name, tuple[Placement, ...]] = dataclasses.field(
+    customers: dict[checks.Name, Customer] = dataclasses.field(
+        default_factory=dict
+    )
+    services: dict[checks.Name, Service] = dataclasses.field(
+        default_factory=dict
+    )
+    adapters: dict[checks.Name, Adapter] = dataclasses.field(
+        default_factory=dict
+    )
+    targets: dict[checks.Name, Target] = dataclasses.field(default_factory=dict)
+    rules: dict[checks.Name, Rule] = dataclasses.field(default_factory=dict)
+    placements: dict[checks.Name, tuple[Placement, ...]] = dataclasses.field(
         default_factory=dict
     )
 
@@ -246,50 +242,7 @@
 _PLACEMENTS = pydantic.TypeAdapter(dict[str, tuple[Placement, ...]])
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Problem:
-    """One thing wrong with a document or with settings.
-
-    Attributes:
-        path: Where, for example ``services.booking.timeout_ms``.
-        value: What stands there, shortened.
-        mend: What to write instead.
-    """
-
-    path: str
-    value: str
-    mend: str
-
-    def __str__(self) -> str:
-        """One line for a person."""
-        return f"{self.path}: {self.value}: {self.mend}"
-
-
-def shorten(value: object, limit: int = 60) -> str:
-    """Renders a value for a message, at most ``limit`` characters."""
-    text = repr(value)
-    return text if len(text) <= limit else text[: limit - 1] + "…"
-
-
-def explain(error: pydantic.ValidationError) -> tuple[Problem, ...]:
-    """Turns a validation error into problems with path, value and mend."""
-    return tuple(_explain_one(detail) for detail in error.errors())
-
-
-def _explain_one(detail: Any) -> Problem:
-    path = ".".join(str(part) for part in detail["loc"]) or "(whole)"
-    mend = detail["msg"]
-    match detail["type"]:
-        case "unexpected_keyword_argument" | "extra_forbidden":
-            mend = "unknown key; remove it or correct its spelling"
-        case "missing" | "missing_argument" | "missing_keyword_only_argument":
-            return Problem(path, "(missing)", "add this key")
-        case "string_pattern_mismatch":
-            mend = f"write a text that matches {detail['ctx']['pattern']}"
-    return Problem(path, shorten(detail["input"]), mend)
-
-
-def parse(raw: object) -> Document | tuple[Problem, ...]:
+def parse(raw: object) -> Document | tuple[checks.Problem, ...]:
     """Builds a document from plain data and checks it as a whole.
 
     Entities may be given as lists, as the console writes them, or as
@@ -303,21 +256,25 @@
     """
     if not isinstance(raw, dict):
         return (
-            Problem("(whole)", shorten(raw), "write a mapping of entities"),
+            checks.Problem(
+                "(whole)", checks.shorten(raw), "write a mapping of entities"
+            ),
         )
     keyed: dict[str, object] = {}
-    problems: list[Problem] = []
+    problems: list[checks.Problem] = []
     for kind, value in raw.items():
         keyed[kind] = _key_by_name(str(kind), value, problems)
     try:
         document = _DOCUMENT.validate_python(keyed)
     except pydantic.ValidationError as error:
-        return (*problems, *explain(error))
+        return (*problems, *checks.explain(error))
     problems.extend(check(document))
     return tuple(problems) or document
 
 
-def _key_by_name(kind: str, value: object, problems: list[Problem]) -> object:
+def _key_by_name(
+    kind: str, value: object, problems: list[checks.Problem]
+) -> object:
     if kind not in KINDS or not isinstance(value, list | tuple):
         return value
     keyed: dict[object, object] = {}
@@ -325,14 +282,16 @@
         name = item.get("name") if isinstance(item, dict) else None
         if not isinstance(name, str):
             problems.append(
-                Problem(f"{kind}.{index}", shorten(item), "give it a name")
+                checks.Problem(
+                    f"{kind}.{index}", checks.shorten(item), "give it a name"
+                )
             )
             continue
         if name in keyed:
             problems.append(
-                Problem(
+                checks.Problem(
                     f"{kind}.{index}.name",
-                    shorten(name),
+                    checks.shorten(name),
                     "duplicate name; use each name once",
                 )
             )
@@ -340,7 +299,7 @@
     return keyed
 
 
-def check(document: Document) -> list[Problem]:
+def check(document: Document) -> list[checks.Problem]:
     """Checks what no single entity shows: references and dead rules.
 
     Args:
@@ -349,14 +308,14 @@
     Returns:
         Every problem, empty if there is none.
     """
-    problems: list[Problem] = []
+    problems: list[checks.Problem] = []
     for kind in KINDS:
         for name, entity in getattr(document, kind).items():
             if entity.name != name:
                 problems.append(
-                    Problem(
+                    checks.Problem(
                         f"{kind}.{name}.name",
-                        shorten(entity.name),
+                        checks.shorten(entity.name),
                         f"write {name}, the key it stands under",
                     )
                 )
@@ -366,20 +325,24 @@
 
 
 @functools.singledispatch
-def check_entity(entity: object, document: Document) -> list[Problem]:
+def check_entity(entity: object, document: Document) -> list[checks.Problem]:
     """Checks one entity's references into the document."""
     del entity, document
     return []
 
 
-def _dangling(path: str, name: str, kind: str) -> Problem:
-    return Problem(
-        path, shorten(name), f"no such entry in {kind}; add it or name another"
+def _dangling(path: str, name: str, kind: str) -> checks.Problem:
+    return checks.Problem(
+        path,
+        checks.shorten(name),
+        f"no such entry in {kind}; add it or name another",
     )
 
 
 @check_entity.register
-def _check_service(service: Service, document: Document) -> list[Problem]:
+def _check_service(
+    service: Service, document: Document
+) -> list[checks.Problem]:
     path = f"services.{service.name}"
     problems = []
     if service.customer not in document.customers:
@@ -394,9 +357,9 @@
         )
     if len(set(service.targets)) != len(service.targets):
         problems.append(
-            Problem(
+            checks.Problem(
                 f"{path}.targets",
-                shorten(service.targets),
+                checks.shorten(service.targets),
                 "name each target once",
             )
         )
@@ -409,17 +372,17 @@
         )
     if service.kind is ServiceKind.PLAIN and (service.adapter or service.warm):
         problems.append(
-            Problem(
+            checks.Problem(
                 f"{path}.adapter",
-                shorten(service.adapter),
+                checks.shorten(service.adapter),
                 "a plain service has no adapters; remove it",
             )
         )
     if service.timeout_ms > service.max_timeout_ms:
         problems.append(
-            Problem(
+            checks.Problem(
                 f"{path}.timeout_ms",
-                shorten(service.timeout_ms),
+                checks.shorten(service.timeout_ms),
                 f"write at most max_timeout_ms, {service.max_timeout_ms}",
             )
         )
@@ -428,23 +391,27 @@
 
 def _check_service_target(
     path: str, service: Service, name: str, document: Document
-) -> list[Problem]:
+) -> list[checks.Problem]:
     target = document.targets.get(name)
     if target is None:
         return [_dangling(path, name, "targets")]
     wanted = (
-        TargetKind.ENGINE
+        checks.TargetKind.ENGINE
         if service.kind is ServiceKind.MODEL
-        else TargetKind.PLAIN
+        else checks.TargetKind.PLAIN
     )
     if target.kind is not wanted:
-        return [Problem(path, shorten(name), f"name a target of kind {wanted}")]
+        return [
+            checks.Problem(
+                path, checks.shorten(name), f"name a target of kind {wanted}"
+            )
+        ]
     return []
 
 
 def _check_own_adapter(
     path: str, name: str | None, service: str, document: Document
-) -> list[Problem]:
+) -> list[checks.Problem]:
     if name is None:
         return []
     adapter = document.adapters.get(name)
@@ -452,9 +419,9 @@
         return [_dangling(path, name, "adapters")]
     if adapter.service != service:
         return [
-            Problem(
+            checks.Problem(
                 path,
-                shorten(name),
+                checks.shorten(name),
                 f"it belongs to service {adapter.service}; name one of "
                 f"{service}",
             )
@@ -463,22 +430,26 @@
 
 
 @check_entity.register
-def _check_adapter(adapter: Adapter, document: Document) -> list[Problem]:
+def _check_adapter(
+    adapter: Adapter, document: Document
+) -> list[checks.Problem]:
     path = f"adapters.{adapter.name}"
     problems = []
     versions = [entry.version for entry in adapter.versions]
     if len(set(versions)) != len(versions):
         problems.append(
-            Problem(
-                f"{path}.versions", shorten(versions), "use each number once"
+            checks.Problem(
+                f"{path}.versions",
+                checks.shorten(versions),
+                "use each number once",
             )
         )
     if adapter.current not in versions:
         problems.append(
-            Problem(
+            checks.Problem(
                 f"{path}.current",
-                shorten(adapter.current),
-                f"write one of its versions, {shorten(versions)}",
+                checks.shorten(adapter.current),
+                f"write one of its versions, {checks.shorten(versions)}",
             )
         )
     service = document.services.get(adapter.service)
@@ -489,9 +460,9 @@
         return problems
     if service.kind is ServiceKind.PLAIN:
         problems.append(
-            Problem(
+            checks.Problem(
                 f"{path}.service",
-                shorten(adapter.service),
+                checks.shorten(adapter.service),
                 "name a service of kind model",
             )
         )
@@ -499,9 +470,9 @@
         target = document.targets.get(name)
         if target is not None and target.base_model != adapter.base_model:
             problems.append(
-                Problem(
+                checks.Problem(
                     f"{path}.base_model",
-                    shorten(adapter.base_model),
+                    checks.shorten(adapter.base_model),
                     f"target {name} of its service runs {target.base_model}",
                 )
             )
@@ -510,25 +481,27 @@
 
 
 @check_entity.register
-def _check_target(target: Target, document: Document) -> list[Problem]:
+def _check_target(target: Target, document: Document) -> list[checks.Problem]:
     del document
     path = f"targets.{target.name}"
-    if target.kind is TargetKind.ENGINE and target.base_model is None:
-        return [Problem(f"{path}.base_model", "(missing)", "add this key")]
+    if target.kind is checks.TargetKind.ENGINE and target.base_model is None:
+        return [
+            checks.Problem(f"{path}.base_model", "(missing)", "add this key")
+        ]
     return []
 
 
 @check_entity.register
-def _check_rule(rule: Rule, document: Document) -> list[Problem]:
+def _check_rule(rule: Rule, document: Document) -> list[checks.Problem]:
     path = f"rules.{rule.name}"
     problems = []
     if rule.service not in document.services:
         problems.append(_dangling(f"{path}.service", rule.service, "services"))
     if (rule.header is None) != (rule.equals is None):
         problems.append(
-            Problem(
+            checks.Problem(
                 f"{path}.header",
-                shorten(rule.header),
+                checks.shorten(rule.header),
                 "give both header and equals, or neither",
             )
         )
@@ -542,10 +515,10 @@
         versions = [entry.version for entry in adapter.versions]
         if rule.version not in versions:
             problems.append(
-                Problem(
+                checks.Problem(
                     f"{path}.version",
-                    shorten(rule.version),
-                    f"write one of {shorten(versions)}",
+                    checks.shorten(rule.version),
+                    f"write one of {checks.shorten(versions)}",
                 )
             )
     return problems
@@ -559,7 +532,7 @@
     return sorted(rules, key=lambda rule: (rule.position, rule.name))
 
 
-def _check_rule_order(document: Document) -> list[Problem]:
+def _check_rule_order(document: Document) -> list[checks.Problem]:
     problems = []
     by_service: dict[str, list[Rule]] = {}
     for rule in document.rules.values():
@@ -572,9 +545,9 @@
             shadow = covered.get((None, None)) or covered.get(condition)
             if shadow is not None:
                 problems.append(
-                    Problem(
+                    checks.Problem(
                         f"rules.{rule.name}",
-                        shorten(condition),
+                        checks.shorten(condition),
                         f"it can never match, since {shadow} takes all of its "
                         "requests; move it before or remove it",
                     )
--- a/packages/radishstack/src/radishstack/version/operation.py
+++ b/packages/radishstack/src/radishstack/version/operation.py
@@ -17,6 +17,7 @@
 import pydantic
 import pydantic.dataclasses
 
+from radishstack.version import checks
 from radishstack.version import document as document_lib
 
 MS_PER_HOUR = 3_600_000
@@ -158,7 +159,7 @@
     return ours.startswith(f"{theirs}.") or theirs.startswith(f"{ours}.")
 
 
-Applied = document_lib.Document | tuple[document_lib.Problem, ...]
+Applied = document_lib.Document | tuple[checks.Problem, ...]
 
 
 def apply(
@@ -186,7 +187,7 @@
     tables = {
         kind: dict(getattr(document, kind)) for kind in document_lib.KINDS
     }
-    problems: list[document_lib.Problem] = []
+    problems: list[checks.Problem] = []
     for operation in operations:
         problem = _apply_one(operation, tables)
         if problem is not None:
@@ -208,25 +209,23 @@
 
 
 @functools.singledispatch
-def _apply_one(
-    operation: object, tables: Tables
-) -> document_lib.Problem | None:
+def _apply_one(operation: object, tables: Tables) -> checks.Problem | None:
     raise TypeError(f"unknown operation {operation!r}")
 
 
 def _build(
     kind: str, name: str, value: dict[str, Any], tables: Tables
-) -> document_lib.Problem | None:
+) -> checks.Problem | None:
     path = f"{kind}.{name}"
     entity_type = document_lib.KINDS.get(kind)
     if entity_type is None:
-        return document_lib.Problem(
+        return checks.Problem(
             path, kind, f"name one of {', '.join(document_lib.KINDS)}"
         )
     try:
         entity = _adapter_for(entity_type).validate_python(value)
     except pydantic.ValidationError as error:
-        first = document_lib.explain(error)[0]
+        first = checks.explain(error)[0]
         return dataclasses.replace(first, path=f"{path}.{first.path}")
     tables[kind][name] = entity
     return None
@@ -238,14 +237,12 @@
 
 
 @_apply_one.register
-def _apply_put(
-    operation: PutEntity, tables: Tables
-) -> document_lib.Problem | None:
+def _apply_put(operation: PutEntity, tables: Tables) -> checks.Problem | None:
     return _build(operation.kind, operation.name, operation.value, tables)
 
 
-def _missing(kind: str, name: str) -> document_lib.Problem:
-    return document_lib.Problem(
+def _missing(kind: str, name: str) -> checks.Problem:
+    return checks.Problem(
         f"{kind}.{name}", "(missing)", "no such entry; add it first"
     )
 
@@ -253,7 +250,7 @@
 @_apply_one.register
 def _apply_remove(
     operation: RemoveEntity, tables: Tables
-) -> document_lib.Problem | None:
+) -> checks.Problem | None:
     if operation.name not in tables.get(operation.kind, {}):
         return _missing(operation.kind, operation.name)
     del tables[operation.kind][operation.name]
@@ -261,9 +258,7 @@
 
 
 @_apply_one.register
-def _apply_set(
-    operation: SetField, tables: Tables
-) -> document_lib.Problem | None:
+def _apply_set(operation: SetField, tables: Tables) -> checks.Problem | None:
     entity = tables.get(operation.kind, {}).get(operation.name)
     if entity is None:
         return _missing(operation.kind, operation.name)
@@ -278,7 +273,7 @@
 @_apply_one.register
 def _apply_add_version(
     operation: AddVersion, tables: Tables
-) -> document_lib.Problem | None:
+) -> checks.Problem | None:
     adapter = tables["adapters"].get(operation.name)
     if adapter is None:
         return _missing("adapters", operation.name)
@@ -289,7 +284,7 @@
         if entry == added:
             return None
         if entry.version == added.version:
-            return document_lib.Problem(
+            return checks.Problem(
                 f"adapters.{adapter.name}.versions",
                 str(added.version),
                 "this version exists with another source; use a new number",
--- a/packages/standins/src/standins/demo.py
+++ b/packages/standins/src/standins/demo.py
@@ -15,6 +15,7 @@
 from radishd.process import settings as settings_lib
 from radishd.process import store as store_lib
 from radishstack import result
+from radishstack.version import checks
 from radishstack.version import document as document_lib
 from radishstack.version import holder as holder_lib
 from radishstack.version import operation as operation_lib
@@ -147,7 +148,7 @@
         await standins.start(engine.run, behaviour, HOST, own_port)
     else:
         await standins.start(plain.run, HOST, own_port)
-    kind = document_lib.TargetKind
+    kind = checks.TargetKind
     settings = settings_lib.Settings(
         role=settings_lib.Role.TARGET,
         name=name,
--- a/proofs/world.py
+++ b/proofs/world.py
@@ -21,6 +21,7 @@
 from radishstack.request import exchange as exchange_lib
 from radishstack.request import resolve
 from radishstack.request import run as run_lib
+from radishstack.version import checks
 from radishstack.version import document as document_lib
 from radishstack.version import holder as holder_lib
 from radishstack.version import operation as operation_lib
@@ -221,9 +222,9 @@
     def start(self, node: Node, quarantine_ms: int = WINDOW_MS) -> None:
         """Starts the process of a slot."""
         kind = (
-            document_lib.TargetKind.ENGINE
+            checks.TargetKind.ENGINE
             if node.name in ENGINES
-            else document_lib.TargetKind.PLAIN
+            else checks.TargetKind.PLAIN
         )
         node.epoch += 1
         node.frozen = False
@@ -245,7 +246,7 @@
             budget=load_budget.BudgetSettings(1_000.0, 100.0),
         )
         self.feed(node, event_lib.VersionHeld(self.versions[-1]))
-        if kind is document_lib.TargetKind.ENGINE:
+        if kind is checks.TargetKind.ENGINE:
             node.engine.fence = node.epoch * 1_000_000
             self.look(node)
 
--- a/tests/stack/test_target.py
+++ b/tests/stack/test_target.py
@@ -8,7 +8,7 @@
 from radishstack import target_event as event_lib
 from radishstack.process import load_budget
 from radishstack.request import resolve
-from radishstack.version import document as document_lib
+from radishstack.version import checks
 from radishstack.version import holder as holder_lib
 
 from proofs import world
@@ -22,7 +22,7 @@
     target = target_lib.Target(
         target_lib.TargetSettings(
             name=name,
-            kind=document_lib.TargetKind(kind),
+            kind=checks.TargetKind(kind),
             slot_count=1,
             quarantine_ms=quarantine_ms,
         ),
