--- a/packages/radishd/src/radishd/gateway.py
+++ b/packages/radishd/src/radishd/gateway.py
@@ -184,7 +184,7 @@
             dropped = self.roster.remove(record.name, clock.boot_ms())
             self.log.write("target_unlisted", target=record.name, now=dropped)
             return
-        listing = wire.target(record.name, record.spec)
+        listing = wire.target(record.name, record.spec, record.created)
         if isinstance(listing, result.Failure):
             self.log.must("target_unreadable", reason=listing.message)
             return
@@ -401,19 +401,20 @@
     async def _run(
         self, forward: forward_lib.Forward, receive: web.Receive
     ) -> None:
-        left = False
+        left = done = False
 
         async def watch() -> None:
             nonlocal left
             while (await receive())["type"] != "http.disconnect":
                 pass
-            left = True
+            left = not done
             tasks.cancel_scope.cancel()
 
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(watch)
                 await forward.run()
+                done = True
                 tasks.cancel_scope.cancel()
         except* forward_lib.CutError:
             # The server closes the connection without ending the answer.
@@ -582,12 +583,13 @@
             if follower is None or not follower.failing_since_ms:
                 continue
             records = [
-                store_lib.Record(name, spec) for name, spec in names.items()
+                store_lib.Record(name, spec, created)
+                for name, (spec, created) in names.items()
             ]
             if known.get("fresh") and kind == wire.KIND_TARGETS:
                 self._drop_unlisted(names)
             for record in records:
-                self.known[kind][record.name] = record.spec
+                self.known[kind][record.name] = (record.spec, record.created)
                 _TAKES[kind](self, record)
 
     def _drop_unlisted(self, names: dict[str, Any]) -> None:
@@ -667,7 +669,10 @@
 
     def whole(self, batch: store_lib.Batch) -> None:
         """Takes all objects."""
-        known = {record.name: record.spec for record in batch.records}
+        known = {
+            record.name: (record.spec, record.created)
+            for record in batch.records
+        }
         missing = [
             name
             for name in self._gateway.known[self._kind]
@@ -687,7 +692,7 @@
             if record.deleted:
                 known.pop(record.name, None)
             else:
-                known[record.name] = record.spec
+                known[record.name] = (record.spec, record.created)
             self._take(record)
         self._gateway.tell_news()
 
--- a/packages/radishd/src/radishd/platform/engine.py
+++ b/packages/radishd/src/radishd/platform/engine.py
@@ -26,7 +26,6 @@
 HTTP_ACCEPTED = 202
 HTTP_CONFLICT = 409
 HTTP_MISDIRECTED = 421
-_INSTANCE = b"x-instance-id"
 
 
 class Verdict(enum.Enum):
@@ -103,8 +102,7 @@
         if status == HTTP_CONFLICT:
             return Ordered(Verdict.CONFLICT, detail)
         if status == HTTP_MISDIRECTED:
-            actual = (answer.head.get(_INSTANCE) or b"").decode("latin-1")
-            return Ordered(Verdict.OTHER_INSTANCE, actual)
+            return Ordered(Verdict.OTHER_INSTANCE, detail)
         return Ordered(Verdict.REFUSED, f"{status} {detail}")
 
     async def _call(
--- a/packages/radishd/src/radishd/platform/store.py
+++ b/packages/radishd/src/radishd/platform/store.py
@@ -27,11 +27,13 @@
     Attributes:
         name: Its name.
         spec: Its content.
+        created: Revision of the store at which it was created.
         deleted: Whether it was removed.
     """
 
     name: str
     spec: Any
+    created: int = 0
     deleted: bool = False
 
 
@@ -160,4 +162,6 @@
 
 
 def _record(raw: Any) -> Record:
-    return Record(raw["metadata"]["name"], raw.get("spec"))
+    metadata = raw["metadata"]
+    created = int(metadata.get("created") or 0)
+    return Record(metadata["name"], raw.get("spec"), created)
--- a/packages/radishd/src/radishd/platform/wire.py
+++ b/packages/radishd/src/radishd/platform/wire.py
@@ -113,12 +113,15 @@
     return max(0, min(slots, int(room_mb // adapter_mb)))
 
 
-def target(name: str, spec: Fields) -> result.Outcome[roster.Listing]:
+def target(
+    name: str, spec: Fields, created: int
+) -> result.Outcome[roster.Listing]:
     """Decodes a registered target.
 
     Args:
         name: The object's name, which is the target's instance.
         spec: The object's content.
+        created: Revision at which it was entered.
 
     Returns:
         The target, or what could not be read.
@@ -132,6 +135,7 @@
             # A target that leaves at short notice also says in how long.
             leaving=spec.get("state") == _DRAINING or "remainingMs" in spec,
             slot_count=int(spec.get("slots") or 1),
+            listed_at=created,
             residents=_residents(spec.get("models") or ()),
         )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
--- a/packages/radishd/src/radishd/request/forward.py
+++ b/packages/radishd/src/radishd/request/forward.py
@@ -30,6 +30,8 @@
 # try elsewhere.
 MAX_LOAD_WAIT_MS = 1_500
 LOAD_WAIT_PART = 0.45
+# How long it waits for a first word of the processes beside engines.
+UNHEARD_WAIT_MS = 600
 # When to come back after a refusal, by what it takes to change: a full or
 # restarted target is another one's turn at once, a load takes a moment.
 SHED_RETRY_MS = (30, 150)
@@ -184,7 +186,8 @@
         gateway = self.gateway
         adapter = self.request.adapter
         wait_ms = min(MAX_LOAD_WAIT_MS, self.left_ms() * LOAD_WAIT_PART)
-        until_ms = clock.boot_ms() + wait_ms
+        began_ms = clock.boot_ms()
+        until_ms = began_ms + wait_ms
         while True:
             now_ms = clock.boot_ms()
             usable = gateway.roster.usable(self.service, now_ms)
@@ -196,11 +199,15 @@
             if choice.send is not None:
                 return choice.send, choice.version
             if choice.load is None:
+                # No process beside a target was heard lately: after a start
+                # or a standstill here they are heard again in a moment.
+                until_ms = min(until_ms, began_ms + UNHEARD_WAIT_MS)
+            if not usable:
                 return self._no_target()
             if now_ms >= until_ms:
                 return result.Failure(
                     result.ADAPTER_LOADING,
-                    f"{adapter} was not loaded in {wait_ms:.0f} ms",
+                    f"{adapter} was not loaded in {now_ms - began_ms} ms",
                     gateway.spread(LOAD_RETRY_MS),
                 )
             pause_ms = min(WANT_AGAIN_MS, until_ms - now_ms)
--- a/packages/radishd/src/radishd/sidecar.py
+++ b/packages/radishd/src/radishd/sidecar.py
@@ -13,6 +13,7 @@
 from radishstack import result
 from radishstack.connection import fleet_wire
 from radishstack.process import adapter_keeper
+from radishstack.process import incarnation
 
 from radishd.platform import engine as engine_lib
 from radishd.process import admin
@@ -64,14 +65,18 @@
         self.socket: fleet_socket.FleetSocket | None = None
         self.gateways: dict[fleet_socket.Address, int] = {}
         self.peer_addresses: dict[str, int] = {}
-        self.instance = ""
-        self.seen_instances: set[str] = set()
+        self.incarnations = incarnation.Incarnations()
         self.report: adapter_keeper.Report | None = None
         self.engine_lost = False
         self.wake = anyio.Event()
         self._told_at_ms = 0
         self._told: tuple[Any, ...] = ()
 
+    @property
+    def instance(self) -> str:
+        """The start of the engine that orders are for, empty if unknown."""
+        return self.incarnations.current
+
     def hear(
         self, datagram: fleet_wire.Datagram, sender: fleet_socket.Address
     ) -> None:
@@ -83,28 +88,19 @@
             self.gateways[sender] = now_ms
             self.peer_addresses[datagram.peer_address] = now_ms
         demand = datagram.demand
-        if demand.instance not in self.seen_instances:
-            # Gateways learn of a restart from the platform's list; one that
-            # lags still names the start before, which is never new.
-            self.seen_instances.add(demand.instance)
-            self._set_instance(demand.instance)
-        if demand.instance != self.instance:
+        known = self.incarnations.current
+        if not self.incarnations.named(demand.instance):
             return
+        if demand.instance != known:
+            self.log.must(
+                "engine_instance", instance=demand.instance, before=known
+            )
+            self.keeper.restarted()
         before = self.keeper.pending(now_ms)
         self.keeper.hear(demand, now_ms)
         if self.keeper.pending(now_ms) - before:
             self.wake.set()
 
-    def _set_instance(self, instance: str) -> None:
-        if instance == self.instance:
-            return
-        self.log.must(
-            "engine_instance", instance=instance, before=self.instance
-        )
-        self.instance = instance
-        self.seen_instances.add(instance)
-        self.keeper.restarted()
-
     async def run(self) -> None:
         """Keeps the engine until cancelled."""
         while True:
@@ -156,8 +152,10 @@
             self._note(order, ordered, now_ms - began_ms)
             refused = ordered.verdict is Verdict.REFUSED
             self.keeper.settled(order, now_ms, refused=refused)
-            if ordered.verdict is Verdict.OTHER_INSTANCE and ordered.detail:
-                self._set_instance(ordered.detail)
+            if ordered.verdict is Verdict.OTHER_INSTANCE:
+                self.log.must("engine_instance_ended", instance=self.instance)
+                self.incarnations.refused()
+                self.keeper.restarted()
             report = await self.engine.report()
             if isinstance(report, result.Failure):
                 self._lost(report)
--- a/packages/radishstack/src/radishstack/process/adapter_keeper.py
+++ b/packages/radishstack/src/radishstack/process/adapter_keeper.py
@@ -193,11 +193,7 @@
 
     def observe(self, report: Report, now_ms: int) -> None:
         """Takes the engine's own report."""
-        if (
-            self.report is not None
-            and report.accepted_count != self.report.accepted_count
-        ):
-            self.report = report
+        self.report = report
         self.report_at_ms = now_ms
 
     def in_flight(self, adapter: str, now_ms: int) -> int:
--- a/packages/radishstack/src/radishstack/process/roster.py
+++ b/packages/radishstack/src/radishstack/process/roster.py
@@ -32,6 +32,8 @@
         failure_domain: Where it runs.
         leaving: Whether it said that it leaves.
         slot_count: Requests it runs at once.
+        listed_at: Revision of the list at which it was entered; of two
+            targets at one address, the later one runs.
         residents: Versions of what it held, by adapter.
     """
 
@@ -41,6 +43,7 @@
     failure_domain: str
     leaving: bool
     slot_count: int
+    listed_at: int = 0
     residents: Mapping[str, int] = dataclasses.field(default_factory=dict)
 
 
@@ -113,12 +116,20 @@
     def upsert(self, listing: Listing) -> None:
         """Takes one entry of the list."""
         member = self.members.get(listing.instance)
-        if member is None:
-            self.members[listing.instance] = Member(listing, Health())
-            self._index()
+        if member is not None:
+            member.listing = listing
+            member.lapses_at_ms = 0
             return
-        member.listing = listing
-        member.lapses_at_ms = 0
+        member = Member(listing, Health())
+        self.members[listing.instance] = member
+        self._index()
+        # A target that restarted is listed beside its former start until
+        # that entry expires; sent there, requests would only be refused.
+        for other in self.members.values():
+            if other is member or other.listing.address != listing.address:
+                continue
+            older = min(other, member, key=lambda one: one.listing.listed_at)
+            older.gone = True
 
     def remove(self, instance: str, now_ms: int) -> bool:
         """Takes that the list lost an entry.
--- /dev/null
+++ b/packages/standins/src/standins/platform_engine.py
@@ -0,0 +1,380 @@
+"""A target of the users' platform: an engine with adapters, or a plain one.
+
+It speaks HTTP over a raw socket, so that a test can have it answer late,
+twice, in part, or not at all. What it ran is kept by attempt, for tests to
+compare with what callers were told.
+"""
+
+import asyncio
+from collections.abc import Callable
+import contextlib
+import dataclasses
+import enum
+import json
+from typing import Any
+
+import httptools
+
+MS_PER_S = 1_000.0
+REASONS = {200: "OK", 202: "Accepted", 421: "Misdirected", 503: "Unavailable"}
+
+
+class Fault(enum.Enum):
+    """What a target does wrong with one request."""
+
+    NONE = "none"
+    SHED = "shed"
+    ERROR = "error"
+    RESET_UNRUN = "reset_unrun"
+    RESET_AFTER_RUN = "reset_after_run"
+    CUT_MIDWAY = "cut_midway"
+    HANG = "hang"
+    TWICE = "twice"
+    UNFRAMED = "unframed"
+    UNSIGNED = "unsigned"
+    PROMISE_AFTER_RUN = "promise_after_run"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Seen:
+    """One request as it arrived."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def attempt_id(self) -> str:
+        """The caller's name for the attempt."""
+        return self.headers.get("x-attempt-id", "")
+
+
+class _Parse:
+    """Collects one request for ``httptools``."""
+
+    def __init__(self) -> None:
+        self.done: list[Seen] = []
+        self._url = b""
+        self._headers: dict[str, str] = {}
+        self._body = b""
+        self.parser = httptools.HttpRequestParser(self)
+
+    def on_message_begin(self) -> None:
+        """Begins a request."""
+        self._url, self._headers, self._body = b"", {}, b""
+
+    def on_url(self, url: bytes) -> None:
+        """Takes the request target."""
+        self._url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Takes a header."""
+        self._headers[name.decode().lower()] = value.decode("latin-1")
+
+    def on_body(self, body: bytes) -> None:
+        """Takes a piece of the body."""
+        self._body += body
+
+    def on_message_complete(self) -> None:
+        """Takes the end of a request."""
+        method = self.parser.get_method().decode()
+        seen = Seen(method, self._url.decode(), self._headers, self._body)
+        self.done.append(seen)
+
+
+@dataclasses.dataclass(slots=True)
+class Timing:
+    """How long things take.
+
+    Attributes:
+        load_ms: A load of an adapter that was not held before.
+        reload_ms: A load of one that was.
+        event_ms: Between two events of a stream.
+        work_ms: A request of a plain target.
+    """
+
+    load_ms: float = 30.0
+    reload_ms: float = 5.0
+    event_ms: float = 2.0
+    work_ms: float = 2.0
+
+
+class PlatformEngine:
+    """One target."""
+
+    def __init__(
+        self,
+        instance: str,
+        *,
+        model: str = "",
+        adapter_slots: int = 4,
+        event_count: int = 4,
+        timing: Timing | None = None,
+    ) -> None:
+        """Makes a target that does not listen yet.
+
+        Args:
+            instance: Name of this start of it.
+            model: Its base model; empty for a plain target.
+            adapter_slots: Adapters that it holds at most.
+            event_count: Events of each stream.
+            timing: How long things take.
+        """
+        self.instance = instance
+        self.model = model
+        self.adapter_slots = adapter_slots
+        self.event_count = event_count
+        self.timing = timing or Timing()
+        self.adapters: dict[str, int] = {}
+        self.newest: dict[str, int] = {}
+        self.in_transit: dict[str, int] = {}
+        self.held_before: set[str] = set()
+        self.accepted_count = 0
+        self.running: dict[str, int] = {}
+        self.ran: list[str] = []
+        self.seen: list[Seen] = []
+        self.orders: list[dict[str, Any]] = []
+        self.crashed = False
+        self.fault: Callable[[Seen], Fault] = lambda seen: Fault.NONE
+        self.swallow_orders = 0
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self, host: str, port: int) -> None:
+        """Listens."""
+        self._server = await asyncio.start_server(self._serve, host, port)
+
+    async def stop(self) -> None:
+        """Ends at once: connections are reset, nothing more is said."""
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+        for task in list(self._tasks):
+            task.cancel()
+
+    def listing(self, service: str, address: str, zone: str) -> dict[str, Any]:
+        """Returns what it registers."""
+        return {
+            "service": service,
+            "address": address,
+            "zone": zone,
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "coldRemainingMs": 0,
+            "models": self._models(),
+            "sequence": self.accepted_count,
+        }
+
+    def _models(self) -> list[dict[str, Any]]:
+        if not self.model:
+            return []
+        adapters = [
+            f"{name}@{version}" for name, version in self.adapters.items()
+        ]
+        return [{"name": self.model, "version": 1, "adapters": adapters}]
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._writers.add(writer)
+        task = asyncio.current_task()
+        if task is not None:
+            self._tasks.add(task)
+        parse = _Parse()
+        try:
+            while data := await reader.read(65_536):
+                parse.parser.feed_data(data)
+                while parse.done:
+                    await self._answer(parse.done.pop(0), writer)
+        except asyncio.CancelledError:
+            # The stream library's own callback logs a cancelled handler.
+            writer.transport.abort()
+        except (ConnectionError, httptools.HttpParserError):
+            writer.transport.abort()
+        finally:
+            self._writers.discard(writer)
+            self._tasks.discard(task)
+            with contextlib.suppress(ConnectionError):
+                writer.close()
+
+    async def _answer(self, seen: Seen, writer: asyncio.StreamWriter) -> None:
+        if seen.target == "/-/report":
+            await self._reply(writer, 200, self._report())
+            return
+        if seen.target == "/-/order":
+            await self._order(seen, writer)
+            return
+        self.seen.append(seen)
+        expected = seen.headers.get("x-target-instance", self.instance)
+        if expected != self.instance:
+            headers = {"X-Instance-Id": self.instance}
+            await self._reply(writer, 421, {}, headers, seen)
+            return
+        if not self._holds(seen):
+            await self._reply(writer, 421, {}, None, seen)
+            return
+        await self._run(seen, writer, self.fault(seen))
+
+    def _holds(self, seen: Seen) -> bool:
+        base, _, adapter = seen.headers.get("x-model", "").partition("/")
+        if base != self.model and self.model:
+            return False
+        if not adapter:
+            return True
+        expected = seen.headers.get("x-expected-version")
+        held = self.adapters.get(adapter)
+        return held is not None and expected in (None, str(held))
+
+    def _report(self) -> dict[str, Any]:
+        incoming = [
+            f"{self.model}/{name}@{version}"
+            for name, version in self.in_transit.items()
+        ]
+        return {
+            "stage": "unified",
+            "models": self._models(),
+            "incoming": incoming,
+            "busy": False,
+            "sequence": self.accepted_count,
+            "waiting": 0,
+            "running": sum(self.running.values()),
+        }
+
+    async def _order(self, seen: Seen, writer: asyncio.StreamWriter) -> None:
+        order = json.loads(seen.body)
+        if self.swallow_orders:
+            self.swallow_orders -= 1
+            return
+        if seen.headers.get("x-target-instance") != self.instance:
+            await self._reply(writer, 421, {})
+            return
+        if order.get("expect", self.accepted_count) != self.accepted_count:
+            await self._reply(writer, 409, {})
+            return
+        await self._reply(writer, self.take_order(order), {})
+
+    def take_order(self, order: dict[str, Any]) -> int:
+        """Carries an order out, as one that comes late is, too."""
+        if order.get("expect", self.accepted_count) != self.accepted_count:
+            return 409
+        self.orders.append(order)
+        name = order.get("adapter", "")
+        self.accepted_count += 1
+        if order["operation"] == "model_unload":
+            self.adapters.pop(name, None)
+            return 200
+        if len(self.adapters) + len(self.in_transit) >= self.adapter_slots:
+            self.crashed = True
+        version = order.get("version") or self.newest.get(name, 1)
+        self.in_transit[name] = version
+        held = name in self.held_before
+        load_ms = self.timing.reload_ms if held else self.timing.load_ms
+        asyncio.get_running_loop().call_later(
+            load_ms / MS_PER_S, self._loaded, name, version
+        )
+        return 202
+
+    def _loaded(self, name: str, version: int) -> None:
+        self.in_transit.pop(name, None)
+        self.adapters[name] = version
+        self.held_before.add(name)
+
+    async def _reply(
+        self,
+        writer: asyncio.StreamWriter,
+        status: int,
+        body: dict[str, Any],
+        headers: dict[str, str] | None = None,
+        seen: Seen | None = None,
+    ) -> None:
+        data = json.dumps(body).encode()
+        lines = [f"HTTP/1.1 {status} {REASONS.get(status, 'Other')}"]
+        lines.append(f"Content-Length: {len(data)}")
+        if seen is not None:
+            lines.append(f"X-Attempt-Id: {seen.attempt_id}")
+        for name, value in (headers or {}).items():
+            lines.append(f"{name}: {value}")
+        writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + data)
+        await writer.drain()
+
+    async def _run(
+        self, seen: Seen, writer: asyncio.StreamWriter, fault: Fault
+    ) -> None:
+        if fault is Fault.SHED:
+            headers = {"X-Not-Executed": "1"}
+            await self._reply(writer, 503, {}, headers, seen)
+            return
+        if fault is Fault.RESET_UNRUN:
+            raise ConnectionResetError
+        if fault is Fault.HANG:
+            await asyncio.Event().wait()
+        model = seen.headers.get("x-model", "")
+        self.ran.append(seen.attempt_id)
+        self.running[model] = self.running.get(model, 0) + 1
+        try:
+            await self._finish(seen, writer, fault)
+        finally:
+            self.running[model] -= 1
+
+    async def _finish(
+        self, seen: Seen, writer: asyncio.StreamWriter, fault: Fault
+    ) -> None:
+        signature = {"X-Server-Signature": f"s.{self.instance}"}
+        if fault is Fault.ERROR:
+            await self._reply(writer, 500, {}, signature, seen)
+            return
+        if fault is Fault.PROMISE_AFTER_RUN:
+            await self._reply(writer, 503, {}, signature, seen)
+            return
+        if fault is Fault.RESET_AFTER_RUN:
+            raise ConnectionResetError
+        if self.model:
+            await self._stream(seen, writer, fault, signature)
+            return
+        await asyncio.sleep(self.timing.work_ms / MS_PER_S)
+        headers = {} if fault is Fault.UNSIGNED else signature
+        body = {"instance": self.instance, "attempt": seen.attempt_id}
+        await self._reply(writer, 200, body, headers, seen)
+        if fault is Fault.TWICE:
+            await self._reply(writer, 200, body, headers, seen)
+
+    async def _stream(
+        self,
+        seen: Seen,
+        writer: asyncio.StreamWriter,
+        fault: Fault,
+        signature: dict[str, str],
+    ) -> None:
+        lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
+        lines.append(f"X-Attempt-Id: {seen.attempt_id}")
+        lines.extend(f"{name}: {value}" for name, value in signature.items())
+        framed = fault is not Fault.UNFRAMED
+        if framed:
+            lines.append("Transfer-Encoding: chunked")
+        writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+        first = int(seen.headers.get("last-event-id") or 0) + 1
+        for number in range(first, self.event_count + 1):
+            await asyncio.sleep(self.timing.event_ms / MS_PER_S)
+            event = f"id: {number}\ndata: {seen.attempt_id} {number}\n\n"
+            if fault is Fault.CUT_MIDWAY and number == self.event_count // 2:
+                self._piece(writer, event[:5].encode(), framed=framed)
+                await writer.drain()
+                raise ConnectionResetError
+            self._piece(writer, event.encode(), framed=framed)
+            await writer.drain()
+        if framed:
+            writer.write(b"0\r\n\r\n")
+            await writer.drain()
+        else:
+            writer.close()
+
+    def _piece(
+        self, writer: asyncio.StreamWriter, data: bytes, *, framed: bool
+    ) -> None:
+        if framed:
+            data = f"{len(data):x}\r\n".encode() + data + b"\r\n"
+        writer.write(data)
--- /dev/null
+++ b/packages/standins/src/standins/platform_store.py
@@ -0,0 +1,118 @@
+"""The users' platform's store of objects: lists, watches, outages."""
+
+import collections
+import dataclasses
+import time
+from typing import Any
+
+import anyio
+
+from standins import web
+
+MS_PER_S = 1_000.0
+PAGE = 50
+PREFIX = "/-/objects/"
+
+
+@dataclasses.dataclass(slots=True)
+class Faults:
+    """Faults that a test turns on while the store runs.
+
+    Attributes:
+        refuses: Whether every call is answered 503.
+        silent: Whether calls are taken and never answered.
+    """
+
+    refuses: bool = False
+    silent: bool = False
+
+
+class PlatformStore:
+    """Objects by kind and name, with one revision counter."""
+
+    def __init__(self) -> None:
+        """Starts empty."""
+        self.objects: dict[str, dict[str, dict[str, Any]]] = {}
+        self.history: list[tuple[int, str, dict[str, Any]]] = []
+        self.oldest = 0
+        self.revision = 0
+        self.calls: collections.Counter[str] = collections.Counter()
+        self.faults = Faults()
+        self._changed = anyio.Event()
+
+    def put(self, kind: str, name: str, spec: dict[str, Any]) -> None:
+        """Writes an object as the operator or a target would."""
+        self.revision += 1
+        kinds = self.objects.setdefault(kind, {})
+        before = kinds.get(name)
+        created = self.revision
+        if before is not None:
+            created = before["metadata"]["created"]
+        metadata = {
+            "name": name,
+            "revision": self.revision,
+            "created": created,
+            "finalizers": [],
+            "deleting": False,
+        }
+        kinds[name] = {"metadata": metadata, "spec": spec, "status": None}
+        self._note(kind, {"object": kinds[name], "deleted": False})
+
+    def delete(self, kind: str, name: str) -> None:
+        """Removes an object."""
+        self.revision += 1
+        gone = self.objects[kind].pop(name)
+        self._note(kind, {"object": gone, "deleted": True})
+
+    def _note(self, kind: str, event: dict[str, Any]) -> None:
+        self.history.append((self.revision, kind, event))
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    def compact(self) -> None:
+        """Drops the history."""
+        self.history.clear()
+        self.oldest = self.revision
+
+    async def handle(self, request: web.Request) -> None:
+        """Answers one call."""
+        kind = request.path.removeprefix(PREFIX)
+        self.calls[kind] += 1
+        if self.faults.silent:
+            await anyio.sleep_forever()
+        if self.faults.refuses:
+            await request.reply({}, status=503)
+            return
+        if "watch" in request.query:
+            await self._watch(request, kind)
+            return
+        names = sorted(self.objects.get(kind, {}))
+        after = request.query.get("after", "")
+        page = [name for name in names if name > after][:PAGE]
+        items = [self.objects[kind][name] for name in page]
+        more = bool(page) and page[-1] != names[-1]
+        body = {"items": items, "hasMore": more, "at": self.revision}
+        await request.reply(body)
+
+    async def _watch(self, request: web.Request, kind: str) -> None:
+        since = int(request.query["watch"])
+        wait_s = int(request.query.get("waitMs", 0)) / MS_PER_S
+        until_s = time.monotonic() + wait_s
+        while True:
+            if self.faults.refuses:
+                await request.reply({}, status=503)
+                return
+            if since < self.oldest:
+                await request.reply({}, status=410)
+                return
+            events = [
+                event
+                for revision, of_kind, event in self.history
+                if revision > since and of_kind == kind
+            ]
+            left_s = until_s - time.monotonic()
+            if events or left_s <= 0:
+                await request.reply({"events": events, "at": self.revision})
+                return
+            with anyio.move_on_after(left_s):
+                await self._changed.wait()
--- /dev/null
+++ b/tests/fleet/fixtures.py
@@ -0,0 +1,331 @@
+"""A small fleet on loopback: store, targets, sidecars and one gateway.
+
+Each VM has a loopback address of its own, so that ports are the same on all,
+as on the platform.
+"""
+
+from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
+import contextlib
+import dataclasses
+import functools
+import itertools
+import os
+import random
+import secrets
+from typing import Any
+
+import anyio
+import anyio.abc
+from radishd import gateway as gateway_lib
+from radishd import sidecar as sidecar_lib
+from radishd.connection import http_client
+from radishd.process import settings as settings_lib
+from radishd.process import signals
+from standins import platform_engine
+from standins import platform_store
+from standins import web as standins_web
+
+FRONT_PORT = 8_140
+READY_PORT = 8_141
+PEERS_PORT = 8_142
+FLEET_PORT = 8_143
+ADMIN_PORT = 8_144
+STORE_PORT = 8_145
+TARGET_PORT = 8_146
+LIMIT_S = 30.0
+POLL_S = 0.005
+MODEL = "base7"
+HOST = "shop.example"
+SERVICE = "engines"
+PLAIN_SERVICE = "counter"
+
+_random = random.Random(os.getpid() * 7919)
+_subnets = itertools.count(_random.randint(0, 200))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """What a caller got.
+
+    Attributes:
+        status: HTTP status, 0 without an answer.
+        headers: Headers by lower-case name.
+        body: The body as far as it came.
+        whole: Whether the answer ended as a whole one does.
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    whole: bool
+
+
+def route(name: str, kind: str, **fields: Any) -> dict[str, Any]:
+    """Returns a route of the operator's configuration."""
+    return {
+        "name": name,
+        "host": HOST,
+        "pathPrefix": f"/{name}/",
+        "type": kind,
+        "timeoutMs": 3_000,
+        "targetLatencyMs": 400,
+        "priority": 0,
+        "service": SERVICE,
+        "maxAttempts": 1,
+        **fields,
+    }
+
+
+def configuration(version: int = 1, **fields: Any) -> dict[str, Any]:
+    """Returns a configuration with one route of each kind."""
+    routes = [
+        route("chat", "streaming"),
+        route("long", "streaming", resumable=True, maxAttempts=2),
+        route("book", "non_idempotent", service=PLAIN_SERVICE),
+        route("look", "idempotent", service=PLAIN_SERVICE, maxAttempts=2),
+    ]
+    engine = {
+        "slots": 8,
+        "models": [
+            {
+                "name": MODEL,
+                "weightsMb": 100.0,
+                "adapters": 99,
+                "adapterMb": 1.0,
+            }
+        ],
+        "weightsMb": 200.0,
+        "adapterSlots": 4,
+    }
+    body = {
+        "version": version,
+        "routes": routes,
+        "services": [
+            {"name": SERVICE, "maxConnections": 64, "engine": engine},
+            {"name": PLAIN_SERVICE, "maxConnections": 64},
+        ],
+        "limits": {
+            "maxHeaderBytes": 16_384,
+            "maxBodyBytes": 65_536,
+            "idleTimeoutMs": 5_000,
+        },
+    }
+    return body | fields
+
+
+class Fleet:
+    """A running fleet."""
+
+    def __init__(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Starts with no VM."""
+        self.tasks = tasks
+        self.subnet = (
+            f"127.{40 + next(_subnets) % 200}.{secrets.randbelow(250)}"
+        )
+        self.store = platform_store.PlatformStore()
+        self.targets: dict[str, platform_engine.PlatformEngine] = {}
+        self.sidecars: dict[str, sidecar_lib.Sidecar] = {}
+        self.gateway: gateway_lib.Gateway | None = None
+        self.stop = anyio.Event()
+        self.stopped = anyio.Event()
+        self._hosts = itertools.count(10)
+
+    def host(self) -> str:
+        """Returns the address of a new VM."""
+        return f"{self.subnet}.{next(self._hosts)}"
+
+    async def add_target(
+        self, instance: str, *, engine: bool, host: str = "", **options: Any
+    ) -> platform_engine.PlatformEngine:
+        """Starts a target, registers it, and a sidecar beside an engine."""
+        new_vm = not host
+        host = host or self.host()
+        target = platform_engine.PlatformEngine(
+            instance, model=MODEL if engine else "", **options
+        )
+        await target.start(host, TARGET_PORT)
+        self.targets[instance] = target
+        service = SERVICE if engine else PLAIN_SERVICE
+        self.store.put(
+            "servers",
+            instance,
+            target.listing(service, f"{host}:{TARGET_PORT}", "north"),
+        )
+        if engine and new_vm:
+            self.sidecars[host] = await self.add_sidecar(host)
+        return target
+
+    async def add_sidecar(self, host: str) -> sidecar_lib.Sidecar:
+        """Starts the process beside an engine."""
+        raw = {
+            "role": "sidecar",
+            "name": f"side-{host.rpartition('.')[2]}",
+            "failure_domain": "piedmont/north",
+            "platform": {"url": f"http://{self.subnet}.1:{STORE_PORT}"},
+            "sidecar": {
+                "engine": f"{host}:{TARGET_PORT}",
+                "control": f"{host}:{FLEET_PORT}",
+                "admin": f"{host}:{ADMIN_PORT}",
+            },
+        }
+        settings = settings_lib.parse(raw)
+        assert isinstance(settings, settings_lib.Settings), settings
+        sidecar: sidecar_lib.Sidecar = await self.tasks.start(
+            functools.partial(
+                sidecar_lib.run,
+                settings,
+                stop=anyio.Event(),
+                reloads=signals.Reloads(),
+            )
+        )
+        return sidecar
+
+    async def add_gateway(
+        self, seeds: tuple[str, ...] = ()
+    ) -> gateway_lib.Gateway:
+        """Starts a gateway."""
+        host = self.host()
+        raw = {
+            "role": "gateway",
+            "name": f"edge-{host.rpartition('.')[2]}",
+            "failure_domain": "piedmont/north",
+            "platform": {"url": f"http://{self.subnet}.1:{STORE_PORT}"},
+            "seeds": list(seeds),
+            "gateway": {
+                "listen": f"{host}:{FRONT_PORT}",
+                "readiness": f"{host}:{READY_PORT}",
+                "peers": f"{host}:{PEERS_PORT}",
+                "control": f"{host}:{FLEET_PORT}",
+                "admin": f"{host}:{ADMIN_PORT}",
+                "sidecar_port": FLEET_PORT,
+                "retry_extra": 1_000,
+            },
+        }
+        settings = settings_lib.parse(raw)
+        assert isinstance(settings, settings_lib.Settings), settings
+        stopped = anyio.Event()
+
+        async def run(
+            *,
+            task_status: anyio.abc.TaskStatus[Any] = anyio.TASK_STATUS_IGNORED,
+        ) -> None:
+            await gateway_lib.run(
+                settings,
+                stop=self.stop,
+                reloads=signals.Reloads(),
+                task_status=task_status,
+            )
+            stopped.set()
+
+        gateway: gateway_lib.Gateway = await self.tasks.start(run)
+        self.gateway = self.gateway or gateway
+        self.stopped = stopped
+        return gateway
+
+    async def call(
+        self,
+        path: str,
+        *,
+        method: str = "POST",
+        body: bytes = b"",
+        adapter: str = "",
+        gateway: gateway_lib.Gateway | None = None,
+        **headers: str,
+    ) -> Answer:
+        """Makes one call on a connection of its own."""
+        gateway = gateway or self.gateway
+        connection = await http_client.open_connection(
+            gateway.own.listen, 2_000
+        )
+        assert isinstance(connection, http_client.Connection), connection
+        fields = {
+            "Host": HOST,
+            "X-Attempt-Id": secrets.token_hex(8),
+            "X-Deadline-Ms": "3000",
+            "Content-Length": str(len(body)),
+        }
+        if adapter:
+            fields["X-Model"] = f"{MODEL}/{adapter}"
+        fields |= {
+            name.replace("_", "-"): value for name, value in headers.items()
+        }
+        lines = [f"{method} {path} HTTP/1.1"]
+        lines += [f"{name}: {value}" for name, value in fields.items()]
+        connection.send("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+        try:
+            return await read_answer(connection)
+        finally:
+            connection.close()
+
+    async def until(self, holds: Callable[[], bool], what: str) -> None:
+        """Waits for a condition; the limit only ends a test that hangs."""
+        with anyio.move_on_after(LIMIT_S):
+            while not holds():
+                await anyio.sleep(POLL_S)
+            return
+        raise TimeoutError(f"still not: {what}")
+
+
+async def read_answer(connection: http_client.Connection) -> Answer:
+    """Reads an answer as far as it comes."""
+    head = await connection.head()
+    if isinstance(head, http_client.Lost):
+        return Answer(0, {}, b"", whole=False)
+    headers = {name.decode(): value.decode() for name, value in head.headers}
+    pieces = []
+    while True:
+        piece = await connection.chunk()
+        if isinstance(piece, http_client.Lost):
+            body = b"".join(pieces)
+            return Answer(head.status, headers, body, whole=False)
+        if not piece:
+            return Answer(head.status, headers, b"".join(pieces), whole=True)
+        pieces.append(piece)
+
+
+@contextlib.asynccontextmanager
+async def running_fleet(
+    *, engines: int = 2, plain: int = 2, **options: Any
+) -> AsyncIterator[Fleet]:
+    """Runs a store, targets with sidecars, and a gateway that is ready."""
+    async with anyio.create_task_group() as tasks:
+        fleet = Fleet(tasks)
+        app = standins_web.make_app(fleet.store.handle)
+        await tasks.start(
+            functools.partial(
+                standins_web.serve, app, f"{fleet.subnet}.1", STORE_PORT
+            )
+        )
+        fleet.store.put("config", "main", configuration())
+        for number in range(engines):
+            await fleet.add_target(f"i-engine{number}", engine=True, **options)
+        for number in range(plain):
+            await fleet.add_target(f"i-plain{number}", engine=False)
+        gateway = await fleet.add_gateway()
+        count = engines + plain
+        await fleet.until(
+            lambda: (
+                not gateway.ready()
+                and len(gateway.roster.members) == count
+                and len(gateway.placement.views) == engines
+            ),
+            "the gateway knows the fleet",
+        )
+        try:
+            yield fleet
+        finally:
+            for target in fleet.targets.values():
+                await target.stop()
+            tasks.cancel_scope.cancel()
+
+
+def run(test: Callable[[], Awaitable[None]]) -> None:
+    """Runs an asynchronous test under a limit that only ends hangs."""
+
+    async def limited() -> None:
+        with anyio.fail_after(2 * LIMIT_S):
+            await test()
+
+    anyio.run(limited)
--- /dev/null
+++ b/tests/fleet/test_fleet_faults.py
@@ -0,0 +1,250 @@
+"""Faults of targets, sidecars, the store and the gateway itself."""
+
+import anyio
+from radishstack import result
+from standins import platform_engine
+
+from tests.fleet import fixtures
+
+
+def test_loads_never_overfill_an_engine() -> None:
+    """Symptom: an engine crashes with all its runs.
+
+    Sequence: more adapters are asked for at once than it holds, and orders go
+    unanswered. Cause: a load was ordered beside one that was in doubt.
+    """
+
+    async def play() -> None:
+        async with fixtures.running_fleet(engines=1, plain=0) as fleet:
+            (engine,) = fleet.targets.values()
+            engine.swallow_orders = 3
+            answers: list[fixtures.Answer] = []
+
+            async def call(adapter: str) -> None:
+                answers.append(await fleet.call("/chat/x", adapter=adapter))
+
+            async with anyio.create_task_group() as tasks:
+                for number in range(12):
+                    tasks.start_soon(call, f"a{number}")
+            assert not engine.crashed
+            assert len(engine.adapters) <= engine.adapter_slots
+            assert sum(one.status == 200 for one in answers) >= 8, answers
+
+    fixtures.run(play)
+
+
+def test_an_order_carried_out_late_finds_its_place_taken() -> None:
+    """Symptom: an engine crashes seconds after its process gave up an order.
+
+    Sequence: a load goes unanswered, others follow, then it is carried out.
+    Cause: the order did not name the state that it was decided on.
+    """
+
+    async def play() -> None:
+        async with fixtures.running_fleet(engines=1, plain=0) as fleet:
+            (engine,) = fleet.targets.values()
+            for number in range(4):
+                await fleet.call("/chat/x", adapter=f"a{number}")
+            late = dict(engine.orders[0])
+            assert engine.take_order(late) == 409
+            assert not engine.crashed
+
+    fixtures.run(play)
+
+
+def test_a_restarted_engine_gets_orders_again() -> None:
+    """Symptom: after a power cut no adapter is loaded any more.
+
+    Sequence: engine and sidecar restart together; the list still names the
+    engine's former start beside the new one. Cause: the sidecar kept to the
+    start that it had heard of last, and each order was refused.
+    """
+
+    async def play() -> None:
+        async with fixtures.running_fleet(engines=1, plain=0) as fleet:
+            (engine,) = fleet.targets.values()
+            (host,) = fleet.sidecars
+            await engine.stop()
+            restarted = await fleet.add_target(
+                "i-restarted", engine=True, host=host
+            )
+            sidecar = fleet.sidecars[host]
+            sidecar.incarnations.named("i-engine0")
+            await fleet.until(
+                lambda: "i-restarted" in fleet.gateway.roster.members,
+                "the gateway lists the new start",
+            )
+
+            async def served() -> bool:
+                answer = await fleet.call("/chat/x", adapter="a1")
+                return answer.status == 200
+
+            while not await served():
+                await anyio.sleep(fixtures.POLL_S)
+            assert restarted.adapters
+
+    fixtures.run(play)
+
+
+def test_a_new_version_is_served_once_it_is_announced() -> None:
+    """The old version gives way within seconds, and callers are served."""
+
+    async def play() -> None:
+        async with fixtures.running_fleet() as fleet:
+            await fleet.call("/chat/x", adapter="a1")
+            for engine in fleet.targets.values():
+                engine.newest["a1"] = 2
+            fleet.store.put(
+                "versions",
+                f"{fixtures.MODEL}.a1",
+                {"model": fixtures.MODEL, "adapter": "a1", "version": 2},
+            )
+
+            def new_version_runs() -> bool:
+                return any(
+                    engine.adapters.get("a1") == 2
+                    for engine in fleet.targets.values()
+                    if engine.model
+                )
+
+            while not new_version_runs():
+                answer = await fleet.call("/chat/x", adapter="a1")
+                assert answer.status == 200, answer
+
+    fixtures.run(play)
+
+
+def test_a_configuration_never_goes_back() -> None:
+    """Symptom: a route that was removed is served again.
+
+    Sequence: a peer, or a lagging answer, offers an older version. Cause:
+    the newest answer was taken for the newest version.
+    """
+
+    async def play() -> None:
+        async with fixtures.running_fleet(engines=0) as fleet:
+            gateway = fleet.gateway
+            body = fixtures.configuration(version=7)
+            body["routes"] = body["routes"][:2]
+            fleet.store.put("config", "main", body)
+            await fleet.until(
+                lambda: gateway.table.version == 7, "version 7 is in force"
+            )
+            fleet.store.put("config", "main", fixtures.configuration(3))
+            fleet.store.put("versions", "x.y", {"model": "x", "version": 1})
+            await fleet.until(
+                lambda: "x" in gateway.placement.announced, "later news came"
+            )
+            assert gateway.table.version == 7
+            answer = await fleet.call("/book/1")
+            assert answer.status == result.ROUTE_UNKNOWN.status
+
+    fixtures.run(play)
+
+
+def test_a_gateway_starts_on_what_a_peer_knows() -> None:
+    """Symptom: a replaced gateway refuses everything in a store outage."""
+
+    async def play() -> None:
+        async with fixtures.running_fleet(engines=0) as fleet:
+            fleet.store.faults.refuses = True
+            peer = fleet.gateway.own.peers
+            second = await fleet.add_gateway(seeds=(peer,))
+            await fleet.until(lambda: not second.ready(), "it is ready")
+            answer = await fleet.call("/book/1", gateway=second)
+            assert answer.status == 200, answer
+
+    fixtures.run(play)
+
+
+def test_targets_that_lapsed_in_an_outage_are_still_used() -> None:
+    """Symptom: every request is refused right after a store outage.
+
+    Sequence: targets cannot renew their entries, which lapse; the store
+    comes back and lists none. Cause: absence was taken for death.
+    """
+
+    async def play() -> None:
+        async with fixtures.running_fleet(engines=0) as fleet:
+            gateway = fleet.gateway
+            listed = dict(fleet.store.objects["servers"])
+            fleet.store.faults.refuses = True
+            fleet.store.compact()
+            follower = gateway.followers["servers"]
+            follower.restart()
+            await fleet.until(
+                lambda: bool(follower.failing_since_ms), "the store is lost"
+            )
+            for name in listed:
+                fleet.store.delete("servers", name)
+            fleet.store.faults.refuses = False
+            await fleet.until(
+                lambda: not follower.failing_since_ms, "the store is back"
+            )
+            answer = await fleet.call("/book/1")
+            assert answer.status == 200, answer
+            await fleet.until(
+                lambda: not gateway.roster.members, "they are given up"
+            )
+
+    fixtures.run(play)
+
+
+def test_a_draining_gateway_finishes_and_tells_callers() -> None:
+    """What is in flight ends whole; answers say that the connection ends."""
+
+    async def play() -> None:
+        async with fixtures.running_fleet(engines=0, plain=1) as fleet:
+            (target,) = fleet.targets.values()
+            target.timing.work_ms = 300.0
+            answers: list[fixtures.Answer] = []
+
+            async def call() -> None:
+                answers.append(await fleet.call("/book/1"))
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(call)
+                await fleet.until(lambda: bool(target.ran), "it runs")
+                fleet.stop.set()
+                await fleet.until(lambda: fleet.gateway.draining, "it drains")
+                tasks.start_soon(call)
+            assert [one.status for one in answers] == [200, 200], answers
+            assert answers[1].headers["connection"] == "close"
+            await fleet.stopped.wait()
+
+    fixtures.run(play)
+
+
+def test_what_was_believed_before_a_standstill_is_not_used() -> None:
+    """Kept connections and words of sidecars are dropped, then learned anew."""
+
+    async def play() -> None:
+        async with fixtures.running_fleet() as fleet:
+            await fleet.call("/chat/x", adapter="a1")
+            gateway = fleet.gateway
+            gateway.stood_still(4_000)
+            assert not gateway.placement.views
+            answer = await fleet.call("/chat/x", adapter="a1")
+            assert answer.status == 200, answer
+
+    fixtures.run(play)
+
+
+def test_a_target_that_leaves_gets_no_new_work() -> None:
+    """Once the list says so, requests go to the other one."""
+
+    async def play() -> None:
+        async with fixtures.running_fleet(engines=0) as fleet:
+            leaving: platform_engine.PlatformEngine
+            leaving = fleet.targets["i-plain0"]
+            spec = dict(fleet.store.objects["servers"]["i-plain0"]["spec"])
+            fleet.store.put("servers", "i-plain0", spec | {"state": "draining"})
+            member = fleet.gateway.roster.members["i-plain0"]
+            await fleet.until(lambda: member.listing.leaving, "it is known")
+            before = len(leaving.ran)
+            for _ in range(12):
+                answer = await fleet.call("/book/1")
+                assert answer.status == 200, answer
+            assert len(leaving.ran) == before
+
+    fixtures.run(play)
--- /dev/null
+++ b/tests/fleet/test_forwarding_path.py
@@ -0,0 +1,264 @@
+"""Requests through a gateway: what callers get, and what targets ran."""
+
+import collections
+
+import anyio
+from radishstack import result
+from standins import platform_engine
+
+from tests.fleet import fixtures
+
+Fault = platform_engine.Fault
+
+
+def _runs(fleet: fixtures.Fleet) -> collections.Counter[str]:
+    return collections.Counter(
+        attempt for target in fleet.targets.values() for attempt in target.ran
+    )
+
+
+def _expected_stream(attempt: str, count: int = 4) -> bytes:
+    return b"".join(
+        f"id: {number}\ndata: {attempt} {number}\n\n".encode()
+        for number in range(1, count + 1)
+    )
+
+
+def test_a_stream_of_a_cold_adapter_is_loaded_and_whole() -> None:
+    """The adapter is nowhere resident; its home loads it, the caller waits."""
+
+    async def play() -> None:
+        async with fixtures.running_fleet() as fleet:
+            answer = await fleet.call(
+                "/chat/x?a=", adapter="a7", X_Attempt_Id="0a"
+            )
+            assert answer.status == 200 and answer.whole, answer
+            assert answer.body == _expected_stream("0a")
+            seen = [
+                one for target in fleet.targets.values() for one in target.seen
+            ]
+            assert [one.target for one in seen] == ["/chat/x?a="]
+            assert int(seen[0].headers["x-deadline-ms"]) <= 3_000
+
+    fixtures.run(play)
+
+
+def test_a_call_that_must_not_run_twice_is_not_sent_again() -> None:
+    """Symptom: a booking stands twice in the books.
+
+    Sequence: the target runs it and loses the answer. Cause: a proxy that
+    takes a reset for "not run" sends it to another target.
+    """
+
+    async def play() -> None:
+        async with fixtures.running_fleet(engines=0) as fleet:
+            for target in fleet.targets.values():
+                target.fault = lambda seen: Fault.RESET_AFTER_RUN
+            answer = await fleet.call("/book/1", X_Attempt_Id="0b")
+            assert answer.status == 502, answer
+            assert _runs(fleet)["0b"] == 1
+
+    fixtures.run(play)
+
+
+def test_a_call_that_may_run_twice_is_sent_elsewhere() -> None:
+    """The first target loses its answer; the second one's is passed on."""
+
+    async def play() -> None:
+        async with fixtures.running_fleet(engines=0) as fleet:
+            lost = set()
+
+            def lose_first(seen: platform_engine.Seen) -> Fault:
+                if seen.attempt_id in lost:
+                    return Fault.NONE
+                lost.add(seen.attempt_id)
+                return Fault.RESET_AFTER_RUN
+
+            for target in fleet.targets.values():
+                target.fault = lose_first
+            answer = await fleet.call(
+                "/look/1", method="GET", X_Attempt_Id="0c"
+            )
+            assert answer.status == 200, answer
+            assert _runs(fleet)["0c"] == 2
+
+    fixtures.run(play)
+
+
+def test_a_promise_without_proof_is_not_passed_on() -> None:
+    """Symptom: a caller repeats a booking that has run.
+
+    Sequence: a target runs it and answers 503 without saying that it did not
+    run. Cause: passed on, the status is a promise that nothing ran.
+    """
+
+    async def play() -> None:
+        async with fixtures.running_fleet(engines=0) as fleet:
+            for target in fleet.targets.values():
+                target.fault = lambda seen: Fault.PROMISE_AFTER_RUN
+            answer = await fleet.call("/book/1", X_Attempt_Id="0d")
+            assert answer.status == 502, answer
+            assert "x-server-signature" not in answer.headers
+
+    fixtures.run(play)
+
+
+def test_a_refusal_with_proof_says_when_to_come_back() -> None:
+    """A full target proved that nothing ran; the caller is told at once."""
+
+    async def play() -> None:
+        async with fixtures.running_fleet(engines=0) as fleet:
+            for target in fleet.targets.values():
+                target.fault = lambda seen: Fault.SHED
+            answer = await fleet.call("/book/1", X_Attempt_Id="0e")
+            assert answer.status == 503, answer
+            assert float(answer.headers["retry-after"]) > 0
+            assert _runs(fleet)["0e"] == 0
+
+    fixtures.run(play)
+
+
+def test_a_cut_stream_that_may_go_on_is_whole_for_its_caller() -> None:
+    """Symptom: a summary stops in mid sentence, or repeats a piece.
+
+    Sequence: the target breaks off in the middle of an event. Cause: half an
+    event was passed on, or the second target began anew.
+    """
+
+    async def play() -> None:
+        async with fixtures.running_fleet() as fleet:
+            cut = set()
+
+            def cut_first(seen: platform_engine.Seen) -> Fault:
+                if seen.attempt_id in cut:
+                    return Fault.NONE
+                cut.add(seen.attempt_id)
+                return Fault.CUT_MIDWAY
+
+            for target in fleet.targets.values():
+                target.fault = cut_first
+            answer = await fleet.call(
+                "/long/x", adapter="a1", X_Attempt_Id="0f"
+            )
+            assert answer.whole, answer
+            assert answer.body == _expected_stream("0f")
+
+    fixtures.run(play)
+
+
+def test_a_cut_stream_that_may_not_go_on_looks_cut() -> None:
+    """Symptom: a caller files half a draft as the whole one.
+
+    Sequence: the target breaks off. Cause: the gateway ended the answer.
+    """
+
+    async def play() -> None:
+        async with fixtures.running_fleet() as fleet:
+            for target in fleet.targets.values():
+                target.fault = lambda seen: Fault.CUT_MIDWAY
+            answer = await fleet.call("/chat/x", adapter="a1")
+            assert answer.status == 200 and not answer.whole, answer
+            assert answer.body == _expected_stream(
+                answer.headers["x-attempt-id"], 1
+            )
+
+    fixtures.run(play)
+
+
+def test_a_late_second_answer_goes_to_nobody() -> None:
+    """Symptom: a caller gets the answer to another's request.
+
+    Sequence: a target answers a request twice; the second answer arrives on
+    the kept connection as the next request is sent on it. Cause: the next
+    answer on a connection was taken for the answer to the last request.
+    """
+
+    async def play() -> None:
+        async with fixtures.running_fleet(engines=0, plain=1) as fleet:
+            (target,) = fleet.targets.values()
+            target.fault = lambda seen: Fault.TWICE
+            for number in range(6):
+                attempt = f"1{number}"
+                answer = await fleet.call("/book/1", X_Attempt_Id=attempt)
+                if answer.status == 200:
+                    assert f'"{attempt}"'.encode() in answer.body, answer
+
+    fixtures.run(play)
+
+
+def test_an_answer_without_length_ends_with_its_connection() -> None:
+    """It is whole when the target closes in order."""
+
+    async def play() -> None:
+        async with fixtures.running_fleet() as fleet:
+            for target in fleet.targets.values():
+                target.fault = lambda seen: Fault.UNFRAMED
+            answer = await fleet.call(
+                "/chat/x", adapter="a1", X_Attempt_Id="20"
+            )
+            assert answer.whole, answer
+            assert answer.body == _expected_stream("20")
+
+    fixtures.run(play)
+
+
+def test_callers_do_not_set_what_is_ours_to_set() -> None:
+    """Symptom: a caller jumps the queue, or reads another's memory.
+
+    Cause: headers that steer an engine were passed on as they came.
+    """
+
+    async def play() -> None:
+        async with fixtures.running_fleet() as fleet:
+            await fleet.call(
+                "/chat/x",
+                adapter="a1",
+                X_Hold="1",
+                X_Pin_Ms="4000",
+                Kv_From="10.0.0.1:1/2",
+                X_Request_Priority="0",
+                X_Custom="kept",
+            )
+            seen = [
+                one for target in fleet.targets.values() for one in target.seen
+            ]
+            headers = seen[0].headers
+            assert headers["x-custom"] == "kept"
+            assert not {"x-hold", "x-pin-ms", "kv-from"} & headers.keys()
+            assert headers["x-request-priority"] != "0"
+
+    fixtures.run(play)
+
+
+def test_an_unknown_route_and_a_large_body_are_refused() -> None:
+    """Both get an answer of ours, and nothing reaches a target."""
+
+    async def play() -> None:
+        async with fixtures.running_fleet(engines=0) as fleet:
+            answer = await fleet.call("/nowhere/1")
+            assert answer.status == result.ROUTE_UNKNOWN.status
+            large = await fleet.call("/book/1", body=b"x" * 70_000)
+            assert large.status == result.BODY_TOO_LARGE.status
+            assert not _runs(fleet)
+
+    fixtures.run(play)
+
+
+def test_a_caller_that_leaves_frees_its_target() -> None:
+    """The connection to the target is closed, so that its work stops."""
+
+    async def play() -> None:
+        async with fixtures.running_fleet(engines=0, plain=1) as fleet:
+            (target,) = fleet.targets.values()
+            target.timing.work_ms = 60_000.0
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(fleet.call, "/book/1")
+                await fleet.until(lambda: bool(target.ran), "it runs")
+                tasks.cancel_scope.cancel()
+            await fleet.until(
+                lambda: fleet.gateway.in_flight == 0, "the gateway let go"
+            )
+            member = fleet.gateway.roster.members[target.instance]
+            assert member.health.in_flight == 0
+
+    fixtures.run(play)
