--- a/packages/radishd/src/radishd/gateway.py
+++ b/packages/radishd/src/radishd/gateway.py
@@ -48,6 +48,8 @@
 # How often each process beside an engine is told what is used and wanted;
 # it believes a word for five times as long.
 DEMAND_EVERY_MS = 400
+# Demands that others wait for are gathered this long.
+HURRY_MS = 15
 SWEEP_EVERY_MS = 500
 FORGET_VIEWS_MS = 5_000
 # A watch of the targets is renewed this often, so that a store that went
@@ -101,6 +103,8 @@
         self.books: dict[str, demand_book.DemandBook] = {}
         self.budgets: dict[str, shared_budget.SharedBudget] = {}
         self.news = anyio.Event()
+        self._hurried: dict[str, roster_lib.Member] = {}
+        self._hurry_event = anyio.Event()
         self.draining = False
         self.in_flight = 0
         self.refusals: dict[int, int] = {}
@@ -262,7 +266,26 @@
 
     def ended(self, member: roster_lib.Member, adapter: str) -> None:
         """Counts a request that an engine has ended."""
-        self._book(member.listing.address).ended(adapter)
+        idle = self._book(member.listing.address).ended(adapter)
+        view = self.placement.view_of(member)
+        if idle and view is not None and view.pending:
+            # Loads wait there for the place of an adapter that is not used.
+            self._hurry(member)
+
+    def _hurry(self, member: roster_lib.Member) -> None:
+        """Has a demand told soon, together with others of this moment."""
+        self._hurried[member.listing.instance] = member
+        self._hurry_event.set()
+
+    async def tell_hurried(self) -> None:
+        """Tells demands that cannot wait for the regular time."""
+        while True:
+            await self._hurry_event.wait()
+            await anyio.sleep(HURRY_MS / MS_PER_S)
+            self._hurry_event = anyio.Event()
+            hurried, self._hurried = self._hurried, {}
+            for member in hurried.values():
+                await self._send_demand(member)
 
     async def want(self, member: roster_lib.Member, adapter: str) -> None:
         """Asks for a load of an adapter."""
@@ -276,7 +299,9 @@
                 version=version,
                 target=member.listing.instance,
             )
-        await self._send_demand(member)
+            await self._send_demand(member)
+        else:
+            self._hurry(member)
 
     def note_outcome(
         self, instance: str, outcome: Outcome, adapter: str
@@ -753,6 +778,7 @@
         jobs = {
             "receive": gateway.socket.run,
             "tell_demand": gateway.tell_demand,
+            "tell_hurried": gateway.tell_hurried,
             "sweep": gateway.sweep,
             "ask_peers": gateway.ask_peers,
             "stillness": functools.partial(
--- a/packages/radishstack/src/radishstack/process/adapter_keeper.py
+++ b/packages/radishstack/src/radishstack/process/adapter_keeper.py
@@ -21,8 +21,9 @@
 # A want is renewed while requests wait; one that is not renewed has nobody
 # waiting any more.
 WANT_MS = 600
-# No eviction right after a use: a gateway may be sending the next request.
-IDLE_MS = 120
+# No eviction right after a use: a gateway may be sending the next request,
+# and learns of an eviction some milliseconds after it.
+IDLE_MS = 25
 # Adapters that may be in transit to one engine.
 MAX_IN_TRANSIT = 4
 # After a load order that the engine refused, others go first.
--- a/packages/radishstack/src/radishstack/process/demand_book.py
+++ b/packages/radishstack/src/radishstack/process/demand_book.py
@@ -20,13 +20,18 @@
         self._in_flight[adapter] = self._in_flight.get(adapter, 0) + 1
         self._sent[adapter] = self._sent.get(adapter, 0) + 1
 
-    def ended(self, adapter: str) -> None:
-        """Counts a request that has ended."""
+    def ended(self, adapter: str) -> bool:
+        """Counts a request that has ended.
+
+        Returns:
+            Whether none uses the adapter any more.
+        """
         left = self._in_flight.get(adapter, 0) - 1
         if left > 0:
             self._in_flight[adapter] = left
-        else:
-            self._in_flight.pop(adapter, None)
+            return False
+        self._in_flight.pop(adapter, None)
+        return True
 
     @property
     def busy(self) -> bool:
--- /dev/null
+++ b/tests/fleet/test_keeper.py
@@ -0,0 +1,235 @@
+"""The orders of one engine, without I/O."""
+
+from hypothesis import stateful
+import hypothesis.strategies as st
+from radishstack.process import adapter_keeper
+from radishstack.process import incarnation
+from radishstack.process import shared_budget
+
+LIMIT = 4
+Operation = adapter_keeper.Operation
+
+
+def _report(
+    residents: dict[str, int],
+    in_transit: dict[str, int] | None = None,
+    accepted: int = 0,
+) -> adapter_keeper.Report:
+    return adapter_keeper.Report(
+        accepted, {"base": 1} | residents, in_transit or {}, False, 0, 0
+    )
+
+
+def _demand(
+    *wants: str,
+    uses: tuple[adapter_keeper.Use, ...] = (),
+    announced: dict[str, int] | None = None,
+    gateway: str = "g",
+) -> adapter_keeper.Demand:
+    return adapter_keeper.Demand(
+        gateway=gateway,
+        instance="i",
+        adapter_limit=LIMIT,
+        base_models=("base",),
+        uses=uses,
+        wants=tuple(adapter_keeper.Want(name, 0) for name in wants),
+        announced=announced or {},
+    )
+
+
+def _full() -> dict[str, int]:
+    return {f"base/a{number}": 1 for number in range(LIMIT)}
+
+
+def test_an_adapter_in_use_is_never_unloaded() -> None:
+    """Symptom: an engine refuses requests in the middle of a rush.
+
+    Sequence: all places are taken and in use, another adapter is wanted.
+    Cause: the least recently used adapter was evicted although it served.
+    """
+    keeper = adapter_keeper.Keeper()
+    uses = tuple(adapter_keeper.Use(name, 1, 1) for name in _full())
+    keeper.hear(_demand("base/new", uses=uses), 1_000)
+    keeper.observe(_report(_full()), 1_000)
+    assert keeper.decide(1_500) is None
+
+
+def test_the_least_asked_for_idle_adapter_makes_room() -> None:
+    """Popularity decides among the idle ones."""
+    keeper = adapter_keeper.Keeper()
+    uses = tuple(
+        adapter_keeper.Use(name, 0, 9 if name != "base/a2" else 1)
+        for name in _full()
+    )
+    keeper.hear(_demand(uses=uses), 1_000)
+    keeper.hear(_demand("base/new"), 1_400)
+    keeper.observe(_report(_full()), 1_500)
+    order = keeper.decide(1_500)
+    assert order.operation is Operation.UNLOAD and order.adapter == "base/a2"
+
+
+def test_a_gateway_that_is_gone_holds_no_adapter() -> None:
+    """Its uses lapse; the engine itself protects what still runs."""
+    keeper = adapter_keeper.Keeper()
+    uses = tuple(adapter_keeper.Use(name, 1, 1) for name in _full())
+    keeper.hear(_demand(uses=uses), 1_000)
+    later_ms = 1_001 + adapter_keeper.DEMAND_MS
+    keeper.hear(_demand("base/new", gateway="other"), later_ms)
+    keeper.observe(_report(_full()), later_ms)
+    assert keeper.decide(later_ms).operation is Operation.UNLOAD
+
+
+def test_no_order_without_a_new_report() -> None:
+    """What an order did is read, not assumed."""
+    keeper = adapter_keeper.Keeper()
+    keeper.hear(_demand("base/a1", "base/a2"), 1_000)
+    keeper.observe(_report({}), 1_000)
+    order = keeper.decide(1_000)
+    keeper.settled(order, 1_001, refused=False)
+    assert keeper.decide(1_002) is None
+    keeper.observe(_report({}, {"base/a1": 1}, accepted=1), 1_003)
+    assert keeper.decide(1_003).accepted_count == 1
+
+
+def test_no_order_right_after_a_standstill() -> None:
+    """What was known before it is old, and another may have acted."""
+    keeper = adapter_keeper.Keeper()
+    keeper.hear(_demand("base/a1"), 1_000)
+    keeper.hold(1_400)
+    keeper.observe(_report({}), 1_100)
+    assert keeper.decide(1_399) is None
+    assert keeper.decide(1_400) is not None
+
+
+def test_an_empty_engine_gets_its_base_model_first() -> None:
+    """Adapters need it; the engine refuses them without."""
+    keeper = adapter_keeper.Keeper()
+    keeper.hear(_demand("base/a1"), 1_000)
+    empty = adapter_keeper.Report(0, {}, {}, False, 0, 0)
+    keeper.observe(empty, 1_000)
+    assert keeper.decide(1_000).adapter == "base"
+
+
+def test_an_idle_adapter_of_an_old_version_goes() -> None:
+    """It would only be refused, and its place is wanted."""
+    keeper = adapter_keeper.Keeper()
+    keeper.hear(_demand(announced={"base/a1": 2}), 1_000)
+    keeper.observe(_report({"base/a1": 1, "base/a2": 1}), 1_000)
+    order = keeper.decide(1_000)
+    assert order.operation is Operation.UNLOAD and order.adapter == "base/a1"
+
+
+def test_a_start_that_is_over_is_never_taken_again() -> None:
+    """A gateway that lags goes on naming it for seconds."""
+    starts = incarnation.Incarnations()
+    assert starts.named("new") and starts.named("old")
+    starts.refused()
+    assert not starts.named("old") and starts.current == ""
+    assert starts.named("new")
+
+
+def test_parts_of_the_budget_add_up_to_the_whole() -> None:
+    """Symptom: a failing service gets several times its load in repeats.
+
+    Sequence: all requests fail at all gateways, unevenly loaded. Cause: each
+    gateway spent the whole allowance.
+    """
+    ratio, extra, gateways = 0.2, 60.0, 6
+    spent, requests = 0, 0
+    for number in range(gateways):
+        budget = shared_budget.SharedBudget(ratio, extra / gateways, 10_000)
+        own = 10 * number**2
+        for index in range(own):
+            budget.earn(index)
+        requests += own
+        spent += sum(budget.spend(5_000) for _ in range(1_000))
+    assert spent <= ratio * requests + extra
+
+
+class KeeperMachine(stateful.RuleBasedStateMachine):
+    """An engine that answers orders late, never, or at once."""
+
+    adapters = st.sampled_from([f"base/a{number}" for number in range(8)])
+
+    def __init__(self) -> None:
+        """Starts with an empty engine."""
+        super().__init__()
+        self.keeper = adapter_keeper.Keeper()
+        self.now_ms = 1_000
+        self.residents: dict[str, int] = {}
+        self.in_transit: dict[str, int] = {}
+        self.accepted = 0
+        self.late: list[adapter_keeper.Order] = []
+        self.in_use: set[str] = set()
+
+    def _carry_out(self, order: adapter_keeper.Order) -> bool:
+        if order.accepted_count != self.accepted:
+            return False
+        self.accepted += 1
+        if order.operation is Operation.UNLOAD:
+            self.residents.pop(order.adapter, None)
+            return True
+        self.in_transit[order.adapter] = 1
+        return True
+
+    @stateful.rule(adapter=adapters)
+    def want(self, adapter: str) -> None:
+        """A request waits for an adapter."""
+        self.keeper.hear(_demand(adapter), self.now_ms)
+
+    @stateful.rule(adapter=adapters, uses=st.booleans())
+    def use(self, adapter: str, uses: bool) -> None:
+        """A request begins or ends."""
+        if uses:
+            self.in_use.add(adapter)
+        else:
+            self.in_use.discard(adapter)
+        told = tuple(adapter_keeper.Use(name, 1, 1) for name in self.in_use)
+        self.keeper.hear(_demand(uses=told), self.now_ms)
+
+    @stateful.rule(answer=st.sampled_from(["at once", "lost", "late"]))
+    def order(self, answer: str) -> None:
+        """The process reads a report and gives an order."""
+        self.keeper.observe(
+            _report(dict(self.residents), dict(self.in_transit), self.accepted),
+            self.now_ms,
+        )
+        order = self.keeper.decide(self.now_ms)
+        if order is None:
+            return
+        if order.operation is Operation.UNLOAD:
+            assert order.adapter not in self.in_use
+        if answer == "late":
+            self.late.append(order)
+        else:
+            self._carry_out(order)
+        self.keeper.settled(order, self.now_ms, refused=False)
+
+    @stateful.rule()
+    def late_order(self) -> None:
+        """An order that had no answer is carried out after all."""
+        if self.late:
+            self._carry_out(self.late.pop(0))
+
+    @stateful.rule()
+    def loads_finish(self) -> None:
+        """What is on its way arrives."""
+        self.residents.update(self.in_transit)
+        self.in_transit.clear()
+
+    @stateful.rule(step_ms=st.integers(1, 400))
+    def wait(self, step_ms: int) -> None:
+        """Time passes; gateways renew their word."""
+        self.now_ms += step_ms
+        told = tuple(adapter_keeper.Use(name, 1, 0) for name in self.in_use)
+        self.keeper.hear(_demand(uses=told), self.now_ms)
+
+    @stateful.invariant()
+    def never_overfilled(self) -> None:
+        """One adapter too many crashes the engine."""
+        assert len(self.residents | self.in_transit) <= LIMIT
+
+
+def test_no_order_overfills_an_engine_whatever_is_lost_or_late() -> None:
+    """Orders are answered at once, lost, or carried out later."""
+    stateful.run_state_machine_as_test(KeeperMachine)
--- /dev/null
+++ b/tests/fleet/test_placement.py
@@ -0,0 +1,168 @@
+"""Where requests go and where adapters are loaded, without I/O."""
+
+import random
+
+from radishstack.process import placement as placement_lib
+from radishstack.process import roster as roster_lib
+
+ADAPTER = "base/a1"
+NOW_MS = 100_000
+
+
+def _roster(count: int, *, slots: int = 8) -> roster_lib.Roster:
+    roster = roster_lib.Roster(2_500)
+    for number in range(count):
+        roster.upsert(
+            roster_lib.Listing(
+                instance=f"i{number}",
+                service="llm",
+                address=f"10.0.0.{number}:80",
+                failure_domain="north",
+                leaving=False,
+                slot_count=slots,
+            )
+        )
+    return roster
+
+
+def _placement(
+    roster: roster_lib.Roster, **residents: dict[str, int]
+) -> placement_lib.Placement:
+    placement = placement_lib.Placement(random.Random(1), "north")
+    for name, member in roster.members.items():
+        held = {"base": 1} | residents.get(name, {})
+        placement.hear(
+            member.listing.address,
+            placement_lib.View(name, NOW_MS, 0, 0, held, frozenset()),
+        )
+    return placement
+
+
+def _choose(
+    placement: placement_lib.Placement,
+    roster: roster_lib.Roster,
+    now_ms: int = NOW_MS,
+) -> placement_lib.Choice:
+    usable = roster.usable("llm", now_ms)
+    return placement.choose(ADAPTER, usable, frozenset(), now_ms)
+
+
+def test_a_holder_is_preferred_to_a_load() -> None:
+    """A load would cost the caller a quarter of a second."""
+    roster = _roster(4)
+    placement = _placement(roster, i2={ADAPTER: 1})
+    choice = _choose(placement, roster)
+    assert choice.send is roster.members["i2"] and choice.load is None
+
+
+def test_every_gateway_picks_the_same_home() -> None:
+    """Without a message, so that one load serves the callers of all."""
+    roster = _roster(6)
+    homes = {_choose(_placement(roster), roster).load.listing.instance}
+    for seed in range(5):
+        placement = _placement(roster)
+        placement._random = random.Random(seed)
+        homes.add(_choose(placement, roster).load.listing.instance)
+    assert len(homes) == 1
+
+
+def test_a_load_under_way_is_shared() -> None:
+    """Waiters join a target that is already loading, not their own home."""
+    roster = _roster(6)
+    placement = _placement(roster)
+    home = _choose(placement, roster).load
+    other = next(one for one in roster.members.values() if one is not home)
+    placement.views[other.listing.address].pending = frozenset({ADAPTER})
+    assert _choose(placement, roster).load is other
+
+
+def test_a_busy_holder_gets_a_second_copy_beside_it() -> None:
+    """Load pattern: one adapter takes more than one engine can carry."""
+    roster = _roster(4)
+    placement = _placement(roster, i0={ADAPTER: 1})
+    placement.views["10.0.0.0:80"].running = 60
+    choice = _choose(placement, roster)
+    assert choice.send is roster.members["i0"]
+    assert choice.load is not None and choice.load is not choice.send
+
+
+def test_an_old_version_serves_only_while_the_new_one_is_loaded() -> None:
+    """Symptom: callers get an answer of a version that was replaced.
+
+    Sequence: a version is announced while the old one is resident. Cause:
+    residency was matched by name only.
+    """
+    roster = _roster(3)
+    placement = _placement(roster, i0={ADAPTER: 1})
+    placement.announce(ADAPTER, 2, NOW_MS)
+    first = _choose(placement, roster)
+    assert first.send is roster.members["i0"]
+    assert first.load is not None and first.load is not first.send
+    later_ms = NOW_MS + placement_lib.OLD_VERSION_MS
+    for view in placement.views.values():
+        view.heard_at_ms = later_ms
+    assert _choose(placement, roster, later_ms).send is None
+
+
+def test_an_engine_that_is_down_is_no_home() -> None:
+    """Symptom: every new adapter waits for seconds after a crash.
+
+    Sequence: an engine restarts empty; loads there wait for its base model.
+    Cause: it was the first of the order, and nobody looked what it holds.
+    """
+    roster = _roster(4)
+    placement = _placement(roster)
+    home = _choose(placement, roster).load
+    placement.views[home.listing.address].residents.clear()
+    assert _choose(placement, roster).load is not home
+
+
+def test_a_silent_sidecar_is_no_home() -> None:
+    """Its engine may run, but nobody there takes a wish for a load."""
+    roster = _roster(2)
+    placement = _placement(roster)
+    home = _choose(placement, roster).load
+    placement.views[home.listing.address].heard_at_ms -= 10_000
+    assert _choose(placement, roster).load is not home
+
+
+def test_failures_push_work_away_but_never_empty_a_service() -> None:
+    """With every target in doubt, the doubt is about this process."""
+    roster = _roster(2)
+    for _ in range(4):
+        roster.failed("i0", NOW_MS)
+    usable = roster.usable("llm", NOW_MS)
+    assert [one.listing.instance for one in usable] == ["i1"]
+    for _ in range(4):
+        roster.failed("i1", NOW_MS)
+    assert len(roster.usable("llm", NOW_MS)) == 2
+
+
+def test_of_two_entries_at_one_address_the_later_runs() -> None:
+    """Symptom: each send to a restarted target is refused for seconds."""
+    roster = _roster(1)
+    old = roster.members["i0"].listing
+    roster.upsert(
+        roster_lib.Listing(
+            instance="i9",
+            service="llm",
+            address=old.address,
+            failure_domain="north",
+            leaving=False,
+            slot_count=8,
+            listed_at=9,
+        )
+    )
+    usable = roster.usable("llm", NOW_MS)
+    assert [one.listing.instance for one in usable] == ["i9"]
+
+
+def test_entries_that_lapse_in_an_outage_are_kept_for_a_moment() -> None:
+    """And one that does not come back is then given up."""
+    roster = _roster(2)
+    roster.outage_ended(NOW_MS)
+    assert not roster.remove("i0", NOW_MS + 100)
+    assert len(roster.usable("llm", NOW_MS + 200)) == 2
+    assert roster.drop_lapsed(NOW_MS + 2_499) == []
+    assert roster.drop_lapsed(NOW_MS + 2_500) == ["i0"]
+    assert roster.remove("i1", NOW_MS + 9_000)
