--- a/packages/radishd/src/radishd/connection/http_client.py
+++ b/packages/radishd/src/radishd/connection/http_client.py
@@ -10,6 +10,7 @@
 import collections
 import dataclasses
 import socket
+import struct
 
 import httptools
 
@@ -24,6 +25,8 @@
 HIGH_WATER_BYTES = 256 * 1024
 MAX_HEADERS_BYTES = 64 * 1024
 INFORMATIONAL = 200
+# SO_LINGER on with zero seconds: closing resets the connection.
+_RESET = struct.pack("ii", 1, 0)
 NO_CONTENT = (204, 304)
 
 Headers = tuple[tuple[bytes, bytes], ...]
@@ -290,6 +293,12 @@
         if self._transport is None:
             return
         if self._busy:
+            # A plain close would still deliver what a frozen or cut-off peer
+            # has not taken yet, seconds after the caller left: a reset has
+            # those bytes dropped on the way.
+            sock = self._transport.get_extra_info("socket")
+            if sock is not None and not self._transport.is_closing():
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
             self._transport.abort()
         else:
             self._transport.close()
--- a/packages/radishd/src/radishd/gateway.py
+++ b/packages/radishd/src/radishd/gateway.py
@@ -51,7 +51,7 @@
 # Demands that others wait for are gathered this long.
 HURRY_MS = 15
 SWEEP_EVERY_MS = 500
-FORGET_VIEWS_MS = 5_000
+FORGET_VIEWS_MS = 30_000
 # A watch of the targets is renewed this often, so that a store that went
 # silent is noticed; the other two kinds change rarely and follow its lead.
 TARGETS_WAIT_MS = 2_000
--- a/packages/radishd/src/radishd/request/forward.py
+++ b/packages/radishd/src/radishd/request/forward.py
@@ -11,6 +11,7 @@
 import anyio
 from radishstack import invariant
 from radishstack import result
+from radishstack.process import placement as placement_lib
 from radishstack.process import roster as roster_lib
 from radishstack.request import event_stream
 from radishstack.request import forwarding
@@ -174,6 +175,7 @@
             member = gateway.placement.plain(
                 gateway.roster.usable(self.service, clock.boot_ms()),
                 frozenset(self.state.avoided),
+                clock.boot_ms(),
             )
             if member is None:
                 return self._no_target()
@@ -243,14 +245,24 @@
             if isinstance(connection, http_client.Lost):
                 return Outcome.UNSENT
             send = self._start(member, connection, version)
+            member.health.unanswered[self] = send.sent_at_ms
             return await self._answer(send)
         finally:
             member.health.in_flight -= 1
+            self._settle_silence(member)
             if self.needs_adapter:
                 gateway.ended(member, self.request.adapter)
             if isinstance(connection, http_client.Connection):
                 gateway.put_away(connection)
 
+    def _settle_silence(self, member: roster_lib.Member) -> None:
+        """Counts a send that ends without a first byte after a long wait."""
+        sent_at_ms = member.health.unanswered.pop(self, None)
+        if sent_at_ms is None:
+            return
+        if clock.boot_ms() - sent_at_ms > placement_lib.ENGINE_PATIENCE_MS:
+            self.gateway.roster.failed(member.listing.instance, clock.boot_ms())
+
     def _start(
         self,
         member: roster_lib.Member,
@@ -283,6 +295,8 @@
 
     async def _answer(self, send: Send) -> Outcome | None:
         head = await self._head(send)
+        if isinstance(head, http_client.Head):
+            send.member.health.unanswered.pop(self, None)
         if head is Pace.SILENT:
             return Outcome.SILENT
         if isinstance(head, http_client.Lost):
--- a/packages/radishd/src/radishd/sidecar.py
+++ b/packages/radishd/src/radishd/sidecar.py
@@ -33,7 +33,7 @@
 IDLE_POLL_MS = 100
 PENDING_POLL_MS = 15
 # How often gateways are told the state when nothing changed.
-TELL_EVERY_MS = 400
+TELL_EVERY_MS = 200
 GATEWAY_MS = 3_000
 MAX_GATEWAYS = 512
 
--- a/packages/radishstack/src/radishstack/process/placement.py
+++ b/packages/radishstack/src/radishstack/process/placement.py
@@ -27,8 +27,16 @@
 # A failed send costs the caller a new attempt, about one objective.
 FAILURE_COST_MS = 800.0
 FAR_COST_MS = 3.0
-# A target process that was not heard for this long gets no load orders.
-SILENT_MS = 1_500
+# A target process tells its state several times in this time. One that was
+# not heard for longer is gone or its whole VM stands still; it gets no wishes
+# for loads, and its engine no requests that another could take.
+SILENT_MS = 700
+# An engine, or a plain target, that has left a request without a first byte
+# for this long is not like the others: nine in ten answer sooner. What it is
+# silent above this counts against it.
+ENGINE_PATIENCE_MS = 800
+PLAIN_PATIENCE_MS = 250
+SILENCE_WEIGHT = 2.0
 # Loads waiting at one target before the next in the order is taken.
 MAX_PENDING_LOADS = 6
 # How long an older version still serves while the new one is loaded. The
@@ -139,6 +147,10 @@
             return None
         return view
 
+    def _is_silent(self, member: roster_lib.Member, now_ms: int) -> bool:
+        view = self.views.get(member.listing.address)
+        return view is not None and now_ms - view.heard_at_ms > SILENT_MS
+
     def residents(
         self, member: roster_lib.Member, now_ms: int
     ) -> Mapping[str, int]:
@@ -160,6 +172,8 @@
         cost_ms = REQUEST_COST_MS * running
         cost_ms += QUEUED_COST_MS * (queued + max(0, running - slots))
         cost_ms += FAILURE_COST_MS * health.failure_share
+        silent_ms = health.silent_ms(now_ms) - ENGINE_PATIENCE_MS
+        cost_ms += SILENCE_WEIGHT * max(0, silent_ms)
         if member.listing.failure_domain != self._near:
             cost_ms += FAR_COST_MS
         return cost_ms
@@ -168,12 +182,14 @@
         self,
         usable: list[roster_lib.Member],
         excluded: frozenset[str],
+        now_ms: int,
     ) -> roster_lib.Member | None:
         """Chooses a target of a service without adapters.
 
         Args:
             usable: Targets that may get work.
             excluded: Instances that already had this request.
+            now_ms: Now.
 
         Returns:
             The target expected to answer first, or None.
@@ -188,6 +204,8 @@
             slots = max(1, member.listing.slot_count)
             cost_ms = latency_ms * (1 + health.in_flight / slots)
             cost_ms += FAILURE_COST_MS * health.failure_share
+            silent_ms = health.silent_ms(now_ms) - PLAIN_PATIENCE_MS
+            cost_ms += SILENCE_WEIGHT * max(0, silent_ms)
             cost_ms *= self._random.uniform(0.9, 1.1)
             if best is None or cost_ms < best_ms:
                 best, best_ms = member, cost_ms
@@ -223,9 +241,14 @@
         best = self._cheapest(adapter, candidates, floor, now_ms)
         if best is not None:
             held = self.residents(best, now_ms).get(adapter, 0)
-            if self.cost_ms(best, now_ms) <= SPREAD_ABOVE_MS:
+            silent = self._is_silent(best, now_ms)
+            if not silent and self.cost_ms(best, now_ms) <= SPREAD_ABOVE_MS:
                 return Choice(best, None, held if floor else 0)
             home = self._home(adapter, candidates, floor, now_ms)
+            if silent and home is not None:
+                # A frozen VM would keep the request past its deadline; a
+                # load elsewhere takes a moment.
+                return Choice(None, home)
             return Choice(best, home, held if floor else 0)
         home = self._home(adapter, candidates, floor, now_ms)
         if announced is not None:
--- a/packages/radishstack/src/radishstack/process/roster.py
+++ b/packages/radishstack/src/radishstack/process/roster.py
@@ -17,6 +17,7 @@
 # the maximum: a restarted engine is back within seconds.
 EJECT_FIRST_MS = 300
 EJECT_MAX_MS = 2_400
+MAX_EJECTIONS = 8
 # Latency estimate: weight of the newest answer.
 LATENCY_WEIGHT = 0.2
 
@@ -57,6 +58,7 @@
         ejected_until_ms: Until when it gets no work.
         ejections: Ejections in a row.
         in_flight: Requests of this process that it has.
+        unanswered: When each of those that have no answer yet was sent.
     """
 
     failure_share: float = 0.0
@@ -64,6 +66,14 @@
     ejected_until_ms: int = 0
     ejections: int = 0
     in_flight: int = 0
+    unanswered: dict[object, int] = dataclasses.field(default_factory=dict)
+
+    def silent_ms(self, now_ms: int) -> int:
+        """Returns how long the oldest request waits for a first byte."""
+        if not self.unanswered:
+            return 0
+        # Entries are in the order in which they were sent.
+        return now_ms - next(iter(self.unanswered.values()))
 
 
 @dataclasses.dataclass(slots=True)
@@ -203,11 +213,15 @@
         member = self.members.get(instance)
         if member is None:
             return
-        health = member.health
+        self._eject(member.health, now_ms)
+        self.failed(instance, now_ms)
+
+    def _eject(self, health: Health, now_ms: int) -> None:
+        if health.ejected_until_ms > now_ms:
+            return
         pause_ms = min(EJECT_FIRST_MS * 2**health.ejections, EJECT_MAX_MS)
-        health.ejections = min(health.ejections + 1, 8)
+        health.ejections = min(health.ejections + 1, MAX_EJECTIONS)
         health.ejected_until_ms = now_ms + pause_ms
-        self.failed(instance, now_ms)
 
     def failed(self, instance: str, now_ms: int) -> None:
         """Notes a failure of a target."""
@@ -217,9 +231,7 @@
         health = member.health
         health.failure_share += FAILURE_WEIGHT * (1 - health.failure_share)
         if health.failure_share > SICK_ABOVE:
-            health.ejected_until_ms = max(
-                health.ejected_until_ms, now_ms + EJECT_FIRST_MS
-            )
+            self._eject(health, now_ms)
 
     def answered(self, instance: str, took_ms: float) -> None:
         """Notes a good answer and the time to its first byte."""
--- /dev/null
+++ b/tests/fleet/test_decision_log.py
@@ -0,0 +1,45 @@
+"""The decision log never blocks, and its volume is bounded."""
+
+import contextlib
+import json
+import os
+
+from radishd.process import decision_log
+
+
+def test_a_reader_that_stands_still_does_not_block_the_writer() -> None:
+    """Symptom: all requests hang while somebody pages through the logs.
+
+    Sequence: the reader of standard output stops reading; the pipe fills.
+    Cause: lines were written with a blocking call.
+    """
+    read_fd, write_fd = os.pipe()
+    try:
+        log = decision_log.DecisionLog(write_fd, vm="edge-1")
+        for number in range(3_000):
+            log.must("request", request="x" * 300, number=number)
+        assert log.dropped > 0
+        with contextlib.suppress(BlockingIOError):
+            os.set_blocking(read_fd, False)
+            while os.read(read_fd, 65_536):
+                log.flush()
+    finally:
+        os.close(read_fd)
+        os.close(write_fd)
+
+
+def test_a_flood_of_decisions_is_cut_to_the_rate_and_counted() -> None:
+    """The next line that is written tells how many are missing."""
+    read_fd, write_fd = os.pipe()
+    try:
+        log = decision_log.DecisionLog(write_fd, vm="edge-1")
+        for number in range(10 * round(decision_log.BURST)):
+            log.write("request", request=str(number))
+        dropped = log.dropped
+        assert dropped >= 8 * decision_log.BURST
+        log.must("stop")
+        last = json.loads(os.read(read_fd, 1_000_000).splitlines()[-1])
+        assert last["event"] == "stop" and last["dropped_lines"] == dropped
+    finally:
+        os.close(read_fd)
+        os.close(write_fd)
--- a/tests/fleet/test_placement.py
+++ b/tests/fleet/test_placement.py
@@ -166,3 +166,38 @@
     assert roster.drop_lapsed(NOW_MS + 2_499) == []
     assert roster.drop_lapsed(NOW_MS + 2_500) == ["i0"]
     assert roster.remove("i1", NOW_MS + 9_000)
+
+
+def test_a_plain_target_that_leaves_callers_waiting_is_passed_over() -> None:
+    """Symptom: a third of all counter calls run into their time limit.
+
+    Sequence: a target goes dark without a word; its connections stay open.
+    Cause: only an error counted as evidence, and a dark target gives none.
+    """
+    roster = _roster(3)
+    placement = _placement(roster)
+    dark = roster.members["i1"]
+    dark.health.unanswered["request"] = NOW_MS - 600
+    for _ in range(30):
+        usable = roster.usable("llm", NOW_MS)
+        chosen = placement.plain(usable, frozenset(), NOW_MS)
+        assert chosen is not dark
+
+
+def test_a_holder_on_a_silent_vm_is_left_for_a_load_elsewhere() -> None:
+    """Symptom: seconds of requests vanish into a frozen VM.
+
+    Sequence: engine and sidecar freeze together; the engine still stands in
+    the list with its adapters. Cause: what it held was believed for longer
+    than it takes to load the adapter elsewhere.
+    """
+    roster = _roster(3)
+    placement = _placement(roster, i0={ADAPTER: 1})
+    now_ms = NOW_MS + placement_lib.SILENT_MS + 1
+    for address, view in placement.views.items():
+        if address != "10.0.0.0:80":
+            view.heard_at_ms = now_ms
+    choice = _choose(placement, roster, now_ms)
+    assert choice.send is None
+    assert choice.load is not None
+    assert choice.load is not roster.members["i0"]
