--- a/bench/baselines.py
+++ b/bench/baselines.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 import random
 
-from radishstack.version import rendezvous
+from radishstack.process import rendezvous
 
 from bench import model
 
--- a/packages/radishctl/src/radishctl/cli.py
+++ b/packages/radishctl/src/radishctl/cli.py
@@ -6,6 +6,7 @@
 import pathlib
 import sys
 from typing import Any
+from typing import TextIO
 
 import anyio
 import click
@@ -20,6 +21,7 @@
 from radishstack.version import operation as operation_lib
 import yaml
 
+from radishctl import explain as explain_lib
 from radishctl import output as output_lib
 from radishctl import session as session_lib
 
@@ -431,6 +433,24 @@
     _add_entity_commands(_group, _kind, _noun)
 
 
+@main.command()
+@click.argument("request_id")
+@click.argument("files", nargs=-1, type=click.File())
+def explain(request_id: str, files: tuple[TextIO, ...]) -> None:
+    """Tells the story of one request from decision logs.
+
+    FILES are logs of gateways and sidecars; without any, standard input.
+    """
+    sources = files or (click.get_text_stream("stdin"),)
+    lines = [line for file in sources for line in explain_lib.read_lines(file)]
+    story = explain_lib.story(lines, request_id)
+    if not story:
+        click.echo(f"no line about {request_id}", err=True)
+        sys.exit(exits.FAILED)
+    for text in explain_lib.render(story, request_id):
+        click.echo(text)
+
+
 @main.command()
 @click.argument("admins", nargs=-1, required=True)
 @click.pass_obj
@@ -472,7 +492,13 @@
     version = report.get("config_version", "-")
     if isinstance(version, int) and version < newest:
         version = f"{version} (behind {newest})"
-    holds = report.get("resident") or report.get("failures") or {}
+    holds = (
+        report.get("resident")
+        or report.get("residents")
+        or report.get("failures")
+        or report.get("refusals")
+        or {}
+    )
     return (
         report.get("name", "-"),
         report.get("role", "-"),
--- /dev/null
+++ b/packages/radishctl/src/radishctl/explain.py
@@ -0,0 +1,109 @@
+"""The story of one request, from the decision logs of several processes."""
+
+from collections.abc import Iterable
+import dataclasses
+import json
+from typing import Any
+
+# Clocks of VMs differ, and a load that a request waited for may have been
+# ordered for another just before; both lie within this.
+MARGIN_MS = 3_000
+# Fields that every line has, or that the heading of the story shows.
+_SHOWN_APART = ("at_ms", "event", "vm")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Line:
+    """One line of a decision log.
+
+    Attributes:
+        at_ms: Time of day on its VM.
+        vm: Its VM.
+        event: What was decided.
+        fields: The inputs and the outcome.
+    """
+
+    at_ms: int
+    vm: str
+    event: str
+    fields: dict[str, Any]
+
+
+def read_lines(texts: Iterable[str]) -> list[Line]:
+    """Reads decision lines and passes over all others.
+
+    Args:
+        texts: Lines of logs; a collector may have put words of its own
+            before the JSON.
+
+    Returns:
+        The decisions.
+    """
+    lines = []
+    for text in texts:
+        start = text.find("{")
+        if start < 0:
+            continue
+        try:
+            raw = json.loads(text[start:])
+        except ValueError:
+            continue
+        if not isinstance(raw, dict) or "event" not in raw:
+            continue
+        fields = {k: v for k, v in raw.items() if k not in _SHOWN_APART}
+        at_ms = int(raw.get("at_ms", 0))
+        lines.append(Line(at_ms, raw.get("vm", ""), raw["event"], fields))
+    return lines
+
+
+def story(lines: list[Line], request_id: str) -> list[Line]:
+    """Picks what touches one request, in the order in which it happened.
+
+    Args:
+        lines: Decisions of all processes.
+        request_id: The request.
+
+    Returns:
+        Its own line, and, from shortly before it came to its end, what was
+        decided on its adapter and what was learned of its targets.
+    """
+    own = [one for one in lines if one.fields.get("request") == request_id]
+    if not own:
+        return []
+    ends_ms = max(one.at_ms for one in own)
+    took_ms = max(int(one.fields.get("took_ms", 0)) for one in own)
+    adapters = {one.fields["adapter"] for one in own if "adapter" in one.fields}
+    targets = {
+        str(send).partition(":")[0]
+        for one in own
+        for send in one.fields.get("sends", ())
+    }
+    picked = [
+        one
+        for one in lines
+        if ends_ms - took_ms - MARGIN_MS <= one.at_ms <= ends_ms + MARGIN_MS
+        and one.event != "request"
+        and _touches(one, adapters, targets)
+    ]
+    return sorted(own + picked, key=lambda one: one.at_ms)
+
+
+def _touches(line: Line, adapters: set[str], targets: set[str]) -> bool:
+    fields = line.fields
+    if "adapter" in fields:
+        return fields["adapter"] in adapters
+    named = {fields.get("target"), fields.get("instance"), fields.get("before")}
+    if named & targets:
+        return True
+    return line.event in ("stood_still", "store_lost", "store_back", "draining")
+
+
+def render(lines: list[Line], request_id: str) -> list[str]:
+    """Renders a story, with times from the request's own line."""
+    own = next(one for one in lines if one.fields.get("request") == request_id)
+    rendered = []
+    for line in lines:
+        fields = " ".join(f"{k}={v}" for k, v in line.fields.items())
+        after_ms = line.at_ms - own.at_ms
+        rendered.append(f"{after_ms:+7d} ms  {line.vm}  {line.event}  {fields}")
+    return rendered
--- a/packages/radishd/src/radishd/gateway.py
+++ b/packages/radishd/src/radishd/gateway.py
@@ -23,6 +23,7 @@
 from radishstack.request import forwarding
 from radishstack.version import route_table
 
+from radishd import peers as peers_lib
 from radishd.connection import http_client
 from radishd.connection import pool as pool_lib
 from radishd.platform import front
@@ -35,7 +36,6 @@
 from radishd.process import follow
 from radishd.process import logs
 from radishd.process import metrics as metrics_lib
-from radishd.process import peers as peers_lib
 from radishd.process import settings as settings_lib
 from radishd.process import signals
 from radishd.process import stillness
--- a/packages/radishd/src/radishd/process/metrics.py
+++ b/packages/radishd/src/radishd/process/metrics.py
@@ -1,4 +1,4 @@
-"""The metrics of a process; ``docs/OPERATORS.md`` explains each."""
+"""The metrics of a process; ``docs/OPERATIONS.md`` explains each."""
 
 import math
 
--- a/packages/radishd/src/radishd/process/spread.py
+++ b/packages/radishd/src/radishd/process/spread.py
@@ -8,10 +8,10 @@
 from radishstack import result
 from radishstack.connection import frame
 from radishstack.process import dissemination as dissemination_lib
+from radishstack.process import rendezvous
 from radishstack.version import commit as commit_lib
 from radishstack.version import document as document_lib
 from radishstack.version import holder as holder_lib
-from radishstack.version import rendezvous
 
 from radishd.process import clock
 from radishd.process import configuration as configuration_lib
--- a/packages/radishd/src/radishd/request/forward.py
+++ b/packages/radishd/src/radishd/request/forward.py
@@ -259,6 +259,11 @@
             send = self._start(member, connection, version)
             member.health.unanswered[self] = send.sent_at_ms
             return await self._answer(send)
+        except anyio.get_cancelled_exc_class():
+            # The route's time passed, or the caller left: the log is to tell
+            # which target had the request.
+            self.trail.append(f"{listing.instance}:unfinished")
+            raise
         finally:
             member.health.in_flight -= 1
             self._settle_silence(member)
--- a/packages/radishstack/src/radishstack/process/placement.py
+++ b/packages/radishstack/src/radishstack/process/placement.py
@@ -12,8 +12,8 @@
 import random
 
 from radishstack.process import adapter_keeper
+from radishstack.process import rendezvous
 from radishstack.process import roster as roster_lib
-from radishstack.version import rendezvous
 
 # Time to load an adapter that the target did not hold recently, and the step
 # by which one more running request delays the others, as configured engines
--- a/packages/radishstack/src/radishstack/request/resolve.py
+++ b/packages/radishstack/src/radishstack/request/resolve.py
@@ -8,9 +8,9 @@
 import xxhash
 
 from radishstack import result
+from radishstack.process import rendezvous
 from radishstack.version import document as document_lib
 from radishstack.version import holder as holder_lib
-from radishstack.version import rendezvous
 
 MAX_KEY_CHARS = 256
 MAX_CANDIDATES = 48
--- a/packages/radishstack/src/radishstack/target.py
+++ b/packages/radishstack/src/radishstack/target.py
@@ -13,8 +13,8 @@
 from radishstack import target_schedule
 from radishstack import target_state as state_lib
 from radishstack.process import fair_queue
+from radishstack.process import rendezvous
 from radishstack.version import checks
-from radishstack.version import rendezvous
 
 TargetSettings = state_lib.TargetSettings
 Actions = state_lib.Actions
--- /dev/null
+++ b/tests/operators/test_explain.py
@@ -0,0 +1,49 @@
+"""``radishctl explain``: one request's story from several logs."""
+
+import json
+
+from click import testing
+from radishctl import cli
+
+
+def _line(at_ms: int, vm: str, event: str, **fields: object) -> str:
+    raw = {"at_ms": at_ms, "event": event, "vm": vm, **fields}
+    return f"collector {vm}: {json.dumps(raw)}"
+
+
+def test_a_story_has_what_touched_the_request_and_no_more() -> None:
+    """The wish, the order and the refusal, in order, from both processes."""
+    lines = [
+        _line(9_000, "side-1", "order", adapter="m/a1", verdict="accepted"),
+        _line(8_500, "edge-1", "load_wanted", adapter="m/a1", target="i1"),
+        _line(8_600, "edge-1", "load_wanted", adapter="m/a2", target="i1"),
+        "Traceback (most recent call last):",
+        _line(
+            10_000,
+            "edge-1",
+            "request",
+            request="r1",
+            adapter="m/a1",
+            code=2020,
+            took_ms=1_500,
+            sends=[],
+        ),
+        _line(10_001, "edge-1", "request", request="r2", took_ms=3, code=0),
+    ]
+    run = testing.CliRunner().invoke(
+        cli.main, ["explain", "r1"], input="\n".join(lines)
+    )
+    assert run.exit_code == 0, run.output
+    told = run.output.splitlines()
+    assert [line.split()[3] for line in told] == [
+        "load_wanted",
+        "order",
+        "request",
+    ]
+    assert "r2" not in run.output and "m/a2" not in run.output
+
+
+def test_a_request_nobody_logged_is_said_so() -> None:
+    """With an exit code of its own, so that a script notices."""
+    run = testing.CliRunner().invoke(cli.main, ["explain", "r9"], input="")
+    assert run.exit_code != 0
--- a/tests/stack/test_pages.py
+++ b/tests/stack/test_pages.py
@@ -40,7 +40,7 @@
 
 def test_operators_page_names_every_metric() -> None:
     """A metric without a line on the page helps nobody on call."""
-    page = (ROOT / "docs/OPERATORS.md").read_text(encoding="utf-8")
+    page = (ROOT / "docs/OPERATIONS.md").read_text(encoding="utf-8")
     metrics = metrics_lib.Metrics()
     names = [one.name for one in metrics.registry.get_all()]
     missing = [name for name in names if f"`{name}`" not in page]
