--- a/packages/radishd/src/radishd/gateway.py
+++ b/packages/radishd/src/radishd/gateway.py
@@ -148,6 +148,7 @@
                 self.log,
                 wait_ms=wait_ms,
                 gather_ms=gather_ms,
+                on_lost=self._store_lost,
                 on_back=self._store_back,
             )
             for kind, (take, wait_ms, gather_ms) in takes.items()
@@ -160,13 +161,23 @@
 
     # What is read from the store and from peers.
 
+    def _store_lost(self, kind: str) -> None:
+        """Doubts the long watches as soon as the short one has failed.
+
+        Cut off silently, they would be waited for to their end, and what
+        other gateways know would not be asked for until then.
+        """
+        if kind == wire.KIND_TARGETS:
+            self._restart_rare()
+
     def _store_back(self, kind: str) -> None:
-        if kind != wire.KIND_TARGETS:
-            return
-        self.roster.outage_ended(clock.boot_ms())
-        # A watch that was under way in the outage may never be answered.
+        if kind == wire.KIND_TARGETS:
+            self.roster.outage_ended(clock.boot_ms())
+            self._restart_rare()
+
+    def _restart_rare(self) -> None:
         for name, follower in self.followers.items():
-            if name != kind:
+            if name != wire.KIND_TARGETS:
                 follower.restart()
 
     def _take_configuration(self, record: store_lib.Record) -> None:
@@ -515,7 +526,7 @@
 
     async def _send_demand(self, member: roster_lib.Member) -> None:
         spec = self._spec_of(member)
-        if spec is None or self.socket is None:
+        if spec is None or self.socket is None or member.gone:
             return
         listing = member.listing
         uses, wants = self._book(listing.address).take(clock.boot_ms())
--- a/packages/radishd/src/radishd/process/follow.py
+++ b/packages/radishd/src/radishd/process/follow.py
@@ -49,6 +49,7 @@
         *,
         wait_ms: int,
         gather_ms: int,
+        on_lost: Callable[[str], None] = lambda kind: None,
         on_back: Callable[[str], None] = lambda kind: None,
     ) -> None:
         """Makes a follower that has read nothing.
@@ -61,6 +62,7 @@
             wait_ms: How long one watch waits.
             gather_ms: Pause after changes, in which further ones gather:
                 each answer of a watch is a call that is paid for.
+            on_lost: Called when the store stops answering.
             on_back: Called when the store answers again.
         """
         self._store = store
@@ -69,6 +71,7 @@
         self._log = log
         self._wait_ms = wait_ms
         self._gather_ms = gather_ms
+        self._on_lost = on_lost
         self._on_back = on_back
         self._random = random.Random()
         self._retry_ms = RETRY_FIRST_MS
@@ -121,6 +124,7 @@
             self._log.must(
                 "store_lost", kind=self._kind, reason=failure.message
             )
+            self._on_lost(self._kind)
         pause_ms = self._retry_ms * self._random.uniform(0.5, 1.5)
         self._retry_ms = min(self._retry_ms * 2, RETRY_MAX_MS)
         await anyio.sleep(pause_ms / MS_PER_S)
--- a/packages/radishstack/src/radishstack/process/placement.py
+++ b/packages/radishstack/src/radishstack/process/placement.py
@@ -22,8 +22,14 @@
 REQUEST_COST_MS = 6.0
 QUEUED_COST_MS = 40.0
 # A copy elsewhere is worth its load once the holders are this much later
-# than an idle target would be.
-SPREAD_ABOVE_MS = 260.0
+# than an idle target would be: thirty requests run there.
+SPREAD_ABOVE_MS = 180.0
+# An engine this late takes no more: sixty run, or fewer and some wait. It
+# reads prompts one after the other, so what is added starts later than its
+# caller has use for, and delays all others.
+OVERLOADED_MS = 360.0
+# When to come back to engines that are overloaded or still starting.
+OVERLOADED_RETRY_MS = 500
 # Share of failures above which an engine's adapters are loaded elsewhere: two
 # of the last three sends, or half of the last ten.
 STRAINED_SHARE = 0.4
@@ -267,6 +273,11 @@
         announced = self.announced.get(adapter)
         floor = announced.version if announced is not None else 0
         best = self._cheapest(adapter, candidates, floor, now_ms)
+        if best is not None and self._is_overloaded(best, now_ms):
+            home = self._home(adapter, candidates, floor, now_ms)
+            if home is None or self._is_full(home, adapter):
+                return Choice(None, None, full_for_ms=OVERLOADED_RETRY_MS)
+            return Choice(None, home)
         if best is not None:
             held = self.residents(best, now_ms).get(adapter, 0)
             silent = self._is_silent(best, now_ms)
@@ -288,8 +299,17 @@
                 return Choice(old, home)
         if home is not None and self._is_full(home, adapter):
             return Choice(None, None, full_for_ms=self._full_for_ms(home))
+        if home is None and self._any_overloaded(candidates, now_ms):
+            # The first engine that is back after a restart of all would get
+            # everything at once, and answer nothing in time.
+            return Choice(None, None, full_for_ms=OVERLOADED_RETRY_MS)
         return Choice(None, home)
 
+    def _any_overloaded(
+        self, candidates: list[roster_lib.Member], now_ms: int
+    ) -> bool:
+        return any(self._is_overloaded(one, now_ms) for one in candidates)
+
     def _is_full(self, home: roster_lib.Member, adapter: str) -> bool:
         pending = self.views[home.listing.address].pending
         return adapter not in pending and len(pending) >= MAX_QUEUED_LOADS
@@ -298,6 +318,9 @@
         count = len(self.views[home.listing.address].pending)
         return round(LOAD_MS * count / LOADS_AT_ONCE)
 
+    def _is_overloaded(self, member: roster_lib.Member, now_ms: int) -> bool:
+        return self._load_ms(member, now_ms) > OVERLOADED_MS
+
     def _pending(self, address: str) -> int:
         return len(self.views[address].pending)
 
@@ -382,7 +405,7 @@
             and not self._is_strained(by_name[address], now_ms)
         ]
         if warm:
-            return by_name[min(warm, key=lambda one: self._pending(one))]
+            return by_name[min(warm, key=self._pending)]
         # A target that still serves the old version comes last: replacing
         # it there makes its callers wait.
         for address in fresh + stale:
@@ -391,7 +414,11 @@
                 continue
             if not self._is_strained(member, now_ms):
                 return member
-        return min(
-            by_name.values(),
-            key=lambda one: len(self.views[one.listing.address].pending),
-        )
+        able = [
+            address
+            for address, member in by_name.items()
+            if not self._is_overloaded(member, now_ms)
+        ]
+        if not able:
+            return None
+        return by_name[min(able, key=self._pending)]
--- a/tests/fleet/test_fleet_faults.py
+++ b/tests/fleet/test_fleet_faults.py
@@ -249,3 +249,33 @@
             assert len(leaving.ran) == before
 
     fixtures.run(play)
+
+
+def test_a_silent_store_is_doubted_by_all_watches_at_once() -> None:
+    """Symptom: a gateway cut off from the store serves removed routes.
+
+    Sequence: the link to the store falls silent; the short watch of targets
+    fails; the long watch of the configuration waits for its end, and until
+    then no other gateway is asked. Cause: each watch was doubted alone.
+    """
+
+    async def play() -> None:
+        async with fixtures.running_fleet(engines=0) as fleet:
+            gateway = fleet.gateway
+            targets = gateway.followers["servers"]
+            others = [
+                gateway.followers[kind] for kind in ("config", "versions")
+            ]
+            assert all(one.revision for one in others)
+            fleet.store.faults.silent = True
+            targets.restart()
+            await fleet.until(
+                lambda: bool(targets.failing_since_ms), "the store is lost"
+            )
+            assert not any(one.revision for one in others)
+            await fleet.until(
+                lambda: all(one.failing_since_ms for one in others),
+                "peers are asked for the other kinds, too",
+            )
+
+    fixtures.run(play)
