--- /dev/null
+++ b/bench/platform.py
@@ -0,0 +1,284 @@
+"""What a gateway and a sidecar cost: ``python -m bench.platform``.
+
+Both run as processes of their own; the store, the targets and the callers are
+in this one. Each load is also put on a target directly, in the same run.
+Limits: one gateway, loopback, targets that answer at once; the processor time
+is that of this machine.
+"""
+
+import contextlib
+import dataclasses
+import json
+import os
+import pathlib
+import statistics
+import subprocess
+import sys
+import tempfile
+import time
+from typing import Any
+
+import anyio
+import click
+import psutil
+from radishd.connection import http_client
+from standins import platform_engine
+from standins import platform_store
+from standins import web
+import yaml
+
+SUBNET = f"127.201.{os.getpid() % 250}"
+STORE = f"{SUBNET}.1:8145"
+ENGINE_HOST = f"{SUBNET}.10"
+PLAIN_HOST = f"{SUBNET}.11"
+GATEWAY_HOST = f"{SUBNET}.12"
+TARGET_PORT = 8_146
+MODEL = "base7"
+CALLERS = 8
+EVENTS = 60
+RESULT = pathlib.Path(__file__).parent / "results" / "platform.json"
+US_PER_S = 1_000_000
+MS_PER_S = 1_000
+READY_LIMIT_S = 30.0
+POLL_S = 0.02
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Load:
+    """One load.
+
+    Attributes:
+        name: Its name.
+        path: What is called.
+        headers: Further headers.
+        target: The target's address, for the direct calls.
+    """
+
+    name: str
+    path: str
+    headers: dict[str, str]
+    target: str
+
+
+PLAIN = Load("plain", "/look/1", {}, f"{PLAIN_HOST}:{TARGET_PORT}")
+STREAM = Load(
+    "stream",
+    "/chat/1",
+    {"X-Model": f"{MODEL}/a1"},
+    f"{ENGINE_HOST}:{TARGET_PORT}",
+)
+
+
+def _configuration() -> dict[str, Any]:
+    def route(name: str, kind: str, service: str) -> dict[str, Any]:
+        return {
+            "name": name,
+            "host": "shop.example",
+            "pathPrefix": f"/{name}/",
+            "type": kind,
+            "timeoutMs": 10_000,
+            "targetLatencyMs": 1_000,
+            "service": service,
+            "maxAttempts": 1,
+        }
+
+    engine = {
+        "models": [{"name": MODEL, "weightsMb": 100.0, "adapterMb": 1.0}],
+        "weightsMb": 200.0,
+        "adapterSlots": 4,
+    }
+    return {
+        "version": 1,
+        "routes": [
+            route("chat", "streaming", "engines"),
+            route("look", "idempotent", "counter"),
+        ],
+        "services": [
+            {"name": "engines", "engine": engine},
+            {"name": "counter"},
+        ],
+        "limits": {"maxBodyBytes": 65_536, "idleTimeoutMs": 15_000},
+    }
+
+
+def _settings() -> dict[str, dict[str, Any]]:
+    common = {
+        "failure_domain": "piedmont/north",
+        "platform": {"url": f"http://{STORE}"},
+    }
+    return {
+        "gateway": common
+        | {
+            "role": "gateway",
+            "name": "edge-1",
+            "gateway": {
+                "listen": f"{GATEWAY_HOST}:8140",
+                "readiness": f"{GATEWAY_HOST}:8141",
+                "peers": f"{GATEWAY_HOST}:8142",
+                "control": f"{GATEWAY_HOST}:8143",
+                "admin": f"{GATEWAY_HOST}:8144",
+                "sidecar_port": 8143,
+            },
+        },
+        "sidecar": common
+        | {
+            "role": "sidecar",
+            "name": "side-1",
+            "sidecar": {
+                "engine": f"{ENGINE_HOST}:{TARGET_PORT}",
+                "control": f"{ENGINE_HOST}:8143",
+                "admin": f"{ENGINE_HOST}:8144",
+            },
+        },
+    }
+
+
+async def _call(
+    connection: http_client.Connection, load: Load, number: int
+) -> float:
+    """Makes one call and returns the milliseconds to its first byte."""
+    lines = [f"GET {load.path} HTTP/1.1", "Host: shop.example"]
+    lines += [f"X-Attempt-Id: {number:x}", "X-Deadline-Ms: 10000"]
+    lines += [f"{name}: {value}" for name, value in load.headers.items()]
+    began_s = time.perf_counter()
+    connection.send("\r\n".join(lines).encode() + b"\r\n\r\n")
+    head = await connection.head()
+    assert isinstance(head, http_client.Head), head
+    first = await connection.chunk()
+    first_ms = (time.perf_counter() - began_s) * MS_PER_S
+    assert head.status == 200, (head, first)
+    body = await http_client.read_body(connection)
+    assert isinstance(body, bytes), body
+    assert connection.finish()
+    return first_ms
+
+
+async def _drive(address: str, load: Load, count: int) -> list[float]:
+    """Puts a load on an address from several callers."""
+    times_ms: list[float] = []
+
+    async def caller(index: int) -> None:
+        connection = await http_client.open_connection(address, 2_000)
+        assert isinstance(connection, http_client.Connection), connection
+        for number in range(count // CALLERS):
+            call = index * count + number + 1
+            times_ms.append(await _call(connection, load, call))
+        connection.close()
+
+    async with anyio.create_task_group() as tasks:
+        for index in range(CALLERS):
+            tasks.start_soon(caller, index)
+    return times_ms
+
+
+async def _until_ready(process: subprocess.Popen[bytes]) -> None:
+    with anyio.fail_after(READY_LIMIT_S):
+        while not (await _answers(STREAM) and await _answers(PLAIN)):
+            assert process.poll() is None, "the gateway ended"
+            await anyio.sleep(POLL_S)
+
+
+async def _answers(load: Load) -> bool:
+    address = f"{GATEWAY_HOST}:8140"
+    connection = await http_client.open_connection(address, 2_000)
+    if isinstance(connection, http_client.Lost):
+        return False
+    try:
+        await _call(connection, load, 1)
+    except AssertionError:
+        return False
+    finally:
+        connection.close()
+    return True
+
+
+def _cpu_s(process: subprocess.Popen[bytes]) -> float:
+    times = psutil.Process(process.pid).cpu_times()
+    return times.user + times.system
+
+
+async def measure(count: int) -> dict[str, Any]:
+    """Runs the loads and returns the figures."""
+    store = platform_store.PlatformStore()
+    timing = platform_engine.Timing(event_ms=0.0, work_ms=0.0)
+    engine = platform_engine.PlatformEngine(
+        "i-engine", model=MODEL, event_count=EVENTS, timing=timing
+    )
+    plain = platform_engine.PlatformEngine("i-plain", timing=timing)
+    figures: dict[str, Any] = {"calls": count, "events_per_stream": EVENTS}
+    async with anyio.create_task_group() as tasks:
+        host, _, port = STORE.rpartition(":")
+        app = web.make_app(store.handle)
+        await tasks.start(web.serve, app, host, int(port))
+        await engine.start(ENGINE_HOST, TARGET_PORT)
+        await plain.start(PLAIN_HOST, TARGET_PORT)
+        store.put("config", "main", _configuration())
+        listed = engine.listing("engines", STREAM.target, "north")
+        store.put("servers", "i-engine", listed)
+        listed = plain.listing("counter", PLAIN.target, "north")
+        store.put("servers", "i-plain", listed)
+        with _processes() as running:
+            await _until_ready(running["gateway"])
+            for load in (PLAIN, STREAM):
+                figures[load.name] = await _one(load, count, running)
+            for name, process in running.items():
+                memory = psutil.Process(process.pid).memory_info().rss
+                figures[f"{name}_mib"] = round(memory / 2**20, 1)
+        await engine.stop()
+        await plain.stop()
+        tasks.cancel_scope.cancel()
+    per_call_us = figures["stream"]["gateway_us_per_call"]
+    plain_us = figures["plain"]["gateway_us_per_call"]
+    figures["gateway_us_per_event"] = round(
+        (per_call_us - plain_us) / EVENTS, 1
+    )
+    return figures
+
+
+async def _one(
+    load: Load, count: int, running: dict[str, subprocess.Popen[bytes]]
+) -> dict[str, Any]:
+    direct_ms = await _drive(load.target, load, count)
+    before = {name: _cpu_s(process) for name, process in running.items()}
+    through_ms = await _drive(f"{GATEWAY_HOST}:8140", load, count)
+    figures: dict[str, Any] = {
+        "direct_first_byte_p50_ms": round(statistics.median(direct_ms), 2),
+        "through_first_byte_p50_ms": round(statistics.median(through_ms), 2),
+    }
+    for name, process in running.items():
+        used_us = (_cpu_s(process) - before[name]) * US_PER_S
+        figures[f"{name}_us_per_call"] = round(used_us / count, 1)
+    return figures
+
+
+@contextlib.contextmanager
+def _processes() -> Any:
+    with tempfile.TemporaryDirectory() as folder:
+        running = {}
+        try:
+            for name, settings in _settings().items():
+                path = pathlib.Path(folder) / f"{name}.yaml"
+                path.write_text(yaml.safe_dump(settings))
+                command = [sys.executable, "-m", "radishd", "run"]
+                command += ["--settings", str(path)]
+                running[name] = subprocess.Popen(
+                    command, stdout=subprocess.DEVNULL
+                )
+            yield running
+        finally:
+            for process in running.values():
+                process.kill()
+                process.wait()
+
+
+@click.command()
+@click.option("--calls", default=2_000, show_default=True)
+def main(calls: int) -> None:
+    """Measures a gateway and a sidecar against direct calls."""
+    figures = anyio.run(measure, calls)
+    RESULT.write_text(json.dumps(figures, indent=2) + "\n")
+    click.echo(json.dumps(figures, indent=2))
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/radishd/src/radishd/gateway.py
+++ b/packages/radishd/src/radishd/gateway.py
@@ -274,9 +274,6 @@
     def began(self, member: roster_lib.Member, adapter: str) -> None:
         """Counts a request that is sent to an engine."""
         self._book(member.listing.address).began(adapter)
-        view = self.placement.view_of(member)
-        if view is not None:
-            view.sent_since += 1
 
     def ended(self, member: roster_lib.Member, adapter: str) -> None:
         """Counts a request that an engine has ended."""
@@ -577,6 +574,7 @@
             queued=datagram.queued,
             residents=datagram.residents,
             pending=datagram.pending,
+            own_in_flight=member.health.in_flight,
         )
         self.placement.hear(member.listing.address, view)
         if before is None or before.residents != view.residents:
--- a/packages/radishstack/src/radishstack/process/placement.py
+++ b/packages/radishstack/src/radishstack/process/placement.py
@@ -76,7 +76,7 @@
         queued: Requests that wait there.
         residents: Versions by adapter.
         pending: Adapters being loaded or waiting for a load.
-        sent_since: Requests sent there by this process since the word.
+        own_in_flight: Requests that this process had there at that time.
     """
 
     instance: str
@@ -85,7 +85,7 @@
     queued: int
     residents: dict[str, int]
     pending: frozenset[str]
-    sent_since: int = 0
+    own_in_flight: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -207,11 +207,17 @@
         view = self.view_of(member)
         running, queued = health.in_flight, 0
         if view is not None and now_ms - view.heard_at_ms <= SILENT_MS:
-            running = max(running, view.running + view.sent_since)
+            # What was sent and ended since the word does not count: with
+            # short requests it would pass for a load that is not there.
+            since = health.in_flight - view.own_in_flight
+            running = max(running, view.running + since)
             queued = view.queued
         slots = max(1, member.listing.slot_count)
         load_ms = REQUEST_COST_MS * running
-        load_ms += QUEUED_COST_MS * (queued + max(0, running - slots))
+        # How many wait is the engine's word, or what is certain from here;
+        # the estimate of what runs is too rough to tell a full batch.
+        queued += max(0, health.in_flight - slots)
+        load_ms += QUEUED_COST_MS * queued
         silent_ms = health.silent_ms(now_ms) - ENGINE_PATIENCE_MS
         return load_ms + SILENCE_WEIGHT * max(0, silent_ms)
 
--- a/tests/fleet/test_placement.py
+++ b/tests/fleet/test_placement.py
@@ -272,3 +272,24 @@
     assert choice.send is None
     assert choice.load is not None
     assert choice.load is not roster.members["i0"]
+
+
+def test_requests_that_have_ended_are_no_load() -> None:
+    """Symptom: an idle engine is said to be overloaded.
+
+    Sequence: hundreds of short requests are sent and answered between two
+    words of its sidecar. Cause: each send since the word was counted as a
+    request that still runs.
+    """
+    roster = _roster(1, slots=8)
+    placement = _placement(roster, i0={ADAPTER: 1})
+    member = roster.members["i0"]
+    view = placement.views[member.listing.address]
+    view.running, view.own_in_flight = 3, 3
+    member.health.in_flight = 3
+    for _ in range(500):
+        assert _choose(placement, roster).send is member
+        member.health.in_flight += 1
+        member.health.in_flight -= 1
+    member.health.in_flight = 60
+    assert _choose(placement, roster).send is None
