--- a/tests/fleet/test_fleet_faults.py
+++ b/tests/fleet/test_fleet_faults.py
@@ -1,6 +1,7 @@
 """Faults of targets, sidecars, the store and the gateway itself."""
 
 import anyio
+from radishd.platform import wire
 from radishstack import result
 from standins import platform_engine
 
@@ -131,6 +132,8 @@
                 lambda: gateway.table.version == 7, "version 7 is in force"
             )
             fleet.store.put("config", "main", fixtures.configuration(3))
+            older = wire.configuration(fixtures.configuration(3))
+            assert not gateway.holder.offer(older)
             news = {"model": "x", "adapter": "y", "version": 1}
             fleet.store.put("versions", "x.y", news)
             await fleet.until(
