--- a/packages/radishd/src/radishd/request/forward.py
+++ b/packages/radishd/src/radishd/request/forward.py
@@ -197,6 +197,10 @@
         gateway = self.gateway
         adapter = self.request.adapter
         wait_ms = min(MAX_LOAD_WAIT_MS, self.left_ms() * LOAD_WAIT_PART)
+        if self.began:
+            # A stream that was cut is worth nothing unless it goes on, and
+            # there is no refusal any more: it is tried to the end.
+            wait_ms = self.left_ms()
         began_ms = clock.boot_ms()
         until_ms = began_ms + wait_ms
         while True:
@@ -207,7 +211,7 @@
                 await gateway.want(choice.load, adapter)
             if choice.send is not None:
                 return choice.send, choice.version
-            if choice.full_for_ms:
+            if choice.full_for_ms and not self.began:
                 # It would wait in vain; told at once, its caller is back
                 # when the loads of now are done.
                 return result.Failure(
@@ -217,7 +221,7 @@
                         (choice.full_for_ms // 2, choice.full_for_ms)
                     ),
                 )
-            if choice.load is None:
+            if choice.load is None and not self.began:
                 # No process beside a target was heard lately: after a start
                 # or a standstill here they are heard again in a moment.
                 until_ms = min(until_ms, began_ms + UNHEARD_WAIT_MS)
@@ -371,6 +375,10 @@
             and self.state.may_use_another
             and self.gateway.has_other(self.service, send.member)
         )
+        if self.began and self.needs_adapter:
+            # Silence alone is no reason to break off what has begun: without
+            # a place where it goes on at once, it may only pause.
+            movable = movable and self._has_holder(send.member)
         if not movable:
             return left_ms / MS_PER_S + 1
         part = GAP_PART if self.began else SILENCE_PART
@@ -382,6 +390,15 @@
             return left_ms / MS_PER_S + 1
         return silence_ms / MS_PER_S
 
+    def _has_holder(self, member: roster_lib.Member) -> bool:
+        """Whether another target could go on with a stream now."""
+        now_ms = clock.boot_ms()
+        others = [one for one in self._usable(now_ms) if one is not member]
+        choice = self.gateway.placement.choose(
+            self.request.adapter, others, now_ms
+        )
+        return choice.send is not None
+
     async def _drained(self, send: Send, outcome: Outcome) -> Outcome:
         """Reads a refusal to its end, so that its connection can be kept."""
         body = await http_client.read_body(send.connection)
--- a/tests/fleet/test_forwarding_path.py
+++ b/tests/fleet/test_forwarding_path.py
@@ -262,3 +262,36 @@
             assert member.health.in_flight == 0
 
     fixtures.run(play)
+
+
+def test_a_stream_that_pauses_is_not_broken_off_in_vain() -> None:
+    """Symptom: a summary stops in the middle although its target goes on.
+
+    Sequence: the target pauses for longer than is on time; no other target
+    holds the adapter, nor can load it. Cause: the silent target was left
+    before it was known that the stream could go on anywhere.
+    """
+
+    async def play() -> None:
+        async with fixtures.running_fleet() as fleet:
+            await fleet.call("/long/x", adapter="a1")
+            (holder,) = (one for one in fleet.targets.values() if one.adapters)
+            for target in fleet.targets.values():
+                if target is not holder:
+                    target.swallow_orders = 1_000_000
+            body = fixtures.configuration(version=2)
+            for one in body["routes"]:
+                one["gapTargetMs"] = 60
+            fleet.store.put("config", "main", body)
+            await fleet.until(
+                lambda: fleet.gateway.table.version == 2, "the gap is known"
+            )
+            holder.timing.event_ms = 200.0
+            answer = await fleet.call(
+                "/long/x", adapter="a1", X_Attempt_Id="30"
+            )
+            assert answer.whole, answer
+            assert answer.body == _expected_stream("30")
+            assert _runs(fleet)["30"] == 1
+
+    fixtures.run(play)
