--- a/bench/platform.py
+++ b/bench/platform.py
@@ -23,6 +23,7 @@
 import psutil
 from radishd.connection import http_client
 from standins import platform_engine
+from standins import platform_site
 from standins import platform_store
 from standins import web
 import yaml
@@ -33,7 +34,6 @@
 PLAIN_HOST = f"{SUBNET}.11"
 GATEWAY_HOST = f"{SUBNET}.12"
 TARGET_PORT = 8_146
-MODEL = "base7"
 CALLERS = 8
 EVENTS = 60
 RESULT = pathlib.Path(__file__).parent / "results" / "platform.json"
@@ -50,57 +50,25 @@
     Attributes:
         name: Its name.
         path: What is called.
-        headers: Further headers.
+        adapter: Adapter that it needs, empty for none.
         target: The target's address, for the direct calls.
     """
 
     name: str
     path: str
-    headers: dict[str, str]
+    adapter: str
     target: str
 
 
-PLAIN = Load("plain", "/look/1", {}, f"{PLAIN_HOST}:{TARGET_PORT}")
+PLAIN = Load("plain", "/look/1", "", f"{PLAIN_HOST}:{TARGET_PORT}")
 STREAM = Load(
     "stream",
     "/chat/1",
-    {"X-Model": f"{MODEL}/a1"},
+    "a1",
     f"{ENGINE_HOST}:{TARGET_PORT}",
 )
 
 
-def _configuration() -> dict[str, Any]:
-    def route(name: str, kind: str, service: str) -> dict[str, Any]:
-        return {
-            "name": name,
-            "host": "shop.example",
-            "pathPrefix": f"/{name}/",
-            "type": kind,
-            "timeoutMs": 10_000,
-            "targetLatencyMs": 1_000,
-            "service": service,
-            "maxAttempts": 1,
-        }
-
-    engine = {
-        "models": [{"name": MODEL, "weightsMb": 100.0, "adapterMb": 1.0}],
-        "weightsMb": 200.0,
-        "adapterSlots": 4,
-    }
-    return {
-        "version": 1,
-        "routes": [
-            route("chat", "streaming", "engines"),
-            route("look", "idempotent", "counter"),
-        ],
-        "services": [
-            {"name": "engines", "engine": engine},
-            {"name": "counter"},
-        ],
-        "limits": {"maxBodyBytes": 65_536, "idleTimeoutMs": 15_000},
-    }
-
-
 def _settings() -> dict[str, dict[str, Any]]:
     common = {
         "failure_domain": "piedmont/north",
@@ -137,11 +105,11 @@
     connection: http_client.Connection, load: Load, number: int
 ) -> float:
     """Makes one call and returns the milliseconds to its first byte."""
-    lines = [f"GET {load.path} HTTP/1.1", "Host: shop.example"]
-    lines += [f"X-Attempt-Id: {number:x}", "X-Deadline-Ms: 10000"]
-    lines += [f"{name}: {value}" for name, value in load.headers.items()]
+    request = platform_site.request(
+        "GET", load.path, f"{number:x}", adapter=load.adapter
+    )
     began_s = time.perf_counter()
-    connection.send("\r\n".join(lines).encode() + b"\r\n\r\n")
+    connection.send(request)
     head = await connection.head()
     assert isinstance(head, http_client.Head), head
     first = await connection.chunk()
@@ -202,7 +170,7 @@
     store = platform_store.PlatformStore()
     timing = platform_engine.Timing(event_ms=1.0, work_ms=0.0)
     engine = platform_engine.PlatformEngine(
-        "i-engine", model=MODEL, event_count=EVENTS, timing=timing
+        "i-engine", model=platform_site.MODEL, event_count=EVENTS, timing=timing
     )
     plain = platform_engine.PlatformEngine("i-plain", timing=timing)
     figures: dict[str, Any] = {"calls": count, "events_per_stream": EVENTS}
@@ -212,10 +180,10 @@
         await tasks.start(web.serve, app, host, int(port))
         await engine.start(ENGINE_HOST, TARGET_PORT)
         await plain.start(PLAIN_HOST, TARGET_PORT)
-        store.put("config", "main", _configuration())
-        listed = engine.listing("engines", STREAM.target, "north")
+        store.put("config", "main", platform_site.configuration())
+        listed = engine.listing(platform_site.ENGINES, STREAM.target, "north")
         store.put("servers", "i-engine", listed)
-        listed = plain.listing("counter", PLAIN.target, "north")
+        listed = plain.listing(platform_site.PLAIN, PLAIN.target, "north")
         store.put("servers", "i-plain", listed)
         with _processes() as running:
             await _until_ready(running["gateway"])
--- /dev/null
+++ b/packages/standins/src/standins/platform_site.py
@@ -0,0 +1,103 @@
+"""What the users' operator writes and what their callers send."""
+
+from collections.abc import Iterable
+from typing import Any
+
+HOST = "shop.example"
+MODEL = "base7"
+ENGINES = "engines"
+PLAIN = "counter"
+
+
+def route(name: str, kind: str, **fields: Any) -> dict[str, Any]:
+    """Returns a route of the operator's configuration.
+
+    Args:
+        name: Its name, which is also its path prefix.
+        kind: What may be repeated, in the operator's words.
+        **fields: Fields that differ from the usual ones.
+    """
+    return {
+        "name": name,
+        "host": HOST,
+        "pathPrefix": f"/{name}/",
+        "type": kind,
+        "timeoutMs": 3_000,
+        "targetLatencyMs": 400,
+        "priority": 0,
+        "service": ENGINES,
+        "maxAttempts": 1,
+        **fields,
+    }
+
+
+def usual_routes() -> list[dict[str, Any]]:
+    """Returns one route of each kind."""
+    return [
+        route("chat", "streaming"),
+        route("long", "streaming", resumable=True, maxAttempts=2),
+        route("book", "non_idempotent", service=PLAIN),
+        route("look", "idempotent", service=PLAIN, maxAttempts=2),
+    ]
+
+
+def configuration(version: int = 1, **fields: Any) -> dict[str, Any]:
+    """Returns a configuration with the usual routes.
+
+    Args:
+        version: Its version.
+        **fields: Fields that differ from the usual ones.
+    """
+    engine = {
+        "slots": 8,
+        "models": [{"name": MODEL, "weightsMb": 100.0, "adapterMb": 1.0}],
+        "weightsMb": 200.0,
+        "adapterSlots": 4,
+    }
+    body = {
+        "version": version,
+        "routes": usual_routes(),
+        "services": [
+            {"name": ENGINES, "maxConnections": 64, "engine": engine},
+            {"name": PLAIN, "maxConnections": 64},
+        ],
+        "limits": {
+            "maxHeaderBytes": 16_384,
+            "maxBodyBytes": 65_536,
+            "idleTimeoutMs": 5_000,
+        },
+    }
+    return body | fields
+
+
+def request(
+    method: str,
+    path: str,
+    attempt: str,
+    *,
+    adapter: str = "",
+    body: bytes = b"",
+    further: Iterable[tuple[str, str]] = (),
+) -> bytes:
+    """Returns a caller's request.
+
+    Args:
+        method: HTTP method.
+        path: Path and query.
+        attempt: The caller's name for the attempt.
+        adapter: Adapter of the base model, empty for none.
+        body: Its body.
+        further: Further headers.
+    """
+    headers = [
+        ("Host", HOST),
+        ("X-Attempt-Id", attempt),
+        ("X-Deadline-Ms", "3000"),
+        ("Content-Length", str(len(body))),
+    ]
+    if adapter:
+        headers.append(("X-Model", f"{MODEL}/{adapter}"))
+    headers.extend(further)
+    lines = [f"{method} {path} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
--- a/tests/fleet/fixtures.py
+++ b/tests/fleet/fixtures.py
@@ -24,6 +24,7 @@
 from radishd.process import settings as settings_lib
 from radishd.process import signals
 from standins import platform_engine
+from standins import platform_site
 from standins import platform_store
 from standins import web as standins_web
 
@@ -36,10 +37,7 @@
 TARGET_PORT = 8_146
 LIMIT_S = 30.0
 POLL_S = 0.005
-MODEL = "base7"
-HOST = "shop.example"
-SERVICE = "engines"
-PLAIN_SERVICE = "counter"
+MODEL = platform_site.MODEL
 
 _random = random.Random(os.getpid() * 7919)
 _subnets = itertools.count(_random.randint(0, 200))
@@ -62,57 +60,7 @@
     whole: bool
 
 
-def route(name: str, kind: str, **fields: Any) -> dict[str, Any]:
-    """Returns a route of the operator's configuration."""
-    return {
-        "name": name,
-        "host": HOST,
-        "pathPrefix": f"/{name}/",
-        "type": kind,
-        "timeoutMs": 3_000,
-        "targetLatencyMs": 400,
-        "priority": 0,
-        "service": SERVICE,
-        "maxAttempts": 1,
-        **fields,
-    }
-
-
-def configuration(version: int = 1, **fields: Any) -> dict[str, Any]:
-    """Returns a configuration with one route of each kind."""
-    routes = [
-        route("chat", "streaming"),
-        route("long", "streaming", resumable=True, maxAttempts=2),
-        route("book", "non_idempotent", service=PLAIN_SERVICE),
-        route("look", "idempotent", service=PLAIN_SERVICE, maxAttempts=2),
-    ]
-    engine = {
-        "slots": 8,
-        "models": [
-            {
-                "name": MODEL,
-                "weightsMb": 100.0,
-                "adapters": 99,
-                "adapterMb": 1.0,
-            }
-        ],
-        "weightsMb": 200.0,
-        "adapterSlots": 4,
-    }
-    body = {
-        "version": version,
-        "routes": routes,
-        "services": [
-            {"name": SERVICE, "maxConnections": 64, "engine": engine},
-            {"name": PLAIN_SERVICE, "maxConnections": 64},
-        ],
-        "limits": {
-            "maxHeaderBytes": 16_384,
-            "maxBodyBytes": 65_536,
-            "idleTimeoutMs": 5_000,
-        },
-    }
-    return body | fields
+configuration = platform_site.configuration
 
 
 class Fleet:
@@ -147,7 +95,7 @@
         )
         await target.start(host, TARGET_PORT)
         self.targets[instance] = target
-        service = SERVICE if engine else PLAIN_SERVICE
+        service = platform_site.ENGINES if engine else platform_site.PLAIN
         self.store.put(
             "servers",
             instance,
@@ -231,6 +179,7 @@
         method: str = "POST",
         body: bytes = b"",
         adapter: str = "",
+        attempt: str = "",
         gateway: gateway_lib.Gateway | None = None,
         **headers: str,
     ) -> Answer:
@@ -240,20 +189,18 @@
             gateway.own.listen, 2_000
         )
         assert isinstance(connection, http_client.Connection), connection
-        fields = {
-            "Host": HOST,
-            "X-Attempt-Id": secrets.token_hex(8),
-            "X-Deadline-Ms": "3000",
-            "Content-Length": str(len(body)),
-        }
-        if adapter:
-            fields["X-Model"] = f"{MODEL}/{adapter}"
-        fields |= {
-            name.replace("_", "-"): value for name, value in headers.items()
-        }
-        lines = [f"{method} {path} HTTP/1.1"]
-        lines += [f"{name}: {value}" for name, value in fields.items()]
-        connection.send("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+        further = [
+            (name.replace("_", "-"), value) for name, value in headers.items()
+        ]
+        request = platform_site.request(
+            method,
+            path,
+            attempt or secrets.token_hex(8),
+            adapter=adapter,
+            body=body,
+            further=further,
+        )
+        connection.send(request)
         try:
             return await read_answer(connection)
         finally:
--- a/tests/fleet/test_forwarding_path.py
+++ b/tests/fleet/test_forwarding_path.py
@@ -29,9 +29,7 @@
 
     async def play() -> None:
         async with fixtures.running_fleet() as fleet:
-            answer = await fleet.call(
-                "/chat/x?a=", adapter="a7", X_Attempt_Id="0a"
-            )
+            answer = await fleet.call("/chat/x?a=", adapter="a7", attempt="0a")
             assert answer.status == 200 and answer.whole, answer
             assert answer.body == _expected_stream("0a")
             seen = [
@@ -54,7 +52,7 @@
         async with fixtures.running_fleet(engines=0) as fleet:
             for target in fleet.targets.values():
                 target.fault = lambda seen: Fault.RESET_AFTER_RUN
-            answer = await fleet.call("/book/1", X_Attempt_Id="0b")
+            answer = await fleet.call("/book/1", attempt="0b")
             assert answer.status == 502, answer
             assert _runs(fleet)["0b"] == 1
 
@@ -76,9 +74,7 @@
 
             for target in fleet.targets.values():
                 target.fault = lose_first
-            answer = await fleet.call(
-                "/look/1", method="GET", X_Attempt_Id="0c"
-            )
+            answer = await fleet.call("/look/1", method="GET", attempt="0c")
             assert answer.status == 200, answer
             assert _runs(fleet)["0c"] == 2
 
@@ -96,7 +92,7 @@
         async with fixtures.running_fleet(engines=0) as fleet:
             for target in fleet.targets.values():
                 target.fault = lambda seen: Fault.PROMISE_AFTER_RUN
-            answer = await fleet.call("/book/1", X_Attempt_Id="0d")
+            answer = await fleet.call("/book/1", attempt="0d")
             assert answer.status == 502, answer
             assert "x-server-signature" not in answer.headers
 
@@ -110,7 +106,7 @@
         async with fixtures.running_fleet(engines=0) as fleet:
             for target in fleet.targets.values():
                 target.fault = lambda seen: Fault.SHED
-            answer = await fleet.call("/book/1", X_Attempt_Id="0e")
+            answer = await fleet.call("/book/1", attempt="0e")
             assert answer.status == 503, answer
             assert float(answer.headers["retry-after"]) > 0
             assert _runs(fleet)["0e"] == 0
@@ -137,9 +133,7 @@
 
             for target in fleet.targets.values():
                 target.fault = cut_first
-            answer = await fleet.call(
-                "/long/x", adapter="a1", X_Attempt_Id="0f"
-            )
+            answer = await fleet.call("/long/x", adapter="a1", attempt="0f")
             assert answer.whole, answer
             assert answer.body == _expected_stream("0f")
 
@@ -179,7 +173,7 @@
             target.fault = lambda seen: Fault.TWICE
             for number in range(6):
                 attempt = f"1{number}"
-                answer = await fleet.call("/book/1", X_Attempt_Id=attempt)
+                answer = await fleet.call("/book/1", attempt=attempt)
                 if answer.status == 200:
                     assert f'"{attempt}"'.encode() in answer.body, answer
 
@@ -193,9 +187,7 @@
         async with fixtures.running_fleet() as fleet:
             for target in fleet.targets.values():
                 target.fault = lambda seen: Fault.UNFRAMED
-            answer = await fleet.call(
-                "/chat/x", adapter="a1", X_Attempt_Id="20"
-            )
+            answer = await fleet.call("/chat/x", adapter="a1", attempt="20")
             assert answer.whole, answer
             assert answer.body == _expected_stream("20")
 
@@ -287,9 +279,7 @@
                 lambda: fleet.gateway.table.version == 2, "the gap is known"
             )
             holder.timing.event_ms = 200.0
-            answer = await fleet.call(
-                "/long/x", adapter="a1", X_Attempt_Id="30"
-            )
+            answer = await fleet.call("/long/x", adapter="a1", attempt="30")
             assert answer.whole, answer
             assert answer.body == _expected_stream("30")
             assert _runs(fleet)["30"] == 1
