--- a/packages/radishd/src/radishd/request/forward.py
+++ b/packages/radishd/src/radishd/request/forward.py
@@ -557,10 +557,11 @@
         if self.began:
             # An end that looks whole would pass for the whole answer.
             raise CutError
-        if (
-            failure.executed is result.Executed.NO
-            and not failure.retry_after_ms
-        ):
+        proven_unrun = failure.executed is result.Executed.NO
+        if proven_unrun and self.state.may_have_run:
+            # That no target takes it now proves nothing of the send before.
+            failure = result.Failure(result.OUTCOME_UNKNOWN, failure.message)
+        elif proven_unrun and not failure.retry_after_ms:
             failure = dataclasses.replace(
                 failure, retry_after_ms=self.gateway.spread(SHED_RETRY_MS)
             )
@@ -572,7 +573,6 @@
             not (
                 failure.executed is result.Executed.NO
                 and self.state.may_have_run
-                and not self.route.repeatable
             ),
             result.REFUSED_AND_RUN,
             f"{failure.code.name} after a possible run",
--- a/tests/fleet/test_forwarding_path.py
+++ b/tests/fleet/test_forwarding_path.py
@@ -285,3 +285,26 @@
             assert _runs(fleet)["30"] == 1
 
     fixtures.run(play)
+
+
+def test_not_run_is_not_said_of_a_send_whose_answer_was_lost() -> None:
+    """Symptom: a caller is told that a summary was not run, and it was.
+
+    Sequence: an engine runs it and loses the answer; no other engine can load
+    the adapter. Cause: the refusal to place it again spoke for both sends.
+    """
+
+    async def play() -> None:
+        async with fixtures.running_fleet() as fleet:
+            await fleet.call("/long/x", adapter="a1")
+            (holder,) = (one for one in fleet.targets.values() if one.adapters)
+            for target in fleet.targets.values():
+                if target is not holder:
+                    target.swallow_orders = 1_000_000
+            holder.fault = lambda seen: Fault.RESET_AFTER_RUN
+            answer = await fleet.call("/long/x", adapter="a1", attempt="31")
+            assert _runs(fleet)["31"] == 1
+            assert answer.status == result.OUTCOME_UNKNOWN.status, answer
+            assert b'"executed": "unknown"' in answer.body
+
+    fixtures.run(play)
