--- a/packages/radishd/src/radishd/request/intake.py
+++ b/packages/radishd/src/radishd/request/intake.py
@@ -7,6 +7,7 @@
 
 from radishstack import result
 from radishstack.request import resolve
+from radishstack.version import checks
 
 from radishd.process import web
 
@@ -188,7 +189,36 @@
             "the body needs a text field model: a service, an adapter or "
             "adapter@version",
         )
-    return fields
+    wrong = _check_content(fields)
+    return fields if wrong is None else wrong
+
+
+def _check_content(fields: dict[str, object]) -> result.Failure | None:
+    """Checks what is to be completed.
+
+    An engine that takes a number for an empty prompt answers 200 with a text
+    that nobody asked for.
+    """
+    prompt = fields.get("prompt", "")
+    if not isinstance(prompt, str | list):
+        return _malformed("prompt", prompt, "a text or a list")
+    messages = fields.get("messages", [])
+    if not isinstance(messages, list):
+        return _malformed("messages", messages, "a list of messages")
+    for index, message in enumerate(messages):
+        path = f"messages.{index}"
+        if not isinstance(message, dict):
+            return _malformed(path, message, "an object with role and content")
+        if not isinstance(message.get("role"), str):
+            return _malformed(f"{path}.role", message.get("role"), "a text")
+    return None
+
+
+def _malformed(path: str, value: object, wanted: str) -> result.Failure:
+    return result.Failure(
+        result.BODY_MALFORMED,
+        f"{path} is {checks.shorten(value)}; it must be {wanted}",
+    )
 
 
 def body_for(intake: Intake, adapter: str) -> bytes:
--- a/tests/daemon/test_bad_input.py
+++ b/tests/daemon/test_bad_input.py
@@ -25,7 +25,19 @@
     _check(fixtures.call("POST", url, b"{"), result.BODY_MALFORMED)
     _check(fixtures.call("POST", url, b"[]"), result.BODY_MALFORMED)
     _check(fixtures.call("POST", url, {"model": 3}), result.BODY_MALFORMED)
+    for path, fields in {
+        "messages": {"messages": 7},
+        "messages.1": {"messages": [{"role": "user", "content": "x"}, "y"]},
+        "messages.0.role": {"messages": [{"content": "x"}]},
+        "prompt": {"prompt": 7},
+    }.items():
+        body = {"model": "adapter-1", **fields}
+        answer = fixtures.call("POST", url, body)
+        _check(answer, result.BODY_MALFORMED)
+        assert f"{path} is " in answer.json()["error"]["message"], answer
     _check(fixtures.call("POST", url, b"x" * 3000), result.BODY_TOO_LARGE)
+    large = fixtures.call("POST", url, b"x" * 40_000_000)
+    _check(large, result.BODY_TOO_LARGE)
     _check(fixtures.call("GET", url), result.METHOD_UNSUPPORTED)
     nowhere = site.url(entry, "/nowhere")
     _check(fixtures.call("GET", nowhere), result.PATH_UNKNOWN)
