--- a/packages/radishd/src/radishd/gateway.py
+++ b/packages/radishd/src/radishd/gateway.py
@@ -62,8 +62,9 @@
 # sends new connections, and for as long these are served.
 UNREADY_MS = 2_600
 EXIT_MARGIN_MS = 700
-# Gateways assumed to share the retry allowance while fewer are known.
-MIN_GATEWAYS = 6
+# Gateways assumed to share the retry allowance while fewer are known, as in
+# the first second after a start.
+MIN_GATEWAYS = 12
 # Part of the allowance that is used, so that requests that are counted in
 # another window elsewhere do not break it.
 BUDGET_PART = 0.7
@@ -252,15 +253,19 @@
 
     def budget(self, service: str) -> shared_budget.SharedBudget:
         """Returns this gateway's part of a service's retry budget."""
+        # As many as are known now: a part that was taken while fewer were
+        # known would let all of them together send several times too much.
+        gateways = max(MIN_GATEWAYS, len(self.peers.addresses) + 1)
+        part = self.own.retry_extra * BUDGET_PART / gateways
         budget = self.budgets.get(service)
         if budget is None:
-            gateways = max(MIN_GATEWAYS, len(self.peers.addresses) + 1)
             budget = shared_budget.SharedBudget(
                 self.own.retry_ratio * BUDGET_PART,
-                self.own.retry_extra * BUDGET_PART / gateways,
+                part,
                 self.own.retry_window_ms,
             )
             self.budgets[service] = budget
+        budget.part = part
         return budget
 
     def has_other(self, service: str, member: roster_lib.Member) -> bool:
--- a/packages/radishstack/src/radishstack/process/shared_budget.py
+++ b/packages/radishstack/src/radishstack/process/shared_budget.py
@@ -11,9 +11,14 @@
 
 
 class SharedBudget:
-    """One process' part of the budget for one service."""
+    """One process' part of the budget for one service.
 
-    __slots__ = ("_part", "_ratio", "_requests", "_spent", "_window_ms")
+    Attributes:
+        part: This process' part of the fixed allowance; it shrinks as more
+            processes become known.
+    """
+
+    __slots__ = ("_ratio", "_requests", "_spent", "_window_ms", "part")
 
     def __init__(self, ratio: float, part: float, window_ms: int) -> None:
         """Starts with nothing spent.
@@ -24,7 +29,7 @@
             window_ms: Length of the sliding window.
         """
         self._ratio = ratio
-        self._part = part
+        self.part = part
         self._window_ms = window_ms
         self._requests: collections.deque[int] = collections.deque()
         self._spent: collections.deque[int] = collections.deque()
@@ -43,7 +48,7 @@
     def can_spend(self, now_ms: int) -> bool:
         """Whether the budget has one more extra send."""
         self._drop_old(now_ms)
-        allowed = self._ratio * len(self._requests) + self._part
+        allowed = self._ratio * len(self._requests) + self.part
         return len(self._spent) + 1 <= allowed
 
     def spend(self, now_ms: int) -> bool:
--- a/tests/fleet/test_fleet_faults.py
+++ b/tests/fleet/test_fleet_faults.py
@@ -282,3 +282,22 @@
             )
 
     fixtures.run(play)
+
+
+def test_the_part_of_the_retry_budget_shrinks_with_the_gateways() -> None:
+    """Symptom: in a large fleet a sick service gets several times its load.
+
+    Sequence: a gateway takes its part while it knows few others; then it
+    hears of thirty. Cause: the part was fixed at the first request.
+    """
+
+    async def play() -> None:
+        async with fixtures.running_fleet(engines=0) as fleet:
+            gateway = fleet.gateway
+            before = gateway.budget("counter").part
+            gateway.peers.heard(f"10.0.0.{n}:80" for n in range(40))
+            allowance = gateway.own.retry_extra
+            assert 41 * gateway.budget("counter").part <= allowance
+            assert gateway.budget("counter").part < before
+
+    fixtures.run(play)
