--- a/packages/radishd/src/radishd/connection/pool.py
+++ b/packages/radishd/src/radishd/connection/pool.py
@@ -39,7 +39,6 @@
         """
         self._kept: dict[str, list[_Kept]] = {}
         self._connect_timeout_ms = connect_timeout_ms
-        self.opened = 0
 
     async def take(
         self, address: str, *, fresh: bool
@@ -64,7 +63,6 @@
             if one.connection.is_open and now_ms < usable_until_ms:
                 return one.connection
             one.connection.close()
-        self.opened += 1
         return await http_client.open_connection(
             address, self._connect_timeout_ms
         )
--- a/packages/radishd/src/radishd/gateway.py
+++ b/packages/radishd/src/radishd/gateway.py
@@ -431,14 +431,7 @@
         status, headers, body = front.failure(failure, attempt_id)
         if self.draining:
             headers.append((b"connection", b"close"))
-        await send(
-            {
-                "type": "http.response.start",
-                "status": status,
-                "headers": headers,
-            }
-        )
-        await send({"type": "http.response.body", "body": body})
+        await web.reply(send, status, headers, body)
 
     async def _run(
         self, forward: forward_lib.Forward, receive: web.Receive
@@ -846,14 +839,7 @@
         del scope, receive
         status = 503 if gateway.ready() else 200
         headers = [(b"content-length", b"0")]
-        await send(
-            {
-                "type": "http.response.start",
-                "status": status,
-                "headers": headers,
-            }
-        )
-        await send({"type": "http.response.body", "body": b""})
+        await web.reply(send, status, headers, b"")
 
     return app
 
--- a/packages/radishd/src/radishd/peers.py
+++ b/packages/radishd/src/radishd/peers.py
@@ -94,13 +94,6 @@
         status = HTTP_OK if known else HTTP_NOT_FOUND
         body = json.dumps(tell_known()).encode() if known else b""
         headers = [(b"content-length", b"%d" % len(body))]
-        await send(
-            {
-                "type": "http.response.start",
-                "status": status,
-                "headers": headers,
-            }
-        )
-        await send({"type": "http.response.body", "body": body})
+        await web.reply(send, status, headers, body)
 
     return app
--- a/packages/radishd/src/radishd/process/web.py
+++ b/packages/radishd/src/radishd/process/web.py
@@ -30,6 +30,23 @@
 TARGET = "radishstack.target"
 
 
+async def reply(
+    send: Send, status: int, headers: list[tuple[bytes, bytes]], body: bytes
+) -> None:
+    """Sends a whole answer.
+
+    Args:
+        send: Where it goes.
+        status: Its HTTP status.
+        headers: Its headers, the length included.
+        body: Its body.
+    """
+    await send(
+        {"type": "http.response.start", "status": status, "headers": headers}
+    )
+    await send({"type": "http.response.body", "body": body})
+
+
 class ForwardingProtocol(httptools_impl.HttpToolsProtocol):
     """Keeps the request target as the caller sent it.
 
--- a/packages/radishd/src/radishd/request/forward.py
+++ b/packages/radishd/src/radishd/request/forward.py
@@ -487,14 +487,7 @@
         self.began = True
         if self.gateway.draining:
             headers.append((b"connection", b"close"))
-        await self._send(
-            {
-                "type": "http.response.start",
-                "status": status,
-                "headers": headers,
-            }
-        )
-        await self._send({"type": "http.response.body", "body": body})
+        await web.reply(self._send, status, headers, body)
 
     async def _stream(
         self, send: Send, head: http_client.Head
--- a/packages/radishstack/src/radishstack/request/event_stream.py
+++ b/packages/radishstack/src/radishstack/request/event_stream.py
@@ -13,13 +13,12 @@
 class EventStream:
     """Cuts a byte stream into events and drops repeated ones."""
 
-    __slots__ = ("_pending", "last_id", "passed")
+    __slots__ = ("_pending", "last_id")
 
     def __init__(self) -> None:
         """Starts before the first event."""
         self._pending = b""
         self.last_id = b""
-        self.passed = 0
 
     def restart(self) -> None:
         """Begins to read another answer of the same stream."""
@@ -45,14 +44,8 @@
             self._pending = self._pending[size_bytes:]
             if self._is_new(event):
                 passed.append(event)
-                self.passed += 1
         return b"".join(passed)
 
-    @property
-    def is_between_events(self) -> bool:
-        """Whether nothing of a further event has been taken."""
-        return not self._pending
-
     def rest(self) -> bytes:
         """Takes what is left after the last event of a complete answer."""
         rest, self._pending = self._pending, b""
