radishctl fleet: what is in force, what changed, who is behind

Cause: on the users' platform operators write to the store themselves, and radishctl config and status read only the product's own object API. Change: gateways describe what each version changes (version/table_changes), log it, and keep the last 32 for their status; radishctl fleet status, config and history read the store through the adapter and the processes' admin ports. Ruled out: watching the store's history, which it keeps for seconds only.

--- a/packages/radishctl/src/radishctl/cli.py
+++ b/packages/radishctl/src/radishctl/cli.py
@@ -1,7 +1,6 @@
 """``radishctl``: the operators' command line."""
 
 import dataclasses
-import datetime
 import json
 import pathlib
 import sys
@@ -10,7 +9,6 @@
 
 import anyio
 import click
-import httpcore
 from radishd.process import exits
 from radishd.process import settings as settings_lib
 from radishd.process import store as store_lib
@@ -22,11 +20,11 @@
 import yaml
 
 from radishctl import explain as explain_lib
+from radishctl import fleet as fleet_lib
 from radishctl import output as output_lib
+from radishctl import processes
 from radishctl import session as session_lib
 
-MS_PER_S = 1000.0
-STATUS_TIMEOUT_S = 2.0
 DEFAULT_PLATFORM = "http://127.0.0.1:8081"
 
 _FILE = click.Path(path_type=pathlib.Path, dir_okay=False, exists=True)
@@ -70,6 +68,9 @@
     )
 
 
+main.add_command(fleet_lib.fleet)
+
+
 @main.group()
 def config() -> None:
     """The whole document."""
@@ -190,11 +191,6 @@
     return session.call(read)
 
 
-def _at(at_ms: int) -> str:
-    moment = datetime.datetime.fromtimestamp(at_ms / MS_PER_S, datetime.UTC)
-    return moment.isoformat(timespec="seconds")
-
-
 @config.command()
 @click.option("--limit", default=20, show_default=True)
 @click.pass_obj
@@ -212,7 +208,7 @@
         (
             (
                 one.version,
-                _at(one.audit.at_ms),
+                processes.moment(one.audit.at_ms),
                 one.audit.operator,
                 len(one.operations),
                 one.audit.reason,
@@ -244,7 +240,7 @@
             (
                 one.audit.base_version,
                 one.version,
-                _at(one.audit.at_ms),
+                processes.moment(one.audit.at_ms),
                 one.audit.operator,
                 *_describe(operation),
                 one.audit.reason,
@@ -456,57 +452,13 @@
 @click.pass_obj
 def status(session: session_lib.Session, admins: tuple[str, ...]) -> None:
     """Shows processes by their admin addresses, ``ip:port`` each."""
-    reports = anyio.run(_collect, admins)
+    reports = anyio.run(processes.collect, admins)
     newest = max((one.get("config_version", 0) for one in reports), default=0)
     output_lib.show(
         session.output,
         reports,
-        ("name", "role", "version", "ready", "queue", "running", "holds"),
-        (_status_row(one, newest) for one in reports),
-    )
-
-
-async def _collect(admins: tuple[str, ...]) -> list[dict[str, Any]]:
-    reports: dict[str, dict[str, Any]] = {}
-
-    async def ask(address: str) -> None:
-        reports[address] = await _ask_status(address)
-
-    async with anyio.create_task_group() as tasks:
-        for address in admins:
-            tasks.start_soon(ask, address)
-    return [reports[address] for address in admins]
-
-
-async def _ask_status(address: str) -> dict[str, Any]:
-    try:
-        with anyio.fail_after(STATUS_TIMEOUT_S):
-            async with httpcore.AsyncConnectionPool() as pool:
-                answer = await pool.request("GET", f"http://{address}/status")
-        return json.loads(answer.content)
-    except (*store_lib.NETWORK_ERRORS, TimeoutError, ValueError) as error:
-        return {"name": address, "ready": f"no answer: {type(error).__name__}"}
-
-
-def _status_row(report: dict[str, Any], newest: int) -> tuple[object, ...]:
-    version = report.get("config_version", "-")
-    if isinstance(version, int) and version < newest:
-        version = f"{version} (behind {newest})"
-    holds = (
-        report.get("resident")
-        or report.get("residents")
-        or report.get("failures")
-        or report.get("refusals")
-        or {}
-    )
-    return (
-        report.get("name", "-"),
-        report.get("role", "-"),
-        version,
-        report.get("ready", "-"),
-        report.get("queued", "-"),
-        report.get("running", report.get("in_flight", "-")),
-        " ".join(f"{key}:{value}" for key, value in holds.items()) or "-",
+        processes.HEADINGS,
+        (processes.row(one, newest) for one in reports),
     )
 
 
--- /dev/null
+++ b/packages/radishctl/src/radishctl/fleet.py
@@ -0,0 +1,193 @@
+"""``radishctl fleet``: a deployment on the users' platform.
+
+Operators write the configuration to the platform's store themselves; these
+commands only read: what is in force, what changed, and who is behind.
+"""
+
+from collections.abc import Iterable
+import dataclasses
+import json
+from typing import Any
+
+import anyio
+import click
+from radishd.platform import store as store_lib
+from radishd.platform import wire
+from radishd.process import metrics as metrics_lib
+from radishd.process import settings as settings_lib
+from radishstack import result
+from radishstack.process import roster as roster_lib
+from radishstack.version import route_table
+import yaml
+
+from radishctl import output as output_lib
+from radishctl import processes
+from radishctl import session as session_lib
+
+
+@click.group()
+def fleet() -> None:
+    """A deployment on the users' platform: gateways and sidecars."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Kept:
+    """What the platform's store holds of a deployment."""
+
+    table: route_table.RouteTable
+    targets: tuple[roster_lib.Listing, ...]
+
+
+async def _read(url: str) -> result.Outcome[_Kept]:
+    store = store_lib.Store(
+        url.removeprefix("http://"), metrics_lib.Metrics(name="radishctl")
+    )
+    configured = await store.list(wire.KIND_CONFIGURATION)
+    if isinstance(configured, result.Failure):
+        return configured
+    listed = await store.list(wire.KIND_TARGETS)
+    if isinstance(listed, result.Failure):
+        return listed
+    table: result.Outcome[route_table.RouteTable] = route_table.EMPTY
+    for record in configured.records:
+        if record.name == wire.CONFIGURATION_NAME:
+            table = wire.configuration(record.spec)
+    if isinstance(table, result.Failure):
+        return table
+    targets = []
+    for record in listed.records:
+        target = wire.target(record.name, record.spec, record.created)
+        if isinstance(target, result.Failure):
+            return target
+        targets.append(target)
+    return _Kept(table, tuple(targets))
+
+
+def _kept(session: session_lib.Session) -> _Kept:
+    kept = anyio.run(_read, session.platform.url)
+    if isinstance(kept, result.Failure):
+        session_lib.fail(kept)
+    return kept
+
+
+@fleet.command("config")
+@click.pass_obj
+def config(session: session_lib.Session) -> None:
+    """Prints the configuration that the operator wrote last."""
+    table = _kept(session).table
+    plain = json.loads(json.dumps(dataclasses.asdict(table)))
+    if session.output is output_lib.Format.JSON:
+        click.echo(json.dumps(plain, indent=2))
+    else:
+        click.echo(yaml.safe_dump(plain, sort_keys=False).rstrip())
+
+
+@fleet.command("history")
+@click.argument("admin")
+@click.pass_obj
+def history(session: session_lib.Session, admin: str) -> None:
+    """Shows what the last versions changed, newest first.
+
+    ADMIN is the admin address of a gateway, which keeps the differences of
+    the versions that came into force there.
+    """
+    (report,) = anyio.run(processes.collect, (admin,))
+    changes = list(reversed(report.get("changes", [])))
+    if not changes:
+        click.echo(f"{admin}: {report.get('ready', 'no changes')}", err=True)
+    output_lib.show(
+        session.output,
+        changes,
+        ("from", "to", "at", "change"),
+        (
+            (
+                one["before"],
+                one["version"],
+                processes.moment(one["at_ms"]),
+                detail,
+            )
+            for one in changes
+            for detail in one["details"] or ("first version here",)
+        ),
+    )
+
+
+@fleet.command("status")
+@click.argument("admin")
+@click.pass_obj
+def status(session: session_lib.Session, admin: str) -> None:
+    """Shows all gateways, sidecars and targets.
+
+    ADMIN is the admin address of one gateway; the others are found from what
+    it knows. A gateway behind the store's version is marked.
+    """
+    kept = _kept(session)
+    reports = anyio.run(_ask_all, admin, kept)
+    residents = {
+        one["instance"]: one.get("residents", {})
+        for one in reports
+        if one.get("instance")
+    }
+    newest = kept.table.version
+    targets = sorted(kept.targets, key=lambda one: (one.service, one.address))
+    if session.output is output_lib.Format.JSON:
+        click.echo(
+            json.dumps(
+                {
+                    "config_version": newest,
+                    "processes": reports,
+                    "targets": [dataclasses.asdict(one) for one in targets],
+                },
+                indent=2,
+            )
+        )
+        return
+    click.echo(f"configuration {newest} in the store")
+    output_lib.show(
+        session.output,
+        None,
+        processes.HEADINGS,
+        (processes.row(one, newest) for one in reports),
+    )
+    click.echo()
+    output_lib.show(
+        session.output,
+        None,
+        ("target", "service", "address", "domain", "state", "holds"),
+        (_target_row(one, residents) for one in targets),
+    )
+
+
+async def _ask_all(admin: str, kept: _Kept) -> list[dict[str, Any]]:
+    (first,) = await processes.collect((admin,))
+    _, port = settings_lib.split_address(admin)
+    addresses: Iterable[str] = (
+        *first.get("peers", ()),
+        *(
+            one.address
+            for one in kept.targets
+            if (spec := kept.table.services.get(one.service)) is not None
+            and spec.adapter_limit
+        ),
+    )
+    hosts = {settings_lib.split_address(one)[0] for one in addresses}
+    hosts.discard(settings_lib.split_address(admin)[0])
+    others = await processes.collect(
+        tuple(f"{host}:{port}" for host in sorted(hosts))
+    )
+    return [first, *others]
+
+
+def _target_row(
+    target: roster_lib.Listing, residents: dict[str, dict[str, int]]
+) -> tuple[object, ...]:
+    held = residents.get(target.instance, target.residents)
+    return (
+        target.instance,
+        target.service,
+        target.address,
+        target.failure_domain,
+        "leaving" if target.leaving else "ready",
+        " ".join(f"{name}@{version}" for name, version in sorted(held.items()))
+        or "-",
+    )
--- a/packages/radishd/src/radishd/gateway.py
+++ b/packages/radishd/src/radishd/gateway.py
@@ -5,6 +5,7 @@
 not answer; what engines hold is told by the process beside each.
 """
 
+import collections
 import dataclasses
 import functools
 import itertools
@@ -22,6 +23,7 @@
 from radishstack.process import shared_budget
 from radishstack.request import forwarding
 from radishstack.version import route_table
+from radishstack.version import table_changes
 
 from radishd import peers as peers_lib
 from radishd.connection import http_client
@@ -75,6 +77,10 @@
 # another window elsewhere do not break it.
 BUDGET_PART = 0.7
 HTTP_SERVER_ERROR = 500
+# Versions of the configuration of which operators are told what changed, and
+# differences of one version that a line of the log names.
+MAX_CHANGES = 32
+MAX_LOGGED_CHANGES = 12
 
 Outcome = forwarding.Outcome
 
@@ -113,6 +119,9 @@
         self.draining = False
         self.in_flight = 0
         self.refusals: dict[int, int] = {}
+        self.changes: collections.deque[table_changes.Change] = (
+            collections.deque(maxlen=MAX_CHANGES)
+        )
         self.socket: fleet_socket.FleetSocket | None = None
         self.server: web.Server | None = None
         store_address = settings.platform.url.removeprefix("http://")
@@ -192,10 +201,22 @@
         if isinstance(table, result.Failure):
             self.log.must("configuration_unreadable", reason=table.message)
             return
-        before = self.table.version
+        before = self.table
         if not self.holder.offer(table):
             return
-        self.log.must("configuration", version=table.version, before=before)
+        change = table_changes.Change(
+            table.version,
+            before.version,
+            clock.unix_ms(),
+            table_changes.describe(before, table) if before.version else (),
+        )
+        self.changes.append(change)
+        self.log.must(
+            "configuration",
+            version=table.version,
+            before=before.version,
+            changes=change.details[:MAX_LOGGED_CHANGES],
+        )
         if self.server is not None:
             web.set_idle_timeout(self.server, table.limits.idle_timeout_ms)
 
@@ -633,7 +654,11 @@
         now_ms = clock.boot_ms()
         return {
             "name": self.settings.name,
+            "role": str(self.settings.role),
+            "ready": self.ready() or "yes",
             "config_version": self.table.version,
+            "changes": [dataclasses.asdict(one) for one in self.changes],
+            "peers": sorted(self.peers.addresses),
             "in_flight": self.in_flight,
             "draining": self.draining,
             "refusals": self.refusals,
--- a/packages/radishd/src/radishd/sidecar.py
+++ b/packages/radishd/src/radishd/sidecar.py
@@ -283,6 +283,8 @@
         report = self.report
         return {
             "name": self.settings.name,
+            "role": str(self.settings.role),
+            "ready": self.ready() or "yes",
             "instance": self.instance,
             "residents": dict(report.residents) if report is not None else {},
             "pending": sorted(self.keeper.pending(clock.boot_ms())),
--- /dev/null
+++ b/packages/radishstack/src/radishstack/version/table_changes.py
@@ -0,0 +1,76 @@
+"""What changed between two route tables, in words for operators."""
+
+from collections.abc import Iterator
+from collections.abc import Mapping
+import dataclasses
+from typing import Any
+
+from radishstack.version import route_table
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """A version that came into force in one process.
+
+    Attributes:
+        version: The version.
+        before: The version before it here, 0 if it is the first.
+        at_ms: Time of day at which it came into force here.
+        details: One line for each difference.
+    """
+
+    version: int
+    before: int
+    at_ms: int
+    details: tuple[str, ...]
+
+
+def describe(
+    before: route_table.RouteTable, after: route_table.RouteTable
+) -> tuple[str, ...]:
+    """Describes what a version changes.
+
+    Args:
+        before: The version before.
+        after: The version.
+
+    Returns:
+        One line for each added, removed or changed route, service and limit,
+        for example ``route r-chat: timeout_ms 400 to 300``.
+    """
+    return (
+        *_entries("route", _routes(before), _routes(after)),
+        *_entries("service", before.services, after.services),
+        *_fields("limits", before.limits, after.limits),
+    )
+
+
+def _routes(table: route_table.RouteTable) -> dict[str, route_table.Route]:
+    return {route.name: route for own in table.routes.values() for route in own}
+
+
+def _entries(
+    noun: str, before: Mapping[str, Any], after: Mapping[str, Any]
+) -> Iterator[str]:
+    for name in sorted(before.keys() | after.keys()):
+        if name not in after:
+            yield f"{noun} {name} removed"
+        elif name not in before:
+            yield f"{noun} {name} added"
+        else:
+            yield from _fields(f"{noun} {name}", before[name], after[name])
+
+
+def _fields(title: str, before: Any, after: Any) -> Iterator[str]:
+    for field in dataclasses.fields(after):
+        old, new = getattr(before, field.name), getattr(after, field.name)
+        if old != new:
+            yield f"{title}: {field.name} {_text(old)} to {_text(new)}"
+
+
+def _text(value: Any) -> str:
+    if isinstance(value, tuple):
+        return ", ".join(map(_text, value)) or "none"
+    if isinstance(value, route_table.Share):
+        return f"{value.service} at {value.weight:g}"
+    return str(value)
--- /dev/null
+++ b/tests/operators/test_fleet.py
@@ -0,0 +1,97 @@
+"""``radishctl fleet`` before a running fleet on loopback."""
+
+import json
+
+import anyio
+from click import testing
+from radishctl import cli
+from radishstack.version import route_table
+from radishstack.version import table_changes
+
+from tests.fleet import fixtures
+
+
+def _route(**changes: object) -> route_table.Route:
+    fields = {
+        "name": "chat",
+        "host": "films.example",
+        "path_prefix": "/chat/",
+        "repeat": route_table.Repeat.ONCE,
+        "streams": True,
+        "resumable": False,
+        "timeout_ms": 400,
+        "objective_ms": 200,
+        "gap_objective_ms": 600,
+        "priority": 0,
+        "max_targets": 1,
+        "shares": (route_table.Share("engines", 1.0),),
+    }
+    return route_table.Route(**(fields | changes))
+
+
+def _table(version: int, *routes: route_table.Route) -> route_table.RouteTable:
+    return route_table.make_table(
+        version, list(routes), [], route_table.EMPTY.limits
+    )
+
+
+def test_a_change_is_told_by_name_field_and_both_values() -> None:
+    """An operator sees at once that a timeout was lowered, and to what."""
+    before = _table(1, _route(), _route(name="old"))
+    after = _table(2, _route(timeout_ms=300), _route(name="new"))
+    assert table_changes.describe(before, after) == (
+        "route chat: timeout_ms 400 to 300",
+        "route new added",
+        "route old removed",
+    )
+
+
+async def _radishctl(fleet: fixtures.Fleet, *words: str) -> testing.Result:
+    platform = f"http://{fleet.subnet}.1:{fixtures.STORE_PORT}"
+    return await anyio.to_thread.run_sync(
+        lambda: testing.CliRunner().invoke(
+            cli.main, ["--platform", platform, *words]
+        )
+    )
+
+
+def test_operators_see_what_is_in_force_and_what_changed() -> None:
+    """Status, configuration and history of one fleet after one change."""
+
+    async def play() -> None:
+        async with fixtures.running_fleet() as fleet:
+            admin = fleet.gateway.settings.gateway.admin
+            changed = fixtures.configuration()
+            changed["version"] += 1
+            changed["routes"][0]["timeoutMs"] += 1_000
+            fleet.store.put("config", "main", changed)
+            await fleet.until(
+                lambda: fleet.gateway.table.version == changed["version"],
+                "the change is in force",
+            )
+            told = await _radishctl(fleet, "fleet", "history", admin)
+            assert told.exit_code == 0, told.output
+            name = changed["routes"][0]["name"]
+            assert f"route {name}: timeout_ms" in told.output
+            shown = await _radishctl(fleet, "fleet", "config")
+            assert f"version: {changed['version']}" in shown.output
+            status = await _radishctl(
+                fleet, "--output", "json", "fleet", "status", admin
+            )
+            assert status.exit_code == 0, status.output
+            seen = json.loads(status.output)
+            roles = sorted(one["role"] for one in seen["processes"])
+            assert roles == ["gateway", "sidecar", "sidecar"], roles
+            assert len(seen["targets"]) == 4
+            table = await _radishctl(fleet, "fleet", "status", admin)
+            assert table.exit_code == 0 and "behind" not in table.output
+
+    fixtures.run(play)
+
+
+def test_a_store_that_does_not_answer_has_its_own_exit_code() -> None:
+    """Scripts tell an outage from a wrong call."""
+    run = testing.CliRunner().invoke(
+        cli.main, ["--platform", "http://127.0.0.1:1", "fleet", "config"]
+    )
+    assert run.exit_code == 4, run.output
