An adapter that has fallen idle is told as such with the next word

Cause: a gateway with nothing to tell spoke every third time only, so an adapter whose last request had ended was believed in use for up to 1.2 s and kept its place. Change: that nothing is used or wanted any more counts as news once. Ruled out: telling each end at once (a word per request).

--- a/packages/radishstack/src/radishstack/process/demand_book.py
+++ b/packages/radishstack/src/radishstack/process/demand_book.py
@@ -16,6 +16,7 @@
         self._sent: dict[str, int] = {}
         self._copies: dict[str, tuple[int, int]] = {}
         self._waits: dict[str, tuple[int, int]] = {}
+        self._told_some = False
 
     def began(self, adapter: str) -> None:
         """Counts a request that is sent."""
@@ -42,8 +43,12 @@
 
     @property
     def has_news(self) -> bool:
-        """Whether there is anything to tell."""
-        return self.busy or bool(self._sent)
+        """Whether there is anything to tell.
+
+        That nothing is used any more is news too: untold, the adapter that
+        was used last would keep its place for as long as it is believed.
+        """
+        return self.busy or bool(self._sent) or self._told_some
 
     def wait(self, adapter: str, version: int) -> bool:
         """Counts a request that waits; returns whether it is the first."""
@@ -92,4 +97,5 @@
             for name, (version, _) in self._copies.items()
             if name not in self._waits
         ]
+        self._told_some = bool(uses or wants)
         return uses, tuple(wants)
--- a/tests/fleet/test_keeper.py
+++ b/tests/fleet/test_keeper.py
@@ -6,6 +6,7 @@
 from hypothesis import stateful
 import hypothesis.strategies as st
 from radishstack.process import adapter_keeper
+from radishstack.process import demand_book
 from radishstack.process import incarnation
 from radishstack.process import shared_budget
 
@@ -321,3 +322,19 @@
     keeper.hear(_demand(*wants[8:], uses=uses), now_ms)
     wait_ms = keeper.load_wait(now_ms).wait_ms
     assert 0.7 * expected_ms <= wait_ms <= 1.3 * expected_ms, wait_ms
+
+
+def test_that_an_adapter_is_free_again_is_told() -> None:
+    """Symptom: a place stays taken for a second after its last run.
+
+    Sequence: a gateway's only request at an engine ends. Cause: with nothing
+    in use it had nothing to tell, and was believed to use the adapter still.
+    """
+    book = demand_book.DemandBook()
+    assert not book.has_news
+    book.began("base/a1")
+    book.take(1_000)
+    book.ended("base/a1")
+    assert not book.busy and book.has_news
+    assert book.take(1_400) == ((), ())
+    assert not book.has_news
