Engines that are not heard are told every time; kept changes are bounded

Versions that add thousands of routes would have been kept line by line. Change: the regular word is left out only for engines that are heard; a hundred lines are kept of one version. Ruled out: the learned wait for loads (the same before and after), polls.

--- a/packages/radishd/src/radishd/gateway.py
+++ b/packages/radishd/src/radishd/gateway.py
@@ -51,9 +51,6 @@
 # How often each process beside an engine is told what is used and wanted;
 # it believes a word for five times as long.
 DEMAND_EVERY_MS = 400
-# Where nothing is used or wanted every third of these words is enough for this
-# gateway to stay known there.
-IDLE_DEMAND_TURNS = 3
 SWEEP_EVERY_MS = 500
 FORGET_VIEWS_MS = 30_000
 # A watch of the targets is renewed this often, so that a store that went
@@ -526,10 +523,8 @@
         """Tells every process beside an engine what is used and wanted."""
         for turn in itertools.count():
             for member in list(self.roster.members.values()):
-                idle = not self.wishes.has_news(member.listing.address)
-                if idle and turn % IDLE_DEMAND_TURNS:
-                    continue
-                await self._send_demand(member)
+                if self.wishes.is_due(member, turn):
+                    await self._send_demand(member)
             await anyio.sleep(DEMAND_EVERY_MS / MS_PER_S)
 
     def hear(
--- a/packages/radishd/src/radishd/process/wishes.py
+++ b/packages/radishd/src/radishd/process/wishes.py
@@ -19,6 +19,9 @@
 MS_PER_S = 1_000
 # Words that others wait for are gathered this long.
 HURRY_MS = 15
+# Where nothing is used or wanted every third regular word is enough for this
+# gateway to stay known there.
+IDLE_TURNS = 3
 
 Tell = Callable[[roster_lib.Member], Awaitable[None]]
 
@@ -68,9 +71,20 @@
         """Takes what is to be told of one engine now."""
         return self._book(address).take(clock.boot_ms())
 
-    def has_news(self, address: str) -> bool:
-        """Whether there is anything to tell of an engine."""
-        return self._book(address).has_news
+    def is_due(self, member: roster_lib.Member, turn: int) -> bool:
+        """Whether the regular word of this turn is to be told.
+
+        Args:
+            member: An engine.
+            turn: Number of the turn.
+        """
+        if self._book(member.listing.address).has_news:
+            return True
+        if not self._placement.is_heard(member, clock.boot_ms()):
+            # It may have started after the last word, and knows neither this
+            # gateway nor which start of its engine is listed.
+            return True
+        return not turn % IDLE_TURNS
 
     def _book(self, address: str) -> demand_book.DemandBook:
         return self._books.setdefault(address, demand_book.DemandBook())
--- a/packages/radishstack/src/radishstack/process/placement.py
+++ b/packages/radishstack/src/radishstack/process/placement.py
@@ -198,6 +198,11 @@
             return None
         return view
 
+    def is_heard(self, member: roster_lib.Member, now_ms: int) -> bool:
+        """Whether the process beside this start was heard lately."""
+        view = self.view_of(member)
+        return view is not None and now_ms - view.heard_at_ms <= SILENT_MS
+
     def _is_silent(self, member: roster_lib.Member, now_ms: int) -> bool:
         view = self.views.get(member.listing.address)
         return view is not None and now_ms - view.heard_at_ms > SILENT_MS
@@ -206,9 +211,8 @@
         self, member: roster_lib.Member, now_ms: int
     ) -> Mapping[str, int]:
         """Returns what a target is believed to hold."""
-        view = self.view_of(member)
-        if view is not None and now_ms - view.heard_at_ms <= SILENT_MS:
-            return view.residents
+        if self.is_heard(member, now_ms):
+            return self.views[member.listing.address].residents
         return member.listing.residents
 
     def _load_ms(self, member: roster_lib.Member, now_ms: int) -> float:
@@ -396,9 +400,9 @@
     ) -> roster_lib.Member | None:
         by_name = {}
         for member in candidates:
-            view = self.view_of(member)
-            if view is None or now_ms - view.heard_at_ms > SILENT_MS:
+            if not self.is_heard(member, now_ms):
                 continue
+            view = self.views[member.listing.address]
             if adapter in view.pending:
                 return member
             held = view.residents.get(adapter, -1)
--- a/packages/radishstack/src/radishstack/version/table_changes.py
+++ b/packages/radishstack/src/radishstack/version/table_changes.py
@@ -8,6 +8,11 @@
 from radishstack.version import route_table
 
 
+# Differences that are kept of one version: a version that adds thousands of
+# routes would otherwise cost every gateway megabytes for as long as it runs.
+MAX_DETAILS = 100
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Change:
     """A version that came into force in one process.
@@ -36,13 +41,18 @@
 
     Returns:
         One line for each added, removed or changed route, service and limit,
-        for example ``route r-chat: timeout_ms 400 to 300``.
+        for example ``route r-chat: timeout_ms 400 to 300``; past a hundred
+        lines only their number.
     """
-    return (
+    lines = (
         *_entries("route", _routes(before), _routes(after)),
         *_entries("service", before.services, after.services),
         *_fields("limits", before.limits, after.limits),
     )
+    left_out = len(lines) - MAX_DETAILS
+    if left_out > 0:
+        return (*lines[:MAX_DETAILS], f"{left_out} further changes")
+    return lines
 
 
 def _routes(table: route_table.RouteTable) -> dict[str, route_table.Route]:
--- /dev/null
+++ b/tests/fleet/test_wishes.py
@@ -0,0 +1,54 @@
+"""What gateways tell the processes beside engines, and when."""
+
+import random
+
+from radishd.process import clock
+from radishd.process import wishes as wishes_lib
+from radishstack.process import placement as placement_lib
+from radishstack.process import roster as roster_lib
+
+
+def _member(name: str) -> roster_lib.Member:
+    listing = roster_lib.Listing(
+        name, "llm", f"{name}:80", "north", False, slot_count=64
+    )
+    return roster_lib.Member(listing, roster_lib.Health())
+
+
+class _Log:
+    def write(self, event: str, **fields: object) -> None:
+        del event, fields
+
+
+async def _tell(member: roster_lib.Member) -> None:
+    del member
+
+
+def test_an_engine_that_is_not_heard_is_told_every_time() -> None:
+    """Symptom: after a restart of all VMs nothing is loaded for a second.
+
+    Sequence: a gateway starts first, its first word meets a process beside
+    an engine that is not up yet. Cause: with nothing to tell, the next word
+    came with the third turn only, and until then that process knew neither
+    the gateway nor which start of its engine was listed.
+    """
+    placement = placement_lib.Placement(random.Random(1), "north")
+    wishes = wishes_lib.Wishes(placement, _Log(), _tell)
+    member = _member("i1")
+    turns = range(6)
+    assert all(wishes.is_due(member, turn) for turn in turns)
+    view = placement_lib.View("i1", clock.boot_ms(), 0, 0, {}, frozenset())
+    placement.hear(member.listing.address, view)
+    told = [turn for turn in turns if wishes.is_due(member, turn)]
+    assert told == [0, 3], told
+
+
+def test_an_engine_in_use_is_told_every_time() -> None:
+    """Its process believes a word on uses for two seconds only."""
+    placement = placement_lib.Placement(random.Random(1), "north")
+    wishes = wishes_lib.Wishes(placement, _Log(), _tell)
+    member = _member("i1")
+    view = placement_lib.View("i1", clock.boot_ms(), 0, 0, {}, frozenset())
+    placement.hear(member.listing.address, view)
+    wishes.began(member, "base/a1")
+    assert all(wishes.is_due(member, turn) for turn in range(6))
--- a/tests/operators/test_fleet.py
+++ b/tests/operators/test_fleet.py
@@ -46,6 +46,18 @@
     )
 
 
+def test_a_version_with_very_many_changes_is_kept_in_part() -> None:
+    """Symptom: gateways grow by megabytes when routes are added in bulk.
+
+    Sequence: one version adds two thousand routes. Cause: a line was kept of
+    each, for the last thirty-two versions.
+    """
+    routes = [_route(name=f"r{number}") for number in range(2_000)]
+    told = table_changes.describe(_table(1), _table(2, *routes))
+    assert len(told) == table_changes.MAX_DETAILS + 1
+    assert told[-1] == "1900 further changes"
+
+
 async def _radishctl(fleet: fixtures.Fleet, *words: str) -> testing.Result:
     platform = f"http://{fleet.subnet}.1:{fixtures.STORE_PORT}"
     return await anyio.to_thread.run_sync(
