Tests of waiting; mutants of wishes, order and refusals

Cause: the state machine of the keeper spoke as gateways did before, one wish a word, so a mutant that overfills an engine passed: its wishes ended before two loads were under way. Change: the machine's gateway names all it waits for in every word, and ends waits; focused tests of request/waiting; eight mutants. Ruled out: a weaker bound in the machine.

--- a/packages/radishstack/src/radishstack/version/table_changes.py
+++ b/packages/radishstack/src/radishstack/version/table_changes.py
@@ -7,7 +7,6 @@
 
 from radishstack.version import route_table
 
-
 # Differences that are kept of one version: a version that adds thousands of
 # routes would otherwise cost every gateway megabytes for as long as it runs.
 MAX_DETAILS = 100
--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -232,8 +232,8 @@
     Mutant(
         "an engine is never overfilled",
         "radishstack/process/adapter_keeper.py",
-        "        self.report = None\n        if refused:",
-        "        if refused:",
+        "        self.report = None\n        if order.operation is Operation.L",
+        "        if order.operation is Operation.L",
         _test("fleet.test_keeper"),
     ),
     Mutant(
@@ -271,6 +271,62 @@
         "        return True",
         _test("fleet.test_keeper"),
     ),
+    Mutant(
+        "no load for nobody",
+        "radishstack/process/adapter_keeper.py",
+        "self._wants[demand.gateway] = (now_ms, demand.wants)",
+        "self._wants.setdefault(demand.gateway, (now_ms, demand.wants))",
+        _test("fleet.test_keeper"),
+    ),
+    Mutant(
+        "no load for nobody",
+        "radishstack/process/demand_book.py",
+        "self.busy or bool(self._sent) or self._told_some",
+        "self.busy or bool(self._sent)",
+        _test("fleet.test_keeper"),
+    ),
+    Mutant(
+        "the most waited for first, none for ever last",
+        "radishstack/process/adapter_keeper.py",
+        "one[1].since_ms - WAITER_MS * one[1].waiting,",
+        "one[1].since_ms,",
+        _test("fleet.test_keeper"),
+    ),
+    Mutant(
+        "the most waited for first, none for ever last",
+        "radishstack/process/adapter_keeper.py",
+        "one[1].since_ms - WAITER_MS * one[1].waiting,",
+        "-one[1].waiting,",
+        _test("fleet.test_keeper"),
+    ),
+    Mutant(
+        "a wait in vain is refused at once",
+        "radishstack/process/adapter_keeper.py",
+        "        self._gap_ms += GAP_WEIGHT * (gap_ms - self._gap_ms)",
+        "        del gap_ms",
+        _test("fleet.test_keeper"),
+    ),
+    Mutant(
+        "a wait in vain is refused at once",
+        "radishstack/request/waiting.py",
+        "        if choice.full_for_ms and not self._begun:",
+        "        if False:",
+        _test("fleet.test_waiting"),
+    ),
+    Mutant(
+        "a stream that has begun is never refused",
+        "radishstack/request/waiting.py",
+        "        if choice.full_for_ms and not self._begun:",
+        "        if choice.full_for_ms:",
+        _test("fleet.test_waiting"),
+    ),
+    Mutant(
+        "a stream that has begun is never refused",
+        "radishstack/request/waiting.py",
+        "        if choice.load is None and not self._begun:",
+        "        if choice.load is None:",
+        _test("fleet.test_waiting"),
+    ),
 )
 
 
--- a/tests/fleet/test_keeper.py
+++ b/tests/fleet/test_keeper.py
@@ -165,6 +165,13 @@
         self.accepted = 0
         self.late: list[adapter_keeper.Order] = []
         self.in_use: set[str] = set()
+        self.waited_for: list[str] = []
+
+    def _tell(self, *, sent: int) -> None:
+        """The gateway's word: all that it uses and waits for."""
+        uses = tuple(adapter_keeper.Use(name, 1, sent) for name in self.in_use)
+        demand = _demand(*self.waited_for, uses=uses)
+        self.keeper.hear(demand, self.now_ms)
 
     def _carry_out(self, order: adapter_keeper.Order) -> bool:
         if order.accepted_count != self.accepted:
@@ -179,7 +186,16 @@
     @stateful.rule(adapter=adapters)
     def want(self, adapter: str) -> None:
         """A request waits for an adapter."""
-        self.keeper.hear(_demand(adapter), self.now_ms)
+        if adapter not in self.waited_for:
+            self.waited_for.append(adapter)
+        self._tell(sent=0)
+
+    @stateful.rule()
+    def wait_no_more(self) -> None:
+        """The request that waits longest is sent or refused."""
+        if self.waited_for:
+            self.waited_for.pop(0)
+        self._tell(sent=0)
 
     @stateful.rule(adapter=adapters, uses=st.booleans())
     def use(self, adapter: str, uses: bool) -> None:
@@ -188,8 +204,7 @@
             self.in_use.add(adapter)
         else:
             self.in_use.discard(adapter)
-        told = tuple(adapter_keeper.Use(name, 1, 1) for name in self.in_use)
-        self.keeper.hear(_demand(uses=told), self.now_ms)
+        self._tell(sent=1)
 
     @stateful.rule(answer=st.sampled_from(["at once", "lost", "late"]))
     def order(self, answer: str) -> None:
@@ -224,8 +239,7 @@
     def wait(self, step_ms: int) -> None:
         """Time passes; gateways renew their word."""
         self.now_ms += step_ms
-        told = tuple(adapter_keeper.Use(name, 1, 0) for name in self.in_use)
-        self.keeper.hear(_demand(uses=told), self.now_ms)
+        self._tell(sent=0)
 
     @stateful.invariant()
     def never_overfilled(self) -> None:
--- /dev/null
+++ b/tests/fleet/test_waiting.py
@@ -0,0 +1,76 @@
+"""How long a request waits for its adapter, and when it is turned away."""
+
+import random
+
+from radishstack import result
+from radishstack.process import placement as placement_lib
+from radishstack.process import roster as roster_lib
+from radishstack.request import waiting as waiting_lib
+
+NOW_MS = 10_000
+NOWHERE = placement_lib.Choice(None, None)
+
+
+def _member() -> roster_lib.Member:
+    listing = roster_lib.Listing("i1", "llm", "a:80", "north", False, 64)
+    return roster_lib.Member(listing, roster_lib.Health())
+
+
+def _waiting(
+    *, left_ms: int = 5_000, begun: bool = False
+) -> waiting_lib.Waiting:
+    return waiting_lib.Waiting(
+        "base/a1",
+        began_ms=NOW_MS,
+        left_ms=left_ms,
+        begun=begun,
+        random_source=random.Random(1),
+    )
+
+
+def test_a_wait_in_vain_is_refused_at_once() -> None:
+    """The caller is told when to come back, within the predicted time."""
+    full = placement_lib.Choice(None, None, full_for_ms=900)
+    step = _waiting().decide(full, any_usable=True, now_ms=NOW_MS)
+    assert isinstance(step, result.Failure)
+    assert step.executed is result.Executed.NO
+    assert 450 <= step.retry_after_ms <= 900
+
+
+def test_a_stream_that_has_begun_is_tried_to_the_end() -> None:
+    """Symptom: an answer is cut although another target could go on with it.
+
+    Sequence: a target ends in the middle of a stream that may be resumed,
+    and the others have loads waiting. Cause: the rules for new requests were
+    applied to one that cannot be refused any more.
+    """
+    waiting = _waiting(begun=True)
+    full = placement_lib.Choice(None, None, full_for_ms=900)
+    for choice in (full, NOWHERE):
+        step = waiting.decide(choice, any_usable=True, now_ms=NOW_MS + 4_000)
+        assert isinstance(step, waiting_lib.Wait), step
+
+
+def test_a_wait_leaves_time_for_a_second_try() -> None:
+    """Of what the caller has left, and never beyond the fixed bound."""
+    load = placement_lib.Choice(None, _member())
+    for left_ms, bound_ms in ((1_000, 450), (60_000, 1_500)):
+        waiting = _waiting(left_ms=left_ms)
+        before_ms = NOW_MS + bound_ms - 1
+        step = waiting.decide(load, any_usable=True, now_ms=before_ms)
+        assert step == waiting_lib.Wait(1)
+        after_ms = NOW_MS + bound_ms
+        step = waiting.decide(load, any_usable=True, now_ms=after_ms)
+        assert isinstance(step, result.Failure) and step.retry_after_ms
+
+
+def test_nobody_waits_long_for_a_first_word() -> None:
+    """After a start the processes beside engines are heard in a moment."""
+    waiting = _waiting()
+    step = waiting.decide(NOWHERE, any_usable=True, now_ms=NOW_MS)
+    assert isinstance(step, waiting_lib.Wait)
+    late_ms = NOW_MS + waiting_lib.UNHEARD_WAIT_MS
+    step = waiting.decide(NOWHERE, any_usable=True, now_ms=late_ms)
+    assert isinstance(step, result.Failure)
+    step = _waiting().decide(NOWHERE, any_usable=False, now_ms=NOW_MS)
+    assert isinstance(step, waiting_lib.NoTarget)
