A run that only pauses is not given up for a neighbour that is full

Cause: on an engine that reads prompts between tokens, pauses of 250 to 600 ms are usual. A resumable stream was left after 0.8 of its gap objective for any other holder; if that one refused, the caller's answer was cut though the first engine would have gone on. Seen as LOST on the plant with slower engines and more places.

Change: an engine whose other streams go on, or whose streams have paused that long before, gets up to four times as long; a begun stream that is refused elsewhere, or loses its second target too, goes on at one that it was at before, after a moment. Two tests, both red before: a drain beside a slow engine and a full neighbour; a neighbour that is full once.

Ruled out: asking only whether another holder exists (it does, and is full).

--- a/packages/radishd/src/radishd/request/forward.py
+++ b/packages/radishd/src/radishd/request/forward.py
@@ -6,9 +6,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable
+from collections.abc import Callable
 import dataclasses
 import enum
 from typing import TYPE_CHECKING
+from typing import TypeVar
 
 import anyio
 from radishstack import invariant
@@ -40,10 +43,18 @@
 MIN_SILENCE_MS = 150
 # A stream that pauses is moved shortly before the pause counts as late.
 GAP_PART = 0.8
+# An engine whose other streams go on, or whose streams have paused before, is
+# not dead: it reads prompts between tokens. A silent run is left there only
+# after so many times as long, while there is still time before callers give
+# up, or once its silence exceeds its usual pauses by this factor. Left
+# sooner, runs were cut for a neighbour that was full.
+LIVE_PATIENCE = 4.0
+PAUSE_MARGIN = 1.5
 MAX_BUFFERED_BYTES = 8 * 1024 * 1024
 PRIORITY_MAX = 9
 
 Outcome = forwarding.Outcome
+_Part = TypeVar("_Part")
 
 
 class CutError(Exception):
@@ -146,6 +157,9 @@
             if step is forwarding.Step.GIVE_UP:
                 await self._give_up(self.state.failure)
                 return
+            if step is forwarding.Step.SEND_LATER:
+                pause_ms = self.gateway.spread(SHED_RETRY_MS)
+                await anyio.sleep(pause_ms / MS_PER_S)
 
     def _next_step(self, instance: str, outcome: Outcome) -> forwarding.Step:
         gateway = self.gateway
@@ -161,7 +175,9 @@
             paid = worth_paying and gateway.budget(self.service).spend(
                 clock.boot_ms()
             )
-        return self.state.ended(instance, outcome, self.left_ms(), paid=paid)
+        return self.state.ended(
+            instance, outcome, self.left_ms(), paid=paid, begun=self.began
+        )
 
     async def _place(
         self,
@@ -331,12 +347,8 @@
         connection = send.connection
         instance = send.member.listing.instance
         while True:
-            head: http_client.Head | http_client.Lost | None = None
-            with anyio.move_on_after(self._patience_s(send)):
-                head = await connection.head()
-            if head is None:
-                return Pace.SILENT
-            if isinstance(head, http_client.Lost):
+            head = await self._read(send, connection.head)
+            if not isinstance(head, http_client.Head):
                 return head
             kind = front.classify(head, self.request.attempt_id, instance)
             if kind is not front.Kind.FOREIGN:
@@ -346,7 +358,20 @@
             if lost is not None:
                 return lost
 
-    def _patience_s(self, send: Send) -> float:
+    async def _read(
+        self, send: Send, read: Callable[[], Awaitable[_Part]]
+    ) -> _Part | Pace:
+        """Reads from a target until it has been silent for too long."""
+        began_ms = clock.boot_ms()
+        while True:
+            patience_ms = self._patience_ms(send)
+            left_ms = began_ms + patience_ms - clock.boot_ms()
+            if left_ms <= 0:
+                return Pace.SILENT
+            with anyio.move_on_after(left_ms / MS_PER_S):
+                return await read()
+
+    def _patience_ms(self, send: Send) -> float:
         """Returns how long a target may be silent before it is left."""
         left_ms = max(0, self.left_ms())
         movable = (
@@ -359,15 +384,24 @@
             # a place where it goes on at once, it may only pause.
             movable = movable and self._has_holder(send.member)
         if not movable:
-            return left_ms / MS_PER_S + 1
-        part = GAP_PART if self.began else SILENCE_PART
-        objective_ms = self.route.objective_ms
-        if self.began:
-            objective_ms = self.route.gap_objective_ms or objective_ms
-        silence_ms = max(MIN_SILENCE_MS, objective_ms * part)
+            return self.route.timeout_ms + MS_PER_S
+        silence_ms = self._silence_ms(send)
         if left_ms < 2 * silence_ms:
-            return left_ms / MS_PER_S + 1
-        return silence_ms / MS_PER_S
+            return self.route.timeout_ms + MS_PER_S
+        return silence_ms
+
+    def _silence_ms(self, send: Send) -> float:
+        objective_ms = self.route.objective_ms
+        if not self.began:
+            return max(MIN_SILENCE_MS, objective_ms * SILENCE_PART)
+        objective_ms = self.route.gap_objective_ms or objective_ms
+        silence_ms = max(MIN_SILENCE_MS, objective_ms * GAP_PART)
+        health = send.member.health
+        longest_ms = LIVE_PATIENCE * silence_ms
+        if clock.boot_ms() - health.progressed_at_ms < silence_ms:
+            return longest_ms
+        usual_ms = PAUSE_MARGIN * health.pause_ms
+        return min(max(silence_ms, usual_ms), longest_ms)
 
     def _has_holder(self, member: roster_lib.Member) -> bool:
         """Whether another target could go on with a stream now."""
@@ -424,10 +458,8 @@
         pieces: list[bytes] = []
         size_bytes = 0
         while True:
-            piece: bytes | http_client.Lost | None = None
-            with anyio.move_on_after(self._patience_s(send)):
-                piece = await send.connection.chunk()
-            if piece is None:
+            piece = await self._read(send, send.connection.chunk)
+            if piece is Pace.SILENT:
                 return Outcome.SILENT
             if isinstance(piece, http_client.Lost):
                 return Outcome.SPOILED if piece.spoiled else Outcome.LOST
@@ -473,17 +505,20 @@
     ) -> Outcome | None:
         """Passes whole events on as they come."""
         self.events.restart()
+        health = send.member.health
         noted = False
+        heard_at_ms = clock.boot_ms()
         while True:
-            piece: bytes | http_client.Lost | None = None
-            with anyio.move_on_after(self._patience_s(send)):
-                piece = await send.connection.chunk()
-            if piece is None:
+            piece = await self._read(send, send.connection.chunk)
+            if piece is Pace.SILENT:
                 return Outcome.SILENT
             if isinstance(piece, http_client.Lost):
                 return Outcome.SPOILED if piece.spoiled else Outcome.LOST
             if not piece:
                 return await self._end_stream(send, head)
+            now_ms = clock.boot_ms()
+            health.progressed(now_ms - heard_at_ms, now_ms)
+            heard_at_ms = now_ms
             events = self.events.feed(piece)
             if not events:
                 continue
--- a/packages/radishstack/src/radishstack/process/roster.py
+++ b/packages/radishstack/src/radishstack/process/roster.py
@@ -20,6 +20,9 @@
 MAX_EJECTIONS = 8
 # Latency estimate: weight of the newest answer.
 LATENCY_WEIGHT = 0.2
+# What is left of the longest pause of a target's streams with each event that
+# comes sooner: a pause counts for some fifty events, a second or two.
+PAUSE_KEPT = 0.98
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -59,6 +62,8 @@
         ejections: Ejections in a row.
         in_flight: Requests of this process that it has.
         unanswered: When each of those that have no answer yet was sent.
+        pause_ms: Longest pause of its streams lately.
+        progressed_at_ms: When bytes of any answer came from it.
     """
 
     failure_share: float = 0.0
@@ -67,6 +72,13 @@
     ejections: int = 0
     in_flight: int = 0
     unanswered: dict[object, int] = dataclasses.field(default_factory=dict)
+    pause_ms: float = 0.0
+    progressed_at_ms: int = 0
+
+    def progressed(self, pause_ms: int, now_ms: int) -> None:
+        """Notes an event of a stream, so long after the one before."""
+        self.pause_ms = max(pause_ms, PAUSE_KEPT * self.pause_ms)
+        self.progressed_at_ms = now_ms
 
     def silent_ms(self, now_ms: int) -> int:
         """Returns how long the oldest request waits for a first byte."""
--- a/packages/radishstack/src/radishstack/request/forwarding.py
+++ b/packages/radishstack/src/radishstack/request/forwarding.py
@@ -52,6 +52,7 @@
     """What to do next; ``Forwarding.allows`` says where it may be sent."""
 
     SEND_AGAIN = "send_again"
+    SEND_LATER = "send_later"
     GIVE_UP = "give_up"
 
 
@@ -104,7 +105,13 @@
         return self.may_use_another or instance in self.reached
 
     def ended(
-        self, instance: str, outcome: Outcome, left_ms: int, *, paid: bool
+        self,
+        instance: str,
+        outcome: Outcome,
+        left_ms: int,
+        *,
+        paid: bool,
+        begun: bool = False,
     ) -> Step:
         """Decides what follows the end of a send.
 
@@ -113,6 +120,7 @@
             outcome: How it ended.
             left_ms: Time that the caller still has.
             paid: Whether the retry budget allows another send.
+            begun: Whether the caller has a part of the answer.
 
         Returns:
             The next step; ``failure`` is set when it is to give up.
@@ -138,6 +146,12 @@
         if self.may_use_another:
             self.avoided.add(instance)
             return Step.SEND_AGAIN
+        if begun:
+            # There is no refusal any more: cut here, all that the caller has
+            # is lost. A target that was reached before may go on with it
+            # while this one is full or gone.
+            self.avoided = {instance} if len(self.reached) > 1 else set()
+            return Step.SEND_LATER
         if outcome is Outcome.MISMATCH:
             return Step.SEND_AGAIN
         return self._give_up(outcome)
--- a/tests/fleet/test_forwarding_path.py
+++ b/tests/fleet/test_forwarding_path.py
@@ -287,6 +287,107 @@
     fixtures.run(play)
 
 
+async def _slow_holder_and_full_neighbour(
+    fleet: fixtures.Fleet, event_ms: float
+) -> platform_engine.PlatformEngine:
+    """Has both engines hold an adapter; one pauses, the other is full."""
+    await fleet.call("/long/x", adapter="a1")
+    (holder,) = (one for one in fleet.targets.values() if one.adapters)
+    (other,) = (
+        one
+        for one in fleet.targets.values()
+        if one.model and one is not holder
+    )
+    other.adapters["a1"] = 1
+    other.fault = lambda seen: Fault.SHED
+    for member in fleet.gateway.roster.members.values():
+        if member.listing.instance == other.instance:
+            # The first send goes to the one that pauses.
+            member.health.failure_share = 0.3
+    views = fleet.gateway.placement.views
+    await fleet.until(
+        lambda: (
+            sum("base7/a1" in view.residents for view in views.values()) == 2
+        ),
+        "both are known as holders",
+    )
+    body = fixtures.configuration(version=2)
+    for one in body["routes"]:
+        one["gapTargetMs"] = 300
+        one["targetLatencyMs"] = 2_000
+    fleet.store.put("config", "main", body)
+    await fleet.until(
+        lambda: fleet.gateway.table.version == 2, "the gap is known"
+    )
+    holder.timing.event_ms = event_ms
+    return holder
+
+
+def test_a_stream_on_a_slow_engine_is_not_cut_for_a_full_neighbour() -> None:
+    """Symptom: a draining gateway cuts a summary that its engine goes on with.
+
+    Sequence: the engine reads prompts between tokens and pauses for longer
+    than the objective again and again; the gateway leaves the run for another
+    holder, which is full and refuses it. Cause: a pause was taken for a run
+    that has ended, and the refusal at the other holder for the end of all.
+    """
+
+    async def play() -> None:
+        async with fixtures.running_fleet() as fleet:
+            await _slow_holder_and_full_neighbour(fleet, event_ms=450.0)
+            answers = []
+
+            async def call() -> None:
+                answers.append(
+                    await fleet.call("/long/x", adapter="a1", attempt="32")
+                )
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(call)
+                await fleet.until(
+                    lambda: fleet.gateway.in_flight > 0, "it is under way"
+                )
+                fleet.stop.set()
+            (answer,) = answers
+            assert answer.whole, answer
+            assert answer.body == _expected_stream("32")
+
+    fixtures.run(play)
+
+
+def test_a_begun_stream_returns_from_a_full_neighbour() -> None:
+    """Symptom: a summary is cut although its first engine would go on.
+
+    Sequence: the engine hangs in the middle of the run for good; the other
+    holder is full for a moment and refuses. Cause: a refusal, which proves
+    that nothing ran, was the end of a stream with most of its time left.
+    """
+
+    async def play() -> None:
+        async with fixtures.running_fleet() as fleet:
+            holder = await _slow_holder_and_full_neighbour(
+                fleet, event_ms=5.0
+            )
+            shed = []
+            (other,) = (
+                one
+                for one in fleet.targets.values()
+                if one.model and one is not holder
+            )
+
+            def full_once(seen: platform_engine.Seen) -> Fault:
+                shed.append(seen.attempt_id)
+                return Fault.SHED if len(shed) == 1 else Fault.NONE
+
+            other.fault = full_once
+            holder.fault = lambda seen: Fault.CUT_MIDWAY
+            answer = await fleet.call("/long/x", adapter="a1", attempt="33")
+            assert answer.whole, answer
+            assert answer.body == _expected_stream("33")
+
+    fixtures.run(play)
+
+
 def test_not_run_is_not_said_of_a_send_whose_answer_was_lost() -> None:
     """Symptom: a caller is told that a summary was not run, and it was.
 
