Trial: each engine learns how many adapters it fetches at once

Hypothesis: where eight fetches run at full speed over all engines, four an engine slow each other, so a limit learned from the time that fetches take brings the first adapter sooner after a power cut.

--- a/packages/radishstack/src/radishstack/process/adapter_keeper.py
+++ b/packages/radishstack/src/radishstack/process/adapter_keeper.py
@@ -12,6 +12,7 @@
 
 from radishstack import invariant
 from radishstack import result
+from radishstack.process import load_limit
 from radishstack.process import popularity
 
 # A gateway's word on its use of this engine is believed this long. It is
@@ -24,8 +25,6 @@
 # No eviction right after a use: a gateway may be sending the next request,
 # and learns of an eviction some milliseconds after it.
 IDLE_MS = 25
-# Adapters that may be in transit to one engine.
-MAX_IN_TRANSIT = 4
 # After a load order that the engine refused, others go first.
 REFUSED_MS = 500
 # Adapters that the engine held lately and most likely still has in its memory;
@@ -34,14 +33,11 @@
 # What one more request that waits for an adapter is worth, in time waited: the
 # load of an adapter that several wait for serves them all.
 WAITER_MS = 100
-# Time to load an adapter that the engine did not hold recently, as configured
-# engines publish it.
-LOAD_MS = 250
 # While loads wait, the time between two of them is learned with this weight
-# of the newest: it is four in LOAD_MS at best, and several times as long once
-# every place is in use.
+# of the newest: it is four in one fetch at best, and several times as long once
+# every place is in use or the weight store is shared by many.
 GAP_WEIGHT = 0.25
-FIRST_GAP_MS = LOAD_MS / MAX_IN_TRANSIT
+FIRST_GAP_MS = load_limit.FIRST_FETCH_MS / load_limit.MAX_AT_ONCE
 # The same from its own memory.
 WARM_LOAD_MS = 25
 # How often the engine is asked for its report: while wishes wait for a place,
@@ -202,6 +198,8 @@
         self._in_flight: dict[str, tuple[int, dict[str, int]]] = {}
         self._refused_until_ms: dict[str, int] = {}
         self._due_ms: dict[str, int] = {}
+        self._fetched_since_ms: dict[str, int] = {}
+        self.load_limit = load_limit.LoadLimit()
         self._hold_until_ms = 0
 
     def restarted(self) -> None:
@@ -209,6 +207,7 @@
         self.report = None
         self._refused_until_ms.clear()
         self._due_ms.clear()
+        self._fetched_since_ms.clear()
         self._warm.clear()
 
     def hold(self, until_ms: int) -> None:
@@ -331,20 +330,21 @@
         their number alone would let callers wait past their objective.
         """
         report = self.report
+        load_ms = self.load_limit.fetch_ms
         if report is None:
-            return LoadWait(LOAD_MS, FIRST_GAP_MS)
+            return LoadWait(round(load_ms), FIRST_GAP_MS)
         queue = [
             name
             for name in self._open_wants(now_ms)
             if name not in report.in_transit
         ]
         if not queue:
-            return LoadWait(LOAD_MS, self._gap_ms)
+            return LoadWait(round(load_ms), self._gap_ms)
         # A gap that is not over yet may already be longer than those before.
         first_ms = min(self._wanted_since_ms[name] for name in queue)
         standing_ms = now_ms - max(self._turn_at_ms, first_ms)
         gap_ms = max(self._gap_ms, standing_ms / 2)
-        return LoadWait(round(LOAD_MS + len(queue) * gap_ms), gap_ms)
+        return LoadWait(round(load_ms + len(queue) * gap_ms), gap_ms)
 
     def decide(self, now_ms: int) -> Order | None:
         """Decides the next order.
@@ -352,6 +352,7 @@
         Returns:
             The order, or None if none helps now.
         """
+        self._note_fetched(now_ms)
         order = self._decide(now_ms)
         if order is None or order.operation is Operation.UNLOAD:
             return order
@@ -363,6 +364,17 @@
         self._turn_at_ms = now_ms
         return order
 
+    def _note_fetched(self, now_ms: int) -> None:
+        """Learns from fetches that have ended how long they take."""
+        report = self.report
+        if report is None:
+            return
+        ended = self._fetched_since_ms.keys() - report.in_transit.keys()
+        for adapter in ended:
+            since_ms = self._fetched_since_ms.pop(adapter)
+            if adapter in report.residents:
+                self.load_limit.fetched(now_ms - since_ms)
+
     def _decide(self, now_ms: int) -> Order | None:
         report = self.report
         if report is None or report.busy or now_ms < self._hold_until_ms:
@@ -396,7 +408,7 @@
     def _make_room_or_load(
         self, report: Report, adapter: str, now_ms: int
     ) -> Order | None:
-        if len(report.in_transit) >= MAX_IN_TRANSIT:
+        if len(report.in_transit) >= self.load_limit.at_once:
             return None
         if self._occupied(report) < self.adapter_limit:
             version = self.announced.get(adapter, 0)
@@ -480,10 +492,13 @@
                 an answer it counts as not refused: the same order may be
                 given again, since the engine takes only one of the two.
         """
-        self.report = None
+        report, self.report = self.report, None
         if order.operation is Operation.LOAD:
             warm = order.adapter in self._warm
-            took_ms = WARM_LOAD_MS if warm else LOAD_MS
-            self._due_ms[order.adapter] = now_ms + took_ms
+            took_ms = WARM_LOAD_MS if warm else self.load_limit.fetch_ms
+            self._due_ms[order.adapter] = now_ms + round(took_ms)
+            replaced = report is not None and order.adapter in report.residents
+            if not warm and not replaced and not is_base(order.adapter):
+                self._fetched_since_ms[order.adapter] = now_ms
         if refused:
             self._refused_until_ms[order.adapter] = now_ms + REFUSED_MS
--- a/tests/fleet/test_cold_rush.py
+++ b/tests/fleet/test_cold_rush.py
@@ -63,6 +63,7 @@
                 self.transit[order.adapter] = now_ms + self.fetch(order.adapter)
             else:
                 del self.residents[order.adapter]
+            self.keeper.settled(order, now_ms, refused=False)
             assert len(self.residents) + len(self.transit) <= SLOTS
 
     def fetch(self, adapter: str) -> int:
--- a/tests/fleet/test_forwarding_path.py
+++ b/tests/fleet/test_forwarding_path.py
@@ -294,9 +294,7 @@
     await fleet.call("/long/x", adapter="a1")
     (holder,) = (one for one in fleet.targets.values() if one.adapters)
     (other,) = (
-        one
-        for one in fleet.targets.values()
-        if one.model and one is not holder
+        one for one in fleet.targets.values() if one.model and one is not holder
     )
     other.adapters["a1"] = 1
     other.fault = lambda seen: Fault.SHED
@@ -365,9 +363,7 @@
 
     async def play() -> None:
         async with fixtures.running_fleet() as fleet:
-            holder = await _slow_holder_and_full_neighbour(
-                fleet, event_ms=5.0
-            )
+            holder = await _slow_holder_and_full_neighbour(fleet, event_ms=5.0)
             shed = []
             (other,) = (
                 one
