Versions of an adapter named in a row each have their own time

Symptom: a request begins on a version two behind, more than five seconds after that was replaced. Change: announcements keep the ones before them until their time is over. Test red before: versions 2 and 3 announced 2.4 s apart.

--- a/packages/radishstack/src/radishstack/process/placement.py
+++ b/packages/radishstack/src/radishstack/process/placement.py
@@ -104,10 +104,34 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Announced:
-    """A version that the operator announced, and when it was learned."""
+    """A version that the operator announced, and when it was learned.
+
+    Attributes:
+        version: The version.
+        at_ms: When it was learned.
+        before: The one announced before it.
+    """
 
     version: int
     at_ms: int
+    before: "Announced | None" = None
+
+    def oldest_served(self, now_ms: int) -> int:
+        """Returns the oldest version that still serves for a moment.
+
+        Each version has its own time: were it to begin anew with the next
+        one, several in a row would keep the first one in use for ever.
+        """
+        if now_ms - self.at_ms >= OLD_VERSION_MS:
+            return self.version
+        return self.before.oldest_served(now_ms) if self.before else 0
+
+    def since(self, now_ms: int) -> "Announced":
+        """Returns it without those that it has replaced for good."""
+        if now_ms - self.at_ms >= OLD_VERSION_MS:
+            return Announced(self.version, self.at_ms)
+        before = self.before.since(now_ms) if self.before else None
+        return Announced(self.version, self.at_ms, before)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -175,7 +199,8 @@
         known = self.announced.get(adapter)
         if known is not None and known.version >= version:
             return False
-        self.announced[adapter] = Announced(version, now_ms)
+        before = known.since(now_ms) if known is not None else None
+        self.announced[adapter] = Announced(version, now_ms, before)
         return True
 
     def hear(self, address: str, view: View) -> None:
@@ -336,8 +361,9 @@
             return Choice(best, home, held if floor else 0)
         home = self._home(adapter, candidates, floor, now_ms)
         if announced is not None:
-            old = self._cheapest(adapter, candidates, 0, now_ms)
-            if old is not None and now_ms - announced.at_ms < OLD_VERSION_MS:
+            oldest = announced.oldest_served(now_ms)
+            old = self._cheapest(adapter, candidates, oldest, now_ms)
+            if old is not None:
                 # Serving the old version for a moment longer spares callers
                 # the wait for a replacement, which begins only when all
                 # runs on the old one have ended.
--- a/tests/fleet/test_placement.py
+++ b/tests/fleet/test_placement.py
@@ -108,6 +108,30 @@
     assert _choose(placement, roster, later_ms).send is None
 
 
+def test_versions_named_in_a_row_are_each_given_their_time() -> None:
+    """Symptom: callers get a version two behind, five seconds after it went.
+
+    Sequence: a version is announced, and the next one before the first is
+    everywhere. Cause: the time for which an older version still serves began
+    anew with each announcement.
+    """
+    roster = _roster(3)
+    placement = _placement(roster, i0={ADAPTER: 1})
+    placement.announce(ADAPTER, 2, NOW_MS)
+    second_ms = NOW_MS + placement_lib.OLD_VERSION_MS - 100
+    placement.announce(ADAPTER, 3, second_ms)
+    for view in placement.views.values():
+        view.heard_at_ms = second_ms
+    assert _choose(placement, roster, second_ms).send is not None
+    later_ms = NOW_MS + placement_lib.OLD_VERSION_MS
+    for view in placement.views.values():
+        view.heard_at_ms = later_ms
+    assert _choose(placement, roster, later_ms).send is None
+    # The version between is not over yet.
+    placement.views[roster.members["i1"].listing.address].residents[ADAPTER] = 2
+    assert _choose(placement, roster, later_ms).send is roster.members["i1"]
+
+
 def test_an_engine_that_is_down_is_no_home() -> None:
     """Symptom: every new adapter waits for seconds after a crash.
 
