--- /dev/null
+++ b/bench/ablation.py
@@ -0,0 +1,142 @@
+"""What each mechanism is worth: ``python -m bench.ablation``.
+
+Each is switched off alone, and the same arrivals are replayed with it and
+without, in virtual time and with paired seeds. Limits: those of
+``bench.replay``.
+"""
+
+from collections.abc import Callable
+import concurrent.futures
+import math
+import statistics
+
+import click
+from radishstack.process import adapter_keeper
+from radishstack.process import placement as placement_lib
+
+from bench import replay
+from bench import report
+
+POLICY = "radishstack"
+NEVER_MS = 1e9
+
+
+class _NoPopularity:
+    """Popularity that knows nothing, so that the last use decides."""
+
+    def touch(self, adapter: str, now_ms: int) -> None:
+        """Counts nothing."""
+
+    def value(self, adapter: str, now_ms: int) -> float:
+        """Returns the same for all."""
+        del adapter, now_ms
+        return 0.0
+
+
+def _due_order() -> None:
+    wanted = adapter_keeper._Wanted
+    wanted.is_late = lambda self, now_ms, load_ms: False
+    wanted.urgency_ms = lambda self: (
+        self.since_ms - adapter_keeper.WAITER_MS * self.waiting
+    )
+
+
+def _late_yield() -> None:
+    adapter_keeper._Wanted.is_late = lambda self, now_ms, load_ms: False
+
+
+def _refusal() -> None:
+    placement_lib.Placement._is_full = lambda *_: False
+
+
+def _copies() -> None:
+    placement_lib.SPREAD_ABOVE_MS = NEVER_MS
+
+
+def _overload_bound() -> None:
+    placement_lib.OVERLOADED_MS = NEVER_MS
+
+
+def _home_by_queue() -> None:
+    placement_lib.HOME_WAIT_FETCHES = NEVER_MS
+
+
+def _memory() -> None:
+    adapter_keeper.WARM_PER_PLACE = 0
+
+
+def _waiters() -> None:
+    adapter_keeper.WAITER_MS = 0
+
+
+def _learned_gap() -> None:
+    adapter_keeper.GAP_WEIGHT = 0.0
+
+
+def _popularity() -> None:
+    adapter_keeper.popularity.Popularity = lambda half_life_ms: _NoPopularity()
+
+
+def _silence() -> None:
+    placement_lib.SILENCE_WEIGHT = 0.0
+
+
+# What switches each mechanism off, in a process of its own.
+MECHANISMS: dict[str, Callable[[], None]] = {
+    "loads in the order in which they are due": _due_order,
+    "late loads yield": _late_yield,
+    "refusal by predicted wait": _refusal,
+    "copies of hot adapters": _copies,
+    "overloaded engines take no more": _overload_bound,
+    "homes passed over by their queue": _home_by_queue,
+    "return to where it was held": _memory,
+    "weight of waiting requests": _waiters,
+    "learned time between loads": _learned_gap,
+    "popularity in evictions": _popularity,
+    "silence counts against an engine": _silence,
+}
+
+
+def play(mechanism: str, load: str, seed: int) -> float:
+    """Plays one load without one mechanism; empty for with all."""
+    if mechanism:
+        MECHANISMS[mechanism]()
+    return replay.play(load, POLICY, seed).worth
+
+
+@click.command()
+@click.option("--seeds", default=4, show_default=True)
+@click.option("--jobs", default=3, show_default=True)
+def main(seeds: int, jobs: int) -> None:
+    """Switches each mechanism off alone."""
+    loads = list(replay.LOADS)
+    with concurrent.futures.ProcessPoolExecutor(
+        jobs, max_tasks_per_child=1
+    ) as pool:
+        plays = {
+            (mechanism, load): [
+                pool.submit(play, mechanism, load, seed)
+                for seed in range(seeds)
+            ]
+            for mechanism in ("", *MECHANISMS)
+            for load in loads
+        }
+    worths = {key: [one.result() for one in row] for key, row in plays.items()}
+    rows = []
+    kept = {}
+    for mechanism in MECHANISMS:
+        row: list[object] = [mechanism]
+        for load in loads:
+            pairs = zip(worths["", load], worths[mechanism, load], strict=True)
+            lost = [with_it - without for with_it, without in pairs]
+            half = 1.96 * statistics.stdev(lost) / math.sqrt(len(lost))
+            mean = statistics.mean(lost)
+            row.append(f"{mean:+.3f} ±{half:.3f}")
+            kept.setdefault(mechanism, {})[load] = {"mean": mean, "half": half}
+        rows.append(row)
+    click.echo(report.table(["worth of", *loads], rows))
+    report.keep("ablation", kept)
+
+
+if __name__ == "__main__":
+    main()
