--- a/packages/radishstack/src/radishstack/process/placement.py
+++ b/packages/radishstack/src/radishstack/process/placement.py
@@ -358,6 +358,9 @@
                 # A frozen VM would keep the request past its deadline; a
                 # load elsewhere takes a moment.
                 return Choice(None, home)
+            if home is not None and self._is_strained(home, now_ms):
+                # Where all are strained alike a copy is a fetch for nothing.
+                home = None
             return Choice(best, home, held if floor else 0)
         home = self._home(adapter, candidates, floor, now_ms)
         if announced is not None:
--- a/tests/fleet/test_placement.py
+++ b/tests/fleet/test_placement.py
@@ -90,6 +90,24 @@
     assert choice.load is not None and choice.load is not choice.send
 
 
+def test_where_all_engines_fail_no_copies_are_made() -> None:
+    """Symptom: each adapter is fetched once more while engines fail.
+
+    Sequence: every engine fails half of its requests for some seconds. Cause:
+    a copy was made at an engine that fails as often as the first one.
+    """
+    roster = _roster(4, slots=64)
+    placement = _placement(roster, i2={ADAPTER: 1})
+    for member in roster.members.values():
+        member.health.failure_share = 0.45
+    choice = _choose(placement, roster)
+    assert choice.send is roster.members["i2"] and choice.load is None
+    for name in ("i0", "i1"):
+        roster.members[name].health.failure_share = 0.0
+    choice = _choose(placement, roster)
+    assert choice.load in (roster.members["i0"], roster.members["i1"])
+
+
 def test_an_old_version_serves_only_while_the_new_one_is_loaded() -> None:
     """Symptom: callers get an answer of a version that was replaced.
 
