--- a/packages/radishd/src/radishd/request/forward.py
+++ b/packages/radishd/src/radishd/request/forward.py
@@ -20,6 +20,7 @@
 from radishstack.process import roster as roster_lib
 from radishstack.request import event_stream
 from radishstack.request import forwarding
+from radishstack.request import silence
 from radishstack.request import waiting as waiting_lib
 from radishstack.version import route_table
 
@@ -37,19 +38,6 @@
 # restarted target is another one's turn at once.
 SHED_RETRY_MS = (30, 150)
 NO_TARGET_RETRY_MS = (300, 900)
-# A repeatable request leaves a silent target after this part of its
-# objective, while there is time for another answer within the route's.
-SILENCE_PART = 0.75
-MIN_SILENCE_MS = 150
-# A stream that pauses is moved shortly before the pause counts as late.
-GAP_PART = 0.8
-# An engine whose other streams go on, or whose streams have paused before, is
-# not dead: it reads prompts between tokens. A silent run is left there only
-# after so many times as long, while there is still time before callers give
-# up, or once its silence exceeds its usual pauses by this factor. Left
-# sooner, runs were cut for a neighbour that was full.
-LIVE_PATIENCE = 4.0
-PAUSE_MARGIN = 1.5
 # Part of its objective that a request may wait for its adapter, however late
 # engines answer.
 MIN_WAIT_PART = 0.5
@@ -403,24 +391,16 @@
             movable = movable and self._has_holder(send.member)
         if not movable:
             return self.route.timeout_ms + MS_PER_S
-        silence_ms = self._silence_ms(send)
+        silence_ms = silence.allowed_ms(
+            self.route,
+            send.member.health,
+            begun=self.began,
+            now_ms=clock.boot_ms(),
+        )
         if left_ms < 2 * silence_ms:
             return self.route.timeout_ms + MS_PER_S
         return silence_ms
 
-    def _silence_ms(self, send: Send) -> float:
-        objective_ms = self.route.objective_ms
-        if not self.began:
-            return max(MIN_SILENCE_MS, objective_ms * SILENCE_PART)
-        objective_ms = self.route.gap_objective_ms or objective_ms
-        silence_ms = max(MIN_SILENCE_MS, objective_ms * GAP_PART)
-        health = send.member.health
-        longest_ms = LIVE_PATIENCE * silence_ms
-        if clock.boot_ms() - health.progressed_at_ms < silence_ms:
-            return longest_ms
-        usual_ms = PAUSE_MARGIN * health.pause_ms
-        return min(max(silence_ms, usual_ms), longest_ms)
-
     def _has_holder(self, member: roster_lib.Member) -> bool:
         """Whether another target could go on with a stream now."""
         now_ms = clock.boot_ms()
