--- a/packages/radishd/src/radishd/gateway.py
+++ b/packages/radishd/src/radishd/gateway.py
@@ -5,7 +5,6 @@
 not answer; what engines hold is told by the process beside each.
 """
 
-import collections
 import dataclasses
 import functools
 import itertools
@@ -23,19 +22,17 @@
 from radishstack.process import shared_budget
 from radishstack.request import forwarding
 from radishstack.version import route_table
-from radishstack.version import table_changes
 
 from radishd import peers as peers_lib
 from radishd.connection import http_client
 from radishd.connection import pool as pool_lib
 from radishd.platform import front
 from radishd.platform import store as store_lib
-from radishd.platform import wire
 from radishd.process import admin
 from radishd.process import clock
 from radishd.process import decision_log
 from radishd.process import fleet_socket
-from radishd.process import follow
+from radishd.process import knowledge as knowledge_lib
 from radishd.process import logs
 from radishd.process import metrics as metrics_lib
 from radishd.process import settings as settings_lib
@@ -53,16 +50,6 @@
 DEMAND_EVERY_MS = 400
 SWEEP_EVERY_MS = 500
 FORGET_VIEWS_MS = 30_000
-# A watch of the targets is renewed this often, so that a store that went
-# silent is noticed; the other two kinds change rarely and follow its lead.
-TARGETS_WAIT_MS = 2_000
-# Changes of targets are gathered for this part of the time in which one that
-# leaves must get no more work; the rest is for the watch and what is on its
-# way. Each answer of a watch is a call that is paid for: engines change their
-# entries about once a second, so nearly every watch is answered at once.
-TARGETS_GATHER_PART = 0.55
-RARE_WAIT_MS = 15_000
-RARE_GATHER_MS = 120
 # The balancer takes a VM out after two misses a second apart; until then it
 # sends new connections, and for as long these are served.
 UNREADY_MS = 2_600
@@ -74,10 +61,6 @@
 # another window elsewhere do not break it.
 BUDGET_PART = 0.7
 HTTP_SERVER_ERROR = 500
-# Versions of the configuration of which operators are told what changed, and
-# differences of one version that a line of the log names.
-MAX_CHANGES = 32
-MAX_LOGGED_CHANGES = 12
 
 Outcome = forwarding.Outcome
 
@@ -116,9 +99,6 @@
         self.draining = False
         self.in_flight = 0
         self.refusals: dict[int, int] = {}
-        self.changes: collections.deque[table_changes.Change] = (
-            collections.deque(maxlen=MAX_CHANGES)
-        )
         self.socket: fleet_socket.FleetSocket | None = None
         self.server: web.Server | None = None
         store_address = settings.platform.url.removeprefix("http://")
@@ -128,137 +108,27 @@
             seeds=settings.seeds,
             random_source=random_source,
         )
-        self.followers = self._make_followers()
-        self.known: dict[str, dict[str, Any]] = {
-            kind: {} for kind in self.followers
-        }
-
-    def _make_followers(self) -> dict[str, follow.Follower]:
-        takes = {
-            wire.KIND_CONFIGURATION: (
-                self._take_configuration,
-                RARE_WAIT_MS,
-                RARE_GATHER_MS,
-            ),
-            wire.KIND_TARGETS: (
-                self._take_target,
-                TARGETS_WAIT_MS,
-                round(self.own.leaving_ms * TARGETS_GATHER_PART),
-            ),
-            wire.KIND_VERSIONS: (
-                self._take_version,
-                RARE_WAIT_MS,
-                RARE_GATHER_MS,
-            ),
-        }
-        return {
-            kind: follow.Follower(
-                self.store,
-                kind,
-                _Sink(self, kind, take),
-                self.log,
-                wait_ms=wait_ms,
-                gather_ms=gather_ms,
-                on_lost=self._store_lost,
-                on_back=self._store_back,
-            )
-            for kind, (take, wait_ms, gather_ms) in takes.items()
-        }
+        self.knowledge = knowledge_lib.Knowledge(
+            self.store,
+            self.peers,
+            self.roster,
+            self.placement,
+            self.holder,
+            log,
+            leaving_ms=self.own.leaving_ms,
+            on_listed=self.wishes.introduce,
+            on_news=self.tell_news,
+            on_limits=self._take_limits,
+        )
 
     @property
     def table(self) -> route_table.RouteTable:
         """The route table in force here."""
         return self.holder.table
 
-    # What is read from the store and from peers.
-
-    def _store_lost(self, kind: str) -> None:
-        """Doubts the long watches as soon as the short one has failed.
-
-        Cut off silently, they would be waited for to their end, and what
-        other gateways know would not be asked for until then.
-        """
-        if kind == wire.KIND_TARGETS:
-            self._restart_rare()
-
-    def _store_back(self, kind: str) -> None:
-        if kind == wire.KIND_TARGETS:
-            self.roster.outage_ended(clock.boot_ms())
-            self._restart_rare()
-
-    def _restart_rare(self) -> None:
-        for name, follower in self.followers.items():
-            if name != wire.KIND_TARGETS:
-                follower.restart()
-
-    def _take_configuration(self, record: store_lib.Record) -> None:
-        if record.deleted or record.name != wire.CONFIGURATION_NAME:
-            return
-        table = wire.configuration(record.spec)
-        if isinstance(table, result.Failure):
-            self.log.must("configuration_unreadable", reason=table.message)
-            return
-        before = self.table
-        if not self.holder.offer(table):
-            return
-        change = table_changes.Change(
-            table.version,
-            before.version,
-            clock.unix_ms(),
-            table_changes.describe(before, table) if before.version else (),
-        )
-        self.changes.append(change)
-        if not before.version:
-            # Targets that were listed before it could not be told anything.
-            for member in self.roster.members.values():
-                self.wishes.introduce(member)
-        self.log.must(
-            "configuration",
-            version=table.version,
-            before=before.version,
-            changes=change.details[:MAX_LOGGED_CHANGES],
-        )
+    def _take_limits(self, limits: route_table.Limits) -> None:
         if self.server is not None:
-            web.set_idle_timeout(self.server, table.limits.idle_timeout_ms)
-
-    def _take_target(self, record: store_lib.Record) -> None:
-        if record.deleted:
-            dropped = self.roster.remove(record.name, clock.boot_ms())
-            self.log.write("target_unlisted", target=record.name, now=dropped)
-            return
-        listing = wire.target(record.name, record.spec, record.created)
-        if isinstance(listing, result.Failure):
-            self.log.must("target_unreadable", reason=listing.message)
-            return
-        known = self.roster.members.get(record.name)
-        if known is None or known.listing.leaving != listing.leaving:
-            self.log.write(
-                "target_listed",
-                target=record.name,
-                address=listing.address,
-                service=listing.service,
-                leaving=listing.leaving,
-            )
-        self.roster.upsert(listing)
-        if known is None:
-            member = self.roster.members[record.name]
-            self.wishes.introduce(member)
-
-    def _take_version(self, record: store_lib.Record) -> None:
-        if record.deleted:
-            return
-        want = wire.announced(record.spec)
-        if isinstance(want, result.Failure):
-            self.log.must("version_unreadable", reason=want.message)
-            return
-        now_ms = clock.boot_ms()
-        taken = self.placement.announce(want.adapter, want.version, now_ms)
-        self.log.write(
-            "version_announced",
-            adapter=want.adapter,
-            version=want.version,
-            taken=taken,
-        )
+            web.set_idle_timeout(self.server, limits.idle_timeout_ms)
 
     def tell_news(self) -> None:
         """Wakes the requests that wait for a change of residency."""
@@ -584,48 +454,6 @@
             }
             self.wishes.forget(addresses)
 
-    async def ask_peers(self) -> None:
-        """Asks another gateway while the store does not answer."""
-        while True:
-            await anyio.sleep(peers_lib.ASK_EVERY_MS / MS_PER_S)
-            failing = [
-                kind
-                for kind, follower in self.followers.items()
-                if follower.failing_since_ms
-            ]
-            if not failing:
-                continue
-            known = await self.peers.ask()
-            if known is not None:
-                self._take_known(known)
-
-    def _take_known(self, known: dict[str, Any]) -> None:
-        for kind, names in known.get("objects", {}).items():
-            follower = self.followers.get(kind)
-            if follower is None or not follower.failing_since_ms:
-                continue
-            records = [
-                store_lib.Record(name, spec, created)
-                for name, (spec, created) in names.items()
-            ]
-            if known.get("fresh") and kind == wire.KIND_TARGETS:
-                self._drop_unlisted(names)
-            for record in records:
-                self.known[kind][record.name] = (record.spec, record.created)
-                _TAKES[kind](self, record)
-
-    def _drop_unlisted(self, names: dict[str, Any]) -> None:
-        for name in list(self.roster.members):
-            if name not in names:
-                self.known[wire.KIND_TARGETS].pop(name, None)
-                self._take_target(store_lib.Record(name, None, deleted=True))
-
-    def tell_known(self) -> dict[str, Any]:
-        """Returns what another gateway may take over from here."""
-        follower = self.followers[wire.KIND_TARGETS]
-        fresh = bool(follower.revision) and not follower.failing_since_ms
-        return {"objects": self.known, "fresh": fresh}
-
     def stood_still(self, late_ms: int) -> None:
         """Distrusts what was believed before this process stood still."""
         self.metrics.still.inc({})
@@ -634,7 +462,7 @@
         self.store.drop_connections()
         self.placement.views.clear()
         self.roster.forget_evidence()
-        for follower in self.followers.values():
+        for follower in self.knowledge.followers.values():
             follower.restart()
 
     def reload(self, settings: settings_lib.Settings) -> None:
@@ -663,7 +491,9 @@
             "role": str(self.settings.role),
             "ready": self.ready() or "yes",
             "config_version": self.table.version,
-            "changes": [dataclasses.asdict(one) for one in self.changes],
+            "changes": [
+                dataclasses.asdict(one) for one in self.knowledge.changes
+            ],
             "peers": sorted(self.peers.addresses),
             "in_flight": self.in_flight,
             "draining": self.draining,
@@ -685,51 +515,6 @@
         self.metrics.log_dropped.set({}, self.log.dropped)
 
 
-class _Sink:
-    """Keeps the objects of one kind, and passes them to the gateway."""
-
-    def __init__(self, gateway: Gateway, kind: str, take: Any) -> None:
-        self._gateway = gateway
-        self._kind = kind
-        self._take = take
-
-    def whole(self, batch: store_lib.Batch) -> None:
-        """Takes all objects."""
-        known = {
-            record.name: (record.spec, record.created)
-            for record in batch.records
-        }
-        missing = [
-            name
-            for name in self._gateway.known[self._kind]
-            if name not in known
-        ]
-        self._gateway.known[self._kind] = known
-        for name in missing:
-            self._take(store_lib.Record(name, None, deleted=True))
-        for record in batch.records:
-            self._take(record)
-        self._gateway.tell_news()
-
-    def changes(self, batch: store_lib.Batch) -> None:
-        """Takes changed objects."""
-        known = self._gateway.known[self._kind]
-        for record in batch.records:
-            if record.deleted:
-                known.pop(record.name, None)
-            else:
-                known[record.name] = (record.spec, record.created)
-            self._take(record)
-        self._gateway.tell_news()
-
-
-_TAKES = {
-    wire.KIND_CONFIGURATION: Gateway._take_configuration,
-    wire.KIND_TARGETS: Gateway._take_target,
-    wire.KIND_VERSIONS: Gateway._take_version,
-}
-
-
 async def _read_body(
     receive: web.Receive, max_bytes: int
 ) -> bytes | result.Failure | None:
@@ -781,18 +566,18 @@
             "tell_demand": gateway.tell_demand,
             "tell_hurried": gateway.wishes.tell_hurried,
             "sweep": gateway.sweep,
-            "ask_peers": gateway.ask_peers,
+            "ask_peers": gateway.knowledge.ask_peers,
             "stillness": functools.partial(
                 stillness.watch, gateway.stood_still
             ),
         }
-        for kind, follower in gateway.followers.items():
+        for kind, follower in gateway.knowledge.followers.items():
             jobs[f"follow_{kind}"] = follower.run
         for name, job in jobs.items():
             tasks.start_soon(supervise.forever, name, job, metrics)
         for app, address in (
             (_admin_app(gateway), own.admin),
-            (peers_lib.make_app(gateway.tell_known), own.peers),
+            (peers_lib.make_app(gateway.knowledge.tell), own.peers),
             (_readiness_app(gateway), own.readiness),
         ):
             server = web.make_server(app, *settings_lib.split_address(address))
--- /dev/null
+++ b/packages/radishd/src/radishd/process/knowledge.py
@@ -0,0 +1,309 @@
+"""What a gateway knows from the platform's store, and from other gateways.
+
+Configuration, targets and announced versions are followed in the store; while
+it does not answer, another gateway is asked for what it knows. Whatever the
+source, it is taken by the same rules: versions only go forward.
+"""
+
+import collections
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+from radishstack import result
+from radishstack.process import placement as placement_lib
+from radishstack.process import roster as roster_lib
+from radishstack.version import route_table
+from radishstack.version import table_changes
+
+from radishd import peers as peers_lib
+from radishd.platform import store as store_lib
+from radishd.platform import wire
+from radishd.process import clock
+from radishd.process import decision_log
+from radishd.process import follow
+
+MS_PER_S = 1_000
+# A watch of the targets is renewed this often, so that a store that went
+# silent is noticed; the other two kinds change rarely and follow its lead.
+TARGETS_WAIT_MS = 2_000
+# Changes of targets are gathered for this part of the time in which one that
+# leaves must get no more work; the rest is for the watch and what is on its
+# way. Each answer of a watch is a call that is paid for: engines change their
+# entries about once a second, so nearly every watch is answered at once.
+TARGETS_GATHER_PART = 0.55
+RARE_WAIT_MS = 15_000
+RARE_GATHER_MS = 120
+# Versions of the configuration of which operators are told what changed, and
+# differences of one version that a line of the log names.
+MAX_CHANGES = 32
+MAX_LOGGED_CHANGES = 12
+
+
+class Knowledge:
+    """What one gateway knows, and how it learns it.
+
+    Attributes:
+        followers: Of each kind of object.
+        known: Objects by kind and name, for gateways that ask.
+        changes: Of the configuration, the newest last.
+    """
+
+    def __init__(
+        self,
+        store: store_lib.Store,
+        peers: peers_lib.Peers,
+        roster: roster_lib.Roster,
+        placement: placement_lib.Placement,
+        holder: route_table.TableHolder,
+        log: decision_log.DecisionLog,
+        *,
+        leaving_ms: int,
+        on_listed: Callable[[roster_lib.Member], None],
+        on_news: Callable[[], None],
+        on_limits: Callable[[route_table.Limits], None],
+    ) -> None:
+        """Starts knowing nothing.
+
+        Args:
+            store: The platform's store.
+            peers: Other gateways.
+            roster: Takes targets.
+            placement: Takes announced versions.
+            holder: Takes configurations.
+            log: Where what is learned is logged.
+            leaving_ms: How soon a target that leaves gets no more work.
+            on_listed: Told of a start of a target that was not known.
+            on_news: Told that something has changed.
+            on_limits: Told the limits of a new configuration.
+        """
+        self._store = store
+        self._peers = peers
+        self._roster = roster
+        self._placement = placement
+        self._holder = holder
+        self._log = log
+        self._leaving_ms = leaving_ms
+        self._on_listed = on_listed
+        self._on_news = on_news
+        self._on_limits = on_limits
+        self.changes: collections.deque[table_changes.Change] = (
+            collections.deque(maxlen=MAX_CHANGES)
+        )
+        self._takes: dict[str, Callable[[store_lib.Record], None]] = {
+            wire.KIND_CONFIGURATION: self._take_configuration,
+            wire.KIND_TARGETS: self._take_target,
+            wire.KIND_VERSIONS: self._take_version,
+        }
+        self.followers = self._make_followers()
+        self.known: dict[str, dict[str, Any]] = {
+            kind: {} for kind in self.followers
+        }
+
+    def tell_news(self) -> None:
+        """Tells that something has changed."""
+        self._on_news()
+
+    def _make_followers(self) -> dict[str, follow.Follower]:
+        takes = {
+            wire.KIND_CONFIGURATION: (
+                self._take_configuration,
+                RARE_WAIT_MS,
+                RARE_GATHER_MS,
+            ),
+            wire.KIND_TARGETS: (
+                self._take_target,
+                TARGETS_WAIT_MS,
+                round(self._leaving_ms * TARGETS_GATHER_PART),
+            ),
+            wire.KIND_VERSIONS: (
+                self._take_version,
+                RARE_WAIT_MS,
+                RARE_GATHER_MS,
+            ),
+        }
+        return {
+            kind: follow.Follower(
+                self._store,
+                kind,
+                _Sink(self, kind, take),
+                self._log,
+                wait_ms=wait_ms,
+                gather_ms=gather_ms,
+                on_lost=self._store_lost,
+                on_back=self._store_back,
+            )
+            for kind, (take, wait_ms, gather_ms) in takes.items()
+        }
+
+    def _store_lost(self, kind: str) -> None:
+        """Doubts the long watches as soon as the short one has failed.
+
+        Cut off silently, they would be waited for to their end, and what
+        other gateways know would not be asked for until then.
+        """
+        if kind == wire.KIND_TARGETS:
+            self._restart_rare()
+
+    def _store_back(self, kind: str) -> None:
+        if kind == wire.KIND_TARGETS:
+            self._roster.outage_ended(clock.boot_ms())
+            self._restart_rare()
+
+    def _restart_rare(self) -> None:
+        for name, follower in self.followers.items():
+            if name != wire.KIND_TARGETS:
+                follower.restart()
+
+    def _take_configuration(self, record: store_lib.Record) -> None:
+        if record.deleted or record.name != wire.CONFIGURATION_NAME:
+            return
+        table = wire.configuration(record.spec)
+        if isinstance(table, result.Failure):
+            self._log.must("configuration_unreadable", reason=table.message)
+            return
+        before = self._holder.table
+        if not self._holder.offer(table):
+            return
+        change = table_changes.Change(
+            table.version,
+            before.version,
+            clock.unix_ms(),
+            table_changes.describe(before, table) if before.version else (),
+        )
+        self.changes.append(change)
+        if not before.version:
+            # Targets that were listed before it could not be told anything.
+            for member in self._roster.members.values():
+                self._on_listed(member)
+        self._log.must(
+            "configuration",
+            version=table.version,
+            before=before.version,
+            changes=change.details[:MAX_LOGGED_CHANGES],
+        )
+        self._on_limits(table.limits)
+
+    def _take_target(self, record: store_lib.Record) -> None:
+        if record.deleted:
+            dropped = self._roster.remove(record.name, clock.boot_ms())
+            self._log.write("target_unlisted", target=record.name, now=dropped)
+            return
+        listing = wire.target(record.name, record.spec, record.created)
+        if isinstance(listing, result.Failure):
+            self._log.must("target_unreadable", reason=listing.message)
+            return
+        known = self._roster.members.get(record.name)
+        if known is None or known.listing.leaving != listing.leaving:
+            self._log.write(
+                "target_listed",
+                target=record.name,
+                address=listing.address,
+                service=listing.service,
+                leaving=listing.leaving,
+            )
+        self._roster.upsert(listing)
+        if known is None:
+            member = self._roster.members[record.name]
+            self._on_listed(member)
+
+    def _take_version(self, record: store_lib.Record) -> None:
+        if record.deleted:
+            return
+        want = wire.announced(record.spec)
+        if isinstance(want, result.Failure):
+            self._log.must("version_unreadable", reason=want.message)
+            return
+        now_ms = clock.boot_ms()
+        taken = self._placement.announce(want.adapter, want.version, now_ms)
+        self._log.write(
+            "version_announced",
+            adapter=want.adapter,
+            version=want.version,
+            taken=taken,
+        )
+
+    async def ask_peers(self) -> None:
+        """Asks another gateway while the store does not answer."""
+        while True:
+            await anyio.sleep(peers_lib.ASK_EVERY_MS / MS_PER_S)
+            failing = [
+                kind
+                for kind, follower in self.followers.items()
+                if follower.failing_since_ms
+            ]
+            if not failing:
+                continue
+            known = await self._peers.ask()
+            if known is not None:
+                self._take_known(known)
+
+    def _take_known(self, known: dict[str, Any]) -> None:
+        for kind, names in known.get("objects", {}).items():
+            follower = self.followers.get(kind)
+            if follower is None or not follower.failing_since_ms:
+                continue
+            records = [
+                store_lib.Record(name, spec, created)
+                for name, (spec, created) in names.items()
+            ]
+            if known.get("fresh") and kind == wire.KIND_TARGETS:
+                self._drop_unlisted(names)
+            for record in records:
+                self.known[kind][record.name] = (record.spec, record.created)
+                self._takes[kind](record)
+
+    def _drop_unlisted(self, names: dict[str, Any]) -> None:
+        for name in list(self._roster.members):
+            if name not in names:
+                self.known[wire.KIND_TARGETS].pop(name, None)
+                self._take_target(store_lib.Record(name, None, deleted=True))
+
+    def tell(self) -> dict[str, Any]:
+        """Returns what another gateway may take over from here."""
+        follower = self.followers[wire.KIND_TARGETS]
+        fresh = bool(follower.revision) and not follower.failing_since_ms
+        return {"objects": self.known, "fresh": fresh}
+
+
+class _Sink:
+    """Keeps the objects of one kind, and passes them on."""
+
+    def __init__(
+        self,
+        knowledge: Knowledge,
+        kind: str,
+        take: Callable[[store_lib.Record], None],
+    ) -> None:
+        self._knowledge = knowledge
+        self._kind = kind
+        self._take = take
+
+    def whole(self, batch: store_lib.Batch) -> None:
+        """Takes all objects."""
+        known = {
+            record.name: (record.spec, record.created)
+            for record in batch.records
+        }
+        missing = [
+            name
+            for name in self._knowledge.known[self._kind]
+            if name not in known
+        ]
+        self._knowledge.known[self._kind] = known
+        for name in missing:
+            self._take(store_lib.Record(name, None, deleted=True))
+        for record in batch.records:
+            self._take(record)
+        self._knowledge.tell_news()
+
+    def changes(self, batch: store_lib.Batch) -> None:
+        """Takes changed objects."""
+        known = self._knowledge.known[self._kind]
+        for record in batch.records:
+            if record.deleted:
+                known.pop(record.name, None)
+            else:
+                known[record.name] = (record.spec, record.created)
+            self._take(record)
+        self._knowledge.tell_news()
