Revert "A sidecar asks its engine which start of it runs"

Gateways send nothing to a start that is not listed, so the base model that is there sooner serves nobody.

--- a/packages/radishd/src/radishd/platform/engine.py
+++ b/packages/radishd/src/radishd/platform/engine.py
@@ -19,10 +19,6 @@
 ORDER_TIMEOUT_MS = 60
 CONNECT_TIMEOUT_MS = 300
 MS_PER_S = 1_000
-# The usual path of health probes, whose answer names the start that runs. Where
-# the operator has configured another one, gateways name it, a little later.
-HEALTH_PATH = "/healthz"
-INSTANCE_HEADER = b"x-instance-id"
 # One process on one VM gives this engine its orders, so its number never has
 # to rise; what must not happen is that it falls.
 FENCE = 1
@@ -76,15 +72,6 @@
             )
         return wire.report(answer.body)
 
-    async def instance(self) -> str:
-        """Asks the engine which start of it runs; empty if it does not say."""
-        head = f"GET {HEALTH_PATH} HTTP/1.1\r\nHost: {self._address}\r\n\r\n"
-        answer = await self._call(head.encode(), REPORT_TIMEOUT_MS)
-        if isinstance(answer, http_client.Lost):
-            return ""
-        name = answer.head.get(INSTANCE_HEADER) or b""
-        return name.decode("latin-1")
-
     async def order(
         self, order: adapter_keeper.Order, instance: str
     ) -> Ordered:
--- a/packages/radishd/src/radishd/sidecar.py
+++ b/packages/radishd/src/radishd/sidecar.py
@@ -75,7 +75,6 @@
         self.incarnations = incarnation.Incarnations()
         self.report: adapter_keeper.Report | None = None
         self.engine_lost = False
-        self._identified = False
         self.wake = anyio.Event()
         self._told_at_ms = 0
         self._told_peers_at_ms = 0
@@ -136,8 +135,6 @@
             self._lost(report)
         else:
             self._observe(report)
-            if not self._identified:
-                await self._identify()
             await self._give_orders()
         await self._tell()
 
@@ -146,24 +143,8 @@
             self.engine_lost = True
             self.log.must("engine_lost", reason=failure.message)
         self.report = None
-        self._identified = False
         self.keeper.restarted()
 
-    async def _identify(self) -> None:
-        """Asks the engine which start runs, once after each loss of it.
-
-        An engine that restarted stands empty until it is ordered its base
-        model, and orders name its start: by the platform's list, gateways
-        know that up to two seconds later.
-        """
-        self._identified = True
-        instance = await self.engine.instance()
-        known = self.incarnations.current
-        if not instance or instance == known:
-            return
-        self.incarnations.confirmed(instance)
-        self.log.must("engine_instance", instance=instance, before=known)
-
     def _observe(self, report: adapter_keeper.Report) -> None:
         if self.engine_lost:
             self.engine_lost = False
@@ -186,7 +167,6 @@
             if ordered.verdict is Verdict.OTHER_INSTANCE:
                 self.log.must("engine_instance_ended", instance=self.instance)
                 self.incarnations.refused()
-                self._identified = False
                 self.keeper.restarted()
             report = await self.engine.report()
             if isinstance(report, result.Failure):
--- a/packages/radishstack/src/radishstack/process/incarnation.py
+++ b/packages/radishstack/src/radishstack/process/incarnation.py
@@ -28,16 +28,6 @@
         self.current = instance
         return True
 
-    def confirmed(self, instance: str) -> None:
-        """Takes the engine's own word on which start runs.
-
-        Gateways learn of a restart from the platform's list, seconds later,
-        and go on naming the start before it until then.
-        """
-        if self.current and self.current != instance:
-            self._ended.add(self.current)
-        self.current = instance
-
     def refused(self) -> None:
         """Takes the engine's word that the current start is over."""
         self._ended.add(self.current)
--- a/packages/standins/src/standins/platform_engine.py
+++ b/packages/standins/src/standins/platform_engine.py
@@ -205,10 +205,6 @@
         if seen.target == "/-/report":
             await self._reply(writer, 200, self._report())
             return
-        if seen.target == "/healthz":
-            headers = {"X-Instance-Id": self.instance}
-            await self._reply(writer, 200, {}, headers)
-            return
         if seen.target == "/-/order":
             await self._order(seen, writer)
             return
--- a/tests/fleet/test_fleet_faults.py
+++ b/tests/fleet/test_fleet_faults.py
@@ -88,39 +88,6 @@
     fixtures.run(play)
 
 
-def test_a_restarted_engine_is_known_before_it_is_listed() -> None:
-    """Symptom: a restarted engine stands empty for two seconds.
-
-    Sequence: the engine crashes and is back; the platform's list lags, and
-    gateways gather its changes. Cause: only gateways told the process beside
-    the engine which start its orders are for.
-    """
-
-    async def play() -> None:
-        async with fixtures.running_fleet(engines=1, plain=0) as fleet:
-            (engine,) = fleet.targets.values()
-            ((host, sidecar),) = fleet.sidecars.items()
-            await engine.stop()
-            await fleet.until(lambda: sidecar.engine_lost, "it is lost")
-            again = platform_engine.PlatformEngine(
-                "i-unlisted", model=fixtures.MODEL
-            )
-            await again.start(host, fixtures.TARGET_PORT)
-            fleet.targets["i-unlisted"] = again
-            await fleet.until(
-                lambda: sidecar.instance == "i-unlisted", "it is known"
-            )
-            # Gateways still name the start that is over.
-            before = sidecar.gateways.copy()
-            await fleet.until(
-                lambda: min(sidecar.gateways.values()) > max(before.values()),
-                "gateways were heard",
-            )
-            assert sidecar.instance == "i-unlisted"
-
-    fixtures.run(play)
-
-
 def test_a_listed_engine_is_told_of_at_once() -> None:
     """Symptom: after a power cut engines stand empty for 0.4 s longer.
 
@@ -323,7 +290,8 @@
             gateway = fleet.gateway
             targets = gateway.knowledge.followers["servers"]
             others = [
-                gateway.knowledge.followers[kind] for kind in ("config", "versions")
+                gateway.knowledge.followers[kind]
+                for kind in ("config", "versions")
             ]
             assert all(one.revision for one in others)
             fleet.store.faults.silent = True
