--- a/tests/fleet/test_keeper.py
+++ b/tests/fleet/test_keeper.py
@@ -338,6 +338,85 @@
     assert 0.7 * expected_ms <= wait_ms <= 1.3 * expected_ms, wait_ms
 
 
+def _due(adapter: str, first_ms: int, last_ms: int) -> adapter_keeper.Want:
+    return adapter_keeper.Want(adapter, 0, 1, first_ms, last_ms)
+
+
+def test_loads_go_in_the_order_in_which_they_are_due() -> None:
+    """Load pattern: two services of one fleet, with unlike objectives."""
+    keeper = adapter_keeper.Keeper()
+    wants = (_due("base/patient", 900, 900), _due("base/urgent", 300, 300))
+    keeper.hear(dataclasses.replace(_demand(), wants=wants), 1_000)
+    keeper.observe(_report({}))
+    assert keeper.decide(1_010).adapter == "base/urgent"
+
+
+def test_a_load_that_is_late_for_all_yields_to_one_in_time() -> None:
+    """Symptom: in a rush nearly everybody is answered late.
+
+    Sequence: more adapters are asked for than come in time. Cause: first come
+    first served gives each place to the one that has waited longest, which is
+    late by then.
+    """
+    keeper = adapter_keeper.Keeper()
+    late = _due("base/late", -200, -100)
+    mixed = _due("base/mixed", -200, 500)
+    fresh = _due("base/fresh", 600, 600)
+    demand = dataclasses.replace(_demand(), wants=(late, mixed, fresh))
+    keeper.hear(demand, 1_000)
+    keeper.observe(_report({}))
+    order = keeper.decide(1_010)
+    # One of its callers is still in time, and the first one waits longest.
+    assert order.adapter == "base/mixed"
+    keeper.settled(order, 1_010, refused=False)
+    keeper.observe(_report({}, {"base/mixed": 1}, accepted=1))
+    order = keeper.decide(1_020)
+    assert order.adapter == "base/fresh"
+    keeper.settled(order, 1_020, refused=False)
+    in_transit = {"base/mixed": 1, "base/fresh": 1}
+    keeper.observe(_report({}, in_transit, accepted=2))
+    assert keeper.decide(1_030).adapter == "base/late"
+
+
+def test_late_loads_that_have_no_turn_are_told_as_a_long_wait() -> None:
+    """Symptom: callers are held for a second and then refused.
+
+    Sequence: an overload lasts, so loads that are late are passed over again
+    and again. Cause: their wait was worked out from the rate of all loads.
+    """
+    keeper = adapter_keeper.Keeper()
+    late = tuple(_due(f"base/l{number}", -10, -10) for number in range(4))
+    for turn in range(12):
+        now_ms = 1_000 + 100 * turn
+        # Each turn goes to a load that is in time.
+        wants = (*late, _due(f"base/n{turn}", 600, 600))
+        keeper.hear(dataclasses.replace(_demand(), wants=wants), now_ms)
+        keeper.observe(_report({}, accepted=turn))
+        wait = keeper.load_wait(now_ms)
+        order = keeper.decide(now_ms)
+        assert order.adapter == f"base/n{turn}"
+        keeper.settled(order, now_ms, refused=False)
+    assert wait.wait_ms > 1_500, wait
+    assert wait.in_time_ms < 500, wait
+
+
+def test_an_engine_without_its_base_model_is_not_taken_for_slow() -> None:
+    """Symptom: after a power cut callers are refused for a second.
+
+    Sequence: engines are empty, and wishes wait for their base model. Cause:
+    the time in which no load could go on counted as the time that one takes.
+    """
+    keeper = adapter_keeper.Keeper()
+    wants = tuple(_due(f"base/n{number}", 600, 600) for number in range(4))
+    demand = dataclasses.replace(_demand(), wants=wants)
+    empty = dataclasses.replace(_report({}), residents={})
+    for now_ms in (1_000, 1_700, 2_400):
+        keeper.hear(demand, now_ms)
+        keeper.observe(empty)
+        wait_ms = keeper.load_wait(now_ms).in_time_ms
+        assert wait_ms <= len(wants) * adapter_keeper.FIRST_GAP_MS, wait_ms
+
+
 def test_that_an_adapter_is_free_again_is_told() -> None:
     """Symptom: a place stays taken for a second after its last run.
 
