--- a/packages/radishstack/src/radishstack/process/adapter_keeper.py
+++ b/packages/radishstack/src/radishstack/process/adapter_keeper.py
@@ -41,8 +41,7 @@
 # every place is in use or the weight store is shared by many.
 GAP_WEIGHT = 0.25
 FIRST_GAP_MS = 60.0
-# Adapters that may be in transit to one engine. Fewer, learned from how much
-# longer fetches take than the shortest, were worth nothing on three fleets.
+# Adapters that may be in transit to one engine: what engines take at most.
 MAX_IN_TRANSIT = 4
 # Weight of the newest fetch in the estimate of how long one takes.
 FETCH_WEIGHT = 0.3
--- a/packages/radishstack/src/radishstack/process/placement.py
+++ b/packages/radishstack/src/radishstack/process/placement.py
@@ -53,6 +53,8 @@
 # spreads a rush. In the replay of a restart of all engines 0.746 of worth, and
 # 0.716 with a bound of four waiting loads.
 HOME_WAIT_FETCHES = 1.0
+# Time of a fetch while none was told, as configured engines publish it; it only
+# says when the next engine in the order is taken.
 FIRST_FETCH_MS = 250.0
 # Loads waiting at an engine above which an adapter that it held before is
 # loaded elsewhere: three rounds of what it brings in at once.
@@ -126,11 +128,11 @@
             return self.version
         return self.before.oldest_served(now_ms) if self.before else 0
 
-    def since(self, now_ms: int) -> "Announced":
-        """Returns it without those that it has replaced for good."""
+    def pruned(self, now_ms: int) -> "Announced":
+        """Returns it without those that serve no more."""
         if now_ms - self.at_ms >= OLD_VERSION_MS:
             return Announced(self.version, self.at_ms)
-        before = self.before.since(now_ms) if self.before else None
+        before = self.before.pruned(now_ms) if self.before else None
         return Announced(self.version, self.at_ms, before)
 
 
@@ -150,6 +152,7 @@
     is_late: bool = False
 
 
+# Of a request of which nothing else is known.
 DEFAULT_PATIENCE = Patience(800.0, 800.0)
 
 
@@ -199,7 +202,7 @@
         known = self.announced.get(adapter)
         if known is not None and known.version >= version:
             return False
-        before = known.since(now_ms) if known is not None else None
+        before = known.pruned(now_ms) if known is not None else None
         self.announced[adapter] = Announced(version, now_ms, before)
         return True
 
