A request that waits for its adapter is answered before its gateway ends

Symptom (found by reading the diff, reproduced by the test): at a rolling restart a caller finds its connection closed though its request was read and never sent. While a gateway drains, waits end after half of the time until the forced end, with a refusal and when to come back. Test red before: a load that does not come, a drain of 4 s.

--- a/packages/radishd/src/radishd/gateway.py
+++ b/packages/radishd/src/radishd/gateway.py
@@ -54,6 +54,10 @@
 # sends new connections, and for as long these are served.
 UNREADY_MS = 2_600
 EXIT_MARGIN_MS = 700
+# Part of the time until the forced end for which a request may wait for its
+# adapter; the rest is for its answer. One that waits on would be cut with the
+# process, though it was read and never sent.
+WAITS_PART = 0.5
 # Gateways assumed to share the retry allowance while fewer are known, as in
 # the first second after a start.
 MIN_GATEWAYS = 12
@@ -97,6 +101,7 @@
         self.budgets: dict[str, shared_budget.SharedBudget] = {}
         self.news = anyio.Event()
         self.draining = False
+        self.waits_end_at_ms = 0
         self.in_flight = 0
         self.refusals: dict[int, int] = {}
         self.socket: fleet_socket.FleetSocket | None = None
@@ -623,6 +628,9 @@
     """Serves until the balancer has noticed, then finishes what is here."""
     began_ms = clock.boot_ms()
     gateway.draining = True
+    gateway.waits_end_at_ms = began_ms + round(
+        WAITS_PART * gateway.own.shutdown_ms
+    )
     gateway.log.must("draining", in_flight=gateway.in_flight)
     await anyio.sleep(UNREADY_MS / MS_PER_S)
     gateway.server.should_exit = True
--- a/packages/radishd/src/radishd/request/forward.py
+++ b/packages/radishd/src/radishd/request/forward.py
@@ -207,6 +207,8 @@
         try:
             while True:
                 now_ms = clock.boot_ms()
+                if gateway.draining:
+                    waiting.end_by(gateway.waits_end_at_ms)
                 usable = self._usable(now_ms)
                 choice = gateway.placement.choose(
                     adapter, usable, now_ms, waiting.patience(now_ms)
--- a/packages/radishstack/src/radishstack/request/waiting.py
+++ b/packages/radishstack/src/radishstack/request/waiting.py
@@ -88,6 +88,11 @@
         self._until_ms = began_ms + wait_ms
         self._due_at_ms = due_at_ms
 
+    def end_by(self, at_ms: int) -> None:
+        """Bounds the wait of a request that its process cannot outlive."""
+        if not self._begun:
+            self._until_ms = min(self._until_ms, at_ms)
+
     def patience(self, now_ms: int) -> placement_lib.Patience:
         """Returns how long it may still wait."""
         return placement_lib.Patience(
--- a/packages/standins/src/standins/platform_site.py
+++ b/packages/standins/src/standins/platform_site.py
@@ -77,6 +77,7 @@
     *,
     adapter: str = "",
     body: bytes = b"",
+    left_ms: int = 3_000,
     further: Iterable[tuple[str, str]] = (),
 ) -> bytes:
     """Returns a caller's request.
@@ -87,12 +88,13 @@
         attempt: The caller's name for the attempt.
         adapter: Adapter of the base model, empty for none.
         body: Its body.
+        left_ms: How long the caller waits.
         further: Further headers.
     """
     headers = [
         ("Host", HOST),
         ("X-Attempt-Id", attempt),
-        ("X-Deadline-Ms", "3000"),
+        ("X-Deadline-Ms", str(left_ms)),
         ("Content-Length", str(len(body))),
     ]
     if adapter:
--- a/tests/fleet/fixtures.py
+++ b/tests/fleet/fixtures.py
@@ -180,6 +180,7 @@
         body: bytes = b"",
         adapter: str = "",
         attempt: str = "",
+        left_ms: int = 3_000,
         gateway: gateway_lib.Gateway | None = None,
         **headers: str,
     ) -> Answer:
@@ -198,6 +199,7 @@
             attempt or secrets.token_hex(8),
             adapter=adapter,
             body=body,
+            left_ms=left_ms,
             further=further,
         )
         connection.send(request)
--- a/tests/fleet/test_fleet_faults.py
+++ b/tests/fleet/test_fleet_faults.py
@@ -1,5 +1,7 @@
 """Faults of targets, sidecars, the store and the gateway itself."""
 
+import dataclasses
+
 import anyio
 from radishd import gateway as gateway_lib
 from radishd.platform import wire
@@ -242,6 +244,48 @@
     fixtures.run(play)
 
 
+def test_a_draining_gateway_cuts_no_request_that_waits() -> None:
+    """Symptom: at a rolling restart callers find their connection closed.
+
+    Sequence: a request with a long time limit waits for its adapter, the
+    gateway is told to stop, and the load does not come. Cause: the wait was
+    bounded by the request's time only, which ends after the process.
+    """
+
+    async def play() -> None:
+        async with fixtures.running_fleet(engines=1, plain=0) as fleet:
+            (engine,) = fleet.targets.values()
+            engine.timing.load_ms = 3_600_000.0
+            gateway = fleet.gateway
+            gateway.own = dataclasses.replace(gateway.own, shutdown_ms=4_000)
+            body = fixtures.configuration(version=2)
+            for one in body["routes"]:
+                one["timeoutMs"] = 60_000
+                one["targetLatencyMs"] = 5_000
+            fleet.store.put("config", "main", body)
+            await fleet.until(
+                lambda: gateway.table.version == 2, "the time is known"
+            )
+            answers = []
+
+            async def call() -> None:
+                answers.append(
+                    await fleet.call("/chat/x", adapter="a1", left_ms=60_000)
+                )
+                # A process that has ended would have cut it.
+                assert not fleet.stopped.is_set()
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(call)
+                await fleet.until(lambda: gateway.in_flight > 0, "it waits")
+                fleet.stop.set()
+            (answer,) = answers
+            assert answer.status == 503 and answer.whole, answer
+            assert float(answer.headers["retry-after"]) > 0
+
+    fixtures.run(play)
+
+
 def test_what_was_believed_before_a_standstill_is_not_used() -> None:
     """Kept connections and words of sidecars are dropped, then learned anew."""
 
