Unanswered orders do not silence a sidecar

Symptom: callers are refused after 0.6 s while their load is on its way. Cause: a sidecar whose engine leaves orders unanswered gave them one after the other, 60 ms each, and told gateways nothing meanwhile; after 700 ms they took it for gone. The regular word is now told between orders. Test red before.

--- a/packages/radishd/src/radishd/sidecar.py
+++ b/packages/radishd/src/radishd/sidecar.py
@@ -173,6 +173,13 @@
                 self._lost(report)
                 return
             self._observe(report)
+            if self._is_tell_due(clock.boot_ms()):
+                # An engine that leaves orders unanswered would keep this
+                # process from telling, and gateways would take it for gone.
+                await self._tell()
+
+    def _is_tell_due(self, now_ms: int) -> bool:
+        return now_ms - self._told_at_ms >= self._tell_every_ms()
 
     def _note(
         self,
@@ -205,7 +212,7 @@
         pending = self.keeper.pending(now_ms)
         told = (self.instance, residents)
         changed, self._told = told != self._told, told
-        if now_ms - self._told_at_ms >= self._tell_every_ms():
+        if self._is_tell_due(now_ms):
             self._told_at_ms = now_ms
             self._forget_gateways(now_ms)
             addresses = list(self.gateways)
--- a/tests/fleet/test_fleet_faults.py
+++ b/tests/fleet/test_fleet_faults.py
@@ -1,6 +1,7 @@
 """Faults of targets, sidecars, the store and the gateway itself."""
 
 import dataclasses
+import functools
 
 import anyio
 from radishd import gateway as gateway_lib
@@ -37,6 +38,43 @@
     fixtures.run(play)
 
 
+def test_unanswered_orders_do_not_silence_a_sidecar() -> None:
+    """Symptom: callers are refused after 0.6 s while a load is on its way.
+
+    Sequence: an engine leaves order after order unanswered. Cause: the process
+    beside it gave them one after the other and told nothing meanwhile, so
+    gateways took it for gone.
+    """
+
+    async def play() -> None:
+        async with fixtures.running_fleet(engines=1, plain=0) as fleet:
+            (engine,) = fleet.targets.values()
+            engine.swallow_orders = 1_000_000
+            gateway = fleet.gateway
+            (member,) = gateway.roster.members.values()
+            address = member.listing.address
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(
+                    functools.partial(fleet.call, "/chat/x", adapter="a1")
+                )
+                # More orders than fit between two regular words.
+                await fleet.until(
+                    lambda: engine.swallow_orders < 1_000_000 - 6,
+                    "orders go unanswered",
+                )
+                before_ms = gateway.placement.views[address].heard_at_ms
+                swallowed = engine.swallow_orders
+                await fleet.until(
+                    lambda: engine.swallow_orders < swallowed - 8,
+                    "more orders go unanswered",
+                )
+                heard_ms = gateway.placement.views[address].heard_at_ms
+                assert heard_ms > before_ms
+                engine.swallow_orders = 0
+
+    fixtures.run(play)
+
+
 def test_an_order_carried_out_late_finds_its_place_taken() -> None:
     """Symptom: an engine crashes seconds after its process gave up an order.
 
