--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -107,9 +107,10 @@
 @click.command()
 @click.option("--seeds", default=4, show_default=True)
 @click.option("--jobs", default=3, show_default=True)
-def main(seeds: int, jobs: int) -> None:
+@click.option("--load", "loads", multiple=True, default=tuple(replay.LOADS))
+@click.option("--name", default="ablation", help="Of the kept result.")
+def main(seeds: int, jobs: int, loads: tuple[str, ...], name: str) -> None:
     """Switches each mechanism off alone."""
-    loads = list(replay.LOADS)
     with concurrent.futures.ProcessPoolExecutor(
         jobs, max_tasks_per_child=1
     ) as pool:
@@ -135,7 +136,7 @@
             kept.setdefault(mechanism, {})[load] = {"mean": mean, "half": half}
         rows.append(row)
     click.echo(report.table(["worth of", *loads], rows))
-    report.keep("ablation", kept)
+    report.keep(name, kept)
 
 
 if __name__ == "__main__":
