Dead constants and a second table of handlers go

Cause: read as a newcomer. placement.LOAD_MS was read by nothing and LOADS_AT_ONCE by a test only, which now takes the bound that it is about (adapter_keeper.MAX_IN_TRANSIT, the same 4); knowledge.py named the handler of each kind twice; a test told another sequence than it plays.

--- a/packages/radishd/src/radishd/process/knowledge.py
+++ b/packages/radishd/src/radishd/process/knowledge.py
@@ -105,35 +105,25 @@
         self._on_news()
 
     def _make_followers(self) -> dict[str, follow.Follower]:
-        takes = {
-            wire.KIND_CONFIGURATION: (
-                self._take_configuration,
-                RARE_WAIT_MS,
-                RARE_GATHER_MS,
-            ),
-            wire.KIND_TARGETS: (
-                self._take_target,
-                TARGETS_WAIT_MS,
-                round(self._leaving_ms * TARGETS_GATHER_PART),
-            ),
-            wire.KIND_VERSIONS: (
-                self._take_version,
-                RARE_WAIT_MS,
-                RARE_GATHER_MS,
-            ),
+        rare = (RARE_WAIT_MS, RARE_GATHER_MS)
+        targets_gather_ms = round(self._leaving_ms * TARGETS_GATHER_PART)
+        paces = {
+            wire.KIND_CONFIGURATION: rare,
+            wire.KIND_TARGETS: (TARGETS_WAIT_MS, targets_gather_ms),
+            wire.KIND_VERSIONS: rare,
         }
         return {
             kind: follow.Follower(
                 self._store,
                 kind,
-                _Sink(self, kind, take),
+                _Sink(self, kind, self._takes[kind]),
                 self._log,
                 wait_ms=wait_ms,
                 gather_ms=gather_ms,
                 on_lost=self._store_lost,
                 on_back=self._store_back,
             )
-            for kind, (take, wait_ms, gather_ms) in takes.items()
+            for kind, (wait_ms, gather_ms) in paces.items()
         }
 
     def _store_lost(self, kind: str) -> None:
--- a/packages/radishstack/src/radishstack/process/placement.py
+++ b/packages/radishstack/src/radishstack/process/placement.py
@@ -15,10 +15,8 @@
 from radishstack.process import rendezvous
 from radishstack.process import roster as roster_lib
 
-# Time to load an adapter that the target did not hold recently, and the step
-# by which one more running request delays the others, as configured engines
-# publish them; both only rank targets.
-LOAD_MS = 250.0
+# The step by which one more running request delays the others, as configured
+# engines publish it; it only ranks targets.
 REQUEST_COST_MS = 6.0
 QUEUED_COST_MS = 40.0
 # A copy elsewhere is worth its load, and the place that it takes from another
@@ -59,7 +57,6 @@
 # Loads waiting at an engine above which an adapter that it held before is
 # loaded elsewhere: three rounds of what it brings in at once.
 MAX_QUEUED_LOADS = 12
-LOADS_AT_ONCE = 4
 # A load counts as in time if it is predicted to take at most this part of what
 # its caller has: the prediction errs by about a fifth, and what is in time by
 # a hair is passed over once it is late. At twice the engines' rate, in virtual
--- a/tests/fleet/test_cold_rush.py
+++ b/tests/fleet/test_cold_rush.py
@@ -216,7 +216,7 @@
     for seed in range(5):
         rush = _Rush(seed)
         rush.play()
-        possible = ENGINES * placement_lib.LOADS_AT_ONCE * RUSH_MS / LOAD_MS
+        possible = ENGINES * adapter_keeper.MAX_IN_TRANSIT * RUSH_MS / LOAD_MS
         in_time = sum(wait_ms <= OBJECTIVE_MS for wait_ms in rush.waits_ms)
         assert in_time >= possible, (in_time, possible)
         assert rush.gave_up == 0, rush.gave_up
--- a/tests/fleet/test_forwarding_path.py
+++ b/tests/fleet/test_forwarding_path.py
@@ -356,8 +356,8 @@
 def test_a_begun_stream_returns_from_a_full_neighbour() -> None:
     """Symptom: a summary is cut although its first engine would go on.
 
-    Sequence: the engine hangs in the middle of the run for good; the other
-    holder is full for a moment and refuses. Cause: a refusal, which proves
+    Sequence: the engine ends in the middle of the run; the other holder is
+    full for a moment and refuses. Cause: a refusal, which proves
     that nothing ran, was the end of a stream with most of its time left.
     """
 
