Log when a lapsed target is listed again, and why one is still believed

The logs could not tell whether a target's second absence followed a listing after the outage or the outage itself. Only lines and the fields behind them; no decision reads the new field.

--- a/packages/radishctl/src/radishctl/fleet.py
+++ b/packages/radishctl/src/radishctl/fleet.py
@@ -56,7 +56,9 @@
         return table
     targets = []
     for record in listed.records:
-        target = wire.target(record.name, record.spec, record.created)
+        target = wire.target(
+            record.name, record.spec, record.created, record.revision
+        )
         if isinstance(target, result.Failure):
             return target
         targets.append(target)
--- a/packages/radishd/src/radishd/platform/store.py
+++ b/packages/radishd/src/radishd/platform/store.py
@@ -28,12 +28,14 @@
         name: Its name.
         spec: Its content.
         created: Revision of the store at which it was created.
+        revision: Revision of the store at which it last changed.
         deleted: Whether it was removed.
     """
 
     name: str
     spec: Any
     created: int = 0
+    revision: int = 0
     deleted: bool = False
 
 
@@ -164,4 +166,5 @@
 def _record(raw: Any) -> Record:
     metadata = raw["metadata"]
     created = int(metadata.get("created") or 0)
-    return Record(metadata["name"], raw.get("spec"), created)
+    revision = int(metadata.get("revision") or 0)
+    return Record(metadata["name"], raw.get("spec"), created, revision)
--- a/packages/radishd/src/radishd/platform/wire.py
+++ b/packages/radishd/src/radishd/platform/wire.py
@@ -114,7 +114,7 @@
 
 
 def target(
-    name: str, spec: Fields, created: int
+    name: str, spec: Fields, created: int, revision: int = 0
 ) -> result.Outcome[roster.Listing]:
     """Decodes a registered target.
 
@@ -122,6 +122,7 @@
         name: The object's name, which is the target's instance.
         spec: The object's content.
         created: Revision at which it was entered.
+        revision: Revision at which it last changed.
 
     Returns:
         The target, or what could not be read.
@@ -136,6 +137,7 @@
             leaving=spec.get("state") == _DRAINING or "remainingMs" in spec,
             slot_count=int(spec.get("slots") or 1),
             listed_at=created,
+            changed_at=revision,
             residents=_residents(spec.get("models") or ()),
         )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
--- a/packages/radishd/src/radishd/process/knowledge.py
+++ b/packages/radishd/src/radishd/process/knowledge.py
@@ -176,27 +176,45 @@
 
     def _take_target(self, record: store_lib.Record) -> None:
         if record.deleted:
-            dropped = self._roster.remove(record.name, clock.boot_ms())
-            self._log.write("target_unlisted", target=record.name, now=dropped)
+            self._take_unlisted(record.name)
             return
-        listing = wire.target(record.name, record.spec, record.created)
+        listing = wire.target(
+            record.name, record.spec, record.created, record.revision
+        )
         if isinstance(listing, result.Failure):
             self._log.must("target_unreadable", reason=listing.message)
             return
         known = self._roster.members.get(record.name)
-        if known is None or known.listing.leaving != listing.leaving:
+        lapsed = known is not None and bool(known.lapses_at_ms)
+        if known is None or lapsed or known.listing.leaving != listing.leaving:
             self._log.write(
                 "target_listed",
                 target=record.name,
                 address=listing.address,
                 service=listing.service,
                 leaving=listing.leaving,
+                created=listing.listed_at,
+                revision=listing.changed_at,
+                lapsed=lapsed,
             )
         self._roster.upsert(listing)
         if known is None:
             member = self._roster.members[record.name]
             self._on_listed(member)
 
+    def _take_unlisted(self, name: str) -> None:
+        now_ms = clock.boot_ms()
+        known = self._roster.members.get(name)
+        dropped = self._roster.remove(name, now_ms)
+        kept = self._roster.members.get(name)
+        self._log.write(
+            "target_unlisted",
+            target=name,
+            now=dropped,
+            revision=known.listing.changed_at if known else 0,
+            kept_ms=kept.lapses_at_ms - now_ms if kept else 0,
+        )
+
     def _take_version(self, record: store_lib.Record) -> None:
         if record.deleted:
             return
@@ -247,7 +265,7 @@
         for name in list(self._roster.members):
             if name not in names:
                 self.known[wire.KIND_TARGETS].pop(name, None)
-                self._take_target(store_lib.Record(name, None, deleted=True))
+                self._take_unlisted(name)
 
     def tell(self) -> dict[str, Any]:
         """Returns what another gateway may take over from here."""
--- a/packages/radishstack/src/radishstack/process/roster.py
+++ b/packages/radishstack/src/radishstack/process/roster.py
@@ -38,6 +38,7 @@
         slot_count: Requests it runs at once.
         listed_at: Revision of the list at which it was entered; of two
             targets at one address, the later one runs.
+        changed_at: Revision of the list at which it last changed.
         residents: Versions of what it held, by adapter.
     """
 
@@ -48,6 +49,7 @@
     leaving: bool
     slot_count: int
     listed_at: int = 0
+    changed_at: int = 0
     residents: Mapping[str, int] = dataclasses.field(default_factory=dict)
 
 
