A target that leaves after an outage of the store is given up at once

Cause: for 2.5 s after an outage any absence from the list was taken for a lapse.

Change: an absence is doubted only if the entry was not written after what was read last before the outage, for 2.5 s from the first answer to any call, and only if the store may have been away for long enough for leases to run out. The first answer makes the other calls anew; a watch after a failure waits 50 ms.

Ruled out: late news (read 0.71 to 0.75 s after the removal at the gateways concerned), an older view of a peer (none was asked after store_back; its own faults follow).

--- a/packages/radishd/src/radishd/connection/http_client.py
+++ b/packages/radishd/src/radishd/connection/http_client.py
@@ -54,10 +54,13 @@
     Attributes:
         reason: What was seen.
         spoiled: Whether bytes came that are no answer.
+        silent: Whether the peer had not been heard for as long as its
+            connection bears; otherwise it ended the connection itself.
     """
 
     reason: str
     spoiled: bool = False
+    silent: bool = False
 
 
 class _Incoming:
@@ -186,7 +189,10 @@
             parsing.keeps_alive = False
             self._parsing = None
         if self._lost is None:
-            self._lost = Lost(repr(error) if error else "closed by peer")
+            self._lost = Lost(
+                repr(error) if error else "closed by peer",
+                silent=isinstance(error, TimeoutError),
+            )
         self._wake()
 
     def _fail(self, lost: Lost) -> None:
--- a/packages/radishd/src/radishd/gateway.py
+++ b/packages/radishd/src/radishd/gateway.py
@@ -93,7 +93,9 @@
         self.log = log
         self.random = random_source
         self.holder = route_table.TableHolder()
-        self.roster = roster_lib.Roster(self.own.lapse_grace_ms)
+        self.roster = roster_lib.Roster(
+            self.own.lapse_grace_ms, self.own.heartbeat_ms
+        )
         _, _, domain = settings.failure_domain.partition("/")
         self.placement = placement_lib.Placement(random_source, domain)
         self.pool = pool_lib.Pool(CONNECT_TIMEOUT_MS)
--- a/packages/radishd/src/radishd/platform/store.py
+++ b/packages/radishd/src/radishd/platform/store.py
@@ -1,14 +1,17 @@
 """Client of the platform's store of objects."""
 
+from collections.abc import Callable
 import dataclasses
 import json
 from typing import Any
 
 import anyio
 from radishstack import result
+from radishstack.process import availability
 
 from radishd.connection import http_client
 from radishd.connection import pool as pool_lib
+from radishd.process import clock
 from radishd.process import metrics as metrics_lib
 
 HTTP_OK = 200
@@ -53,7 +56,13 @@
 
 
 class Store:
-    """Reads objects; every call is counted, as every call is paid for."""
+    """Reads objects; every call is counted, as every call is paid for.
+
+    Attributes:
+        on_back: Called before the first answer after failures is returned,
+            with the kind that was asked for and how long the store may have
+            been away, in ms.
+    """
 
     def __init__(self, address: str, metrics: metrics_lib.Metrics) -> None:
         """Makes the client; nothing is connected yet.
@@ -65,6 +74,8 @@
         self._address = address
         self._pool = pool_lib.Pool(CONNECT_TIMEOUT_MS)
         self._metrics = metrics
+        self._availability = availability.Availability()
+        self.on_back: Callable[[str, int], None] = lambda kind, away_ms: None
 
     async def list(self, kind: str) -> result.Outcome[Batch]:
         """Reads all objects of a kind, page by page."""
@@ -72,7 +83,7 @@
         after = ""
         for _ in range(MAX_PAGES):
             query = f"?after={after}" if after else ""
-            body = await self._get(f"{kind}{query}", CALL_TIMEOUT_MS)
+            body = await self._get(kind, query, CALL_TIMEOUT_MS)
             if isinstance(body, result.Failure):
                 return body
             if isinstance(body, Expired):
@@ -97,8 +108,8 @@
         Returns:
             The changes, which may be none, or that their history is gone.
         """
-        path = f"{kind}?watch={revision}&waitMs={wait_ms}"
-        body = await self._get(path, wait_ms + CALL_TIMEOUT_MS)
+        query = f"?watch={revision}&waitMs={wait_ms}"
+        body = await self._get(kind, query, wait_ms + CALL_TIMEOUT_MS)
         if isinstance(body, result.Failure | Expired):
             return body
         records = []
@@ -110,17 +121,25 @@
         return Batch(tuple(records), int(body.get("at", revision)))
 
     async def _get(
-        self, path: str, timeout_ms: int
+        self, kind: str, query: str, timeout_ms: int
     ) -> result.Outcome[dict[str, Any]] | Expired:
         outcome: Any = None
         with anyio.move_on_after(timeout_ms / MS_PER_S):
-            outcome = await self._call(path)
+            outcome = await self._call(f"{kind}{query}")
         if outcome is None:
             outcome = result.Failure(
                 result.STORE_UNAVAILABLE, f"no answer in {timeout_ms} ms"
             )
-        label = "failed" if isinstance(outcome, result.Failure) else "answered"
-        self._metrics.store_calls.inc({"outcome": label})
+        failed = isinstance(outcome, result.Failure)
+        self._metrics.store_calls.inc(
+            {"outcome": "failed" if failed else "answered"}
+        )
+        if failed:
+            self._availability.failed()
+            return outcome
+        away_ms = self._availability.answered(clock.boot_ms())
+        if away_ms:
+            self.on_back(kind, away_ms)
         return outcome
 
     async def _call(
@@ -140,6 +159,8 @@
             raise
         if isinstance(answer, http_client.Lost):
             connection.close()
+            if not answer.silent:
+                self._availability.broke_off(clock.boot_ms())
             return result.Failure(result.STORE_UNAVAILABLE, answer.reason)
         if connection.finish():
             self._pool.give_back(
--- a/packages/radishd/src/radishd/process/follow.py
+++ b/packages/radishd/src/radishd/process/follow.py
@@ -20,6 +20,9 @@
 # the store counts refused calls too.
 RETRY_FIRST_MS = 100
 RETRY_MAX_MS = 800
+# How long a watch waits that only asks whether the store answers: one that
+# waited longer would tell of its return that much later.
+PROBE_WAIT_MS = 50
 
 
 class Sink(typing.Protocol):
@@ -37,7 +40,8 @@
 
     Attributes:
         failing_since_ms: Since when the store does not answer, 0 if it does.
-        revision: Revision read last, 0 before the first list.
+        revision: Revision read last, 0 before a list.
+        read_revision: The same, kept while a list is read anew.
     """
 
     def __init__(
@@ -50,7 +54,6 @@
         wait_ms: int,
         gather_ms: int,
         on_lost: Callable[[str], None] = lambda kind: None,
-        on_back: Callable[[str], None] = lambda kind: None,
     ) -> None:
         """Makes a follower that has read nothing.
 
@@ -63,7 +66,6 @@
             gather_ms: Pause after changes, in which further ones gather:
                 each answer of a watch is a call that is paid for.
             on_lost: Called when the store stops answering.
-            on_back: Called when the store answers again.
         """
         self._store = store
         self._kind = kind
@@ -72,16 +74,22 @@
         self._wait_ms = wait_ms
         self._gather_ms = gather_ms
         self._on_lost = on_lost
-        self._on_back = on_back
         self._random = random.Random()
         self._retry_ms = RETRY_FIRST_MS
         self._restart: anyio.CancelScope | None = None
         self.failing_since_ms = 0
         self.revision = 0
+        self.read_revision = 0
+        self._doubted = False
 
     def restart(self) -> None:
-        """Begins anew, when the watch under way is not trusted any more."""
+        """Begins with a new list, when what was read is not trusted."""
         self.revision = 0
+        self.renew()
+
+    def renew(self) -> None:
+        """Asks again at once, when the call under way may hang."""
+        self._doubted = True
         if self._restart is not None:
             self._restart.cancel()
 
@@ -98,12 +106,14 @@
             if isinstance(listed, result.Failure):
                 await self._failed(listed)
                 return
-            self._answered()
-            self.revision = listed.revision
+            self._answered(listed.revision)
             self._sink.whole(listed)
             return
+        probing = self._doubted or bool(self.failing_since_ms)
         changed = await self._store.watch(
-            self._kind, self.revision, self._wait_ms
+            self._kind,
+            self.revision,
+            PROBE_WAIT_MS if probing else self._wait_ms,
         )
         if isinstance(changed, store_lib.Expired):
             self._log.must("store_history_gone", kind=self._kind)
@@ -112,8 +122,7 @@
         if isinstance(changed, result.Failure):
             await self._failed(changed)
             return
-        self._answered()
-        self.revision = max(self.revision, changed.revision)
+        self._answered(changed.revision)
         if changed.records:
             self._sink.changes(changed)
             await anyio.sleep(self._gather_ms / MS_PER_S)
@@ -129,11 +138,13 @@
         self._retry_ms = min(self._retry_ms * 2, RETRY_MAX_MS)
         await anyio.sleep(pause_ms / MS_PER_S)
 
-    def _answered(self) -> None:
+    def _answered(self, revision: int) -> None:
+        self.revision = max(self.revision, revision)
+        self.read_revision = max(self.read_revision, revision)
+        self._doubted = False
         self._retry_ms = RETRY_FIRST_MS
         if not self.failing_since_ms:
             return
         lost_ms = clock.boot_ms() - self.failing_since_ms
         self.failing_since_ms = 0
         self._log.must("store_back", kind=self._kind, after_ms=lost_ms)
-        self._on_back(self._kind)
--- a/packages/radishd/src/radishd/process/knowledge.py
+++ b/packages/radishd/src/radishd/process/knowledge.py
@@ -34,6 +34,11 @@
 TARGETS_GATHER_PART = 0.55
 RARE_WAIT_MS = 15_000
 RARE_GATHER_MS = 120
+# After an outage of this length the other calls are made anew: one that began
+# in it may hang until its end, seconds later. After a shorter one a failed
+# call's own retry comes about as soon, and renewals that fail again would
+# make each other's.
+HANGING_AFTER_MS = 500
 # Versions of the configuration of which operators are told what changed, and
 # differences of one version that a line of the log names.
 MAX_CHANGES = 32
@@ -87,6 +92,7 @@
         self._on_listed = on_listed
         self._on_news = on_news
         self._on_limits = on_limits
+        store.on_back = self._store_back
         self.changes: collections.deque[table_changes.Change] = (
             collections.deque(maxlen=MAX_CHANGES)
         )
@@ -121,7 +127,6 @@
                 wait_ms=wait_ms,
                 gather_ms=gather_ms,
                 on_lost=self._store_lost,
-                on_back=self._store_back,
             )
             for kind, (wait_ms, gather_ms) in paces.items()
         }
@@ -132,18 +137,34 @@
         Cut off silently, they would be waited for to their end, and what
         other gateways know would not be asked for until then.
         """
-        if kind == wire.KIND_TARGETS:
-            self._restart_rare()
+        if kind != wire.KIND_TARGETS:
+            return
+        for name, follower in self.followers.items():
+            if name != kind:
+                follower.restart()
 
-    def _store_back(self, kind: str) -> None:
-        if kind == wire.KIND_TARGETS:
-            self._roster.outage_ended(clock.boot_ms())
-            self._restart_rare()
+    def _store_back(self, kind: str, away_ms: int) -> None:
+        """Doubts absences and hanging calls, from the first answer on.
 
-    def _restart_rare(self) -> None:
+        Counted from the first answer on the targets, which may come seconds
+        after the store's return, doubt would hide those that leave meanwhile.
+        """
+        revision = self.followers[wire.KIND_TARGETS].read_revision
+        doubted = self._roster.outage_ended(
+            clock.boot_ms(), away_ms=away_ms, read_revision=revision
+        )
+        self._log.must(
+            "store_outage_ended",
+            kind=kind,
+            away_ms=away_ms,
+            read_revision=revision,
+            may_have_lapsed=doubted,
+        )
+        if away_ms < HANGING_AFTER_MS:
+            return
         for name, follower in self.followers.items():
-            if name != wire.KIND_TARGETS:
-                follower.restart()
+            if name != kind:
+                follower.renew()
 
     def _take_configuration(self, record: store_lib.Record) -> None:
         if record.deleted or record.name != wire.CONFIGURATION_NAME:
--- a/packages/radishstack/src/radishstack/process/roster.py
+++ b/packages/radishstack/src/radishstack/process/roster.py
@@ -18,6 +18,10 @@
 EJECT_FIRST_MS = 300
 EJECT_MAX_MS = 2_400
 MAX_EJECTIONS = 8
+# Intervals without a renewal that an entry of the list outlives at least from
+# the beginning of an outage: it is kept for three, and was renewed up to one
+# before. The half is for renewals that come late.
+OUTLIVED_HEARTBEATS = 1.5
 # Latency estimate: weight of the newest answer.
 LATENCY_WEIGHT = 0.2
 # What is left of the longest pause of a target's streams with each event that
@@ -110,17 +114,21 @@
 class Roster:
     """All targets that this process knows."""
 
-    def __init__(self, lapse_grace_ms: int) -> None:
+    def __init__(self, lapse_grace_ms: int, heartbeat_ms: int = 0) -> None:
         """Starts empty.
 
         Args:
             lapse_grace_ms: How long after an outage of the list an entry
                 that is missing from it is still believed.
+            heartbeat_ms: How often targets renew their entries, 0 if that
+                is not known.
         """
         self.members: dict[str, Member] = {}
         self._by_service: dict[str, list[Member]] = {}
         self._lapse_grace_ms = lapse_grace_ms
-        self._outage_ended_ms = -lapse_grace_ms
+        self._outlived_ms = OUTLIVED_HEARTBEATS * heartbeat_ms
+        self._grace_end_ms = 0
+        self._outage_revision = 0
 
     def _index(self) -> None:
         by_service: dict[str, list[Member]] = {}
@@ -129,13 +137,42 @@
             own.append(member)
         self._by_service = by_service
 
-    def outage_ended(self, now_ms: int) -> None:
+    def outage_ended(
+        self, now_ms: int, *, away_ms: int, read_revision: int
+    ) -> bool:
         """Notes that the list can be read again.
 
         Entries lapse while the platform cannot renew them; taking their
         absence for death right after an outage would empty the roster.
+
+        Args:
+            now_ms: When it answered again.
+            away_ms: How long it may have been away.
+            read_revision: Revision of the list that was read last before.
+
+        Returns:
+            Whether entries may have lapsed in it.
         """
-        self._outage_ended_ms = now_ms
+        if away_ms < self._outlived_ms:
+            return False
+        self._grace_end_ms = now_ms + self._lapse_grace_ms
+        self._outage_revision = read_revision
+        return True
+
+    def is_in_doubt(self, now_ms: int) -> bool:
+        """Whether an entry may be missing only because it has lapsed."""
+        return now_ms < self._grace_end_ms
+
+    def _may_have_lapsed(self, listing: Listing, now_ms: int) -> bool:
+        # An entry that was written since the outage is renewed like any
+        # other: missing again, its target has left, and work sent to it
+        # would reach a process that is about to end.
+        written_since = listing.changed_at > self._outage_revision
+        return (
+            self.is_in_doubt(now_ms)
+            and not listing.leaving
+            and not written_since
+        )
 
     def upsert(self, listing: Listing) -> None:
         """Takes one entry of the list."""
@@ -164,9 +201,8 @@
         member = self.members.get(instance)
         if member is None:
             return False
-        grace_end_ms = self._outage_ended_ms + self._lapse_grace_ms
-        if now_ms < grace_end_ms and not member.listing.leaving:
-            member.lapses_at_ms = grace_end_ms
+        if self._may_have_lapsed(member.listing, now_ms):
+            member.lapses_at_ms = self._grace_end_ms
             return False
         del self.members[instance]
         self._index()
@@ -222,7 +258,9 @@
         staying = [
             member
             for member in self.of_service(service)
-            if not member.listing.leaving and not member.gone
+            if not member.listing.leaving
+            and not member.gone
+            and not 0 < member.lapses_at_ms <= now_ms
         ]
         trusted = [
             member
