--- a/tests/fleet/test_store_outage.py
+++ b/tests/fleet/test_store_outage.py
@@ -1,5 +1,6 @@
 """What is believed of targets around an outage of the platform's store."""
 
+import json
 from typing import Any
 
 from radishd import gateway as gateway_lib
@@ -145,3 +146,51 @@
             assert _usable(gateway) == {stays}
 
     fixtures.run(play)
+
+
+def test_an_older_view_of_a_peer_brings_no_leaving_target_back() -> None:
+    """A gateway that knew that a target leaves sends to it again.
+
+    It loses the store and asks a peer, whose view is from before the target
+    said that it leaves. What the peer told was taken as the newest word, and
+    the watch, which goes on after the revision read last, never corrects it.
+    """
+
+    async def play() -> None:
+        async with fixtures.running_fleet(engines=0, plain=3) as fleet:
+            gateway = fleet.gateway
+            older = json.loads(json.dumps(gateway.knowledge.tell()))
+            leaves, ended, stays = sorted(_specs(fleet))
+            spec = _specs(fleet)[leaves] | {"state": "draining"}
+            fleet.store.put(TARGETS, leaves, spec)
+            fleet.store.delete(TARGETS, ended)
+            await _has_read_all(fleet, gateway)
+            assert _usable(gateway) == {stays}
+            await _lose_store(fleet, gateway)
+            gateway.knowledge.take_known(older)
+            assert _usable(gateway) == {stays}
+
+    fixtures.run(play)
+
+
+def test_a_peer_that_doubts_a_lapse_does_not_spread_it() -> None:
+    """A gateway has no target left while its peer still uses all of them.
+
+    After an outage the peer hears from the store first: its list is empty, as
+    all entries have lapsed, and it keeps the targets for a moment. The other
+    gateway, still without the store, asked it and dropped what the peer did
+    not list.
+    """
+
+    async def play() -> None:
+        async with fixtures.running_fleet(engines=0, plain=2) as fleet:
+            second = await fleet.add_gateway()
+            await _has_read_all(fleet, second)
+            specs = await _lapse_in_an_outage(fleet)
+            assert _usable(fleet.gateway) == set(specs)
+            told = json.loads(json.dumps(fleet.gateway.knowledge.tell()))
+            await _lose_store(fleet, second)
+            second.knowledge.take_known(told)
+            assert _usable(second) == set(specs)
+
+    fixtures.run(play)
