Failing tests: a peer's lapses, and a store that stands still

The test of a peer that doubts lapses failed for another reason than its text told: the second gateway had read the removals itself. It now has a road to the store of its own, which stays shut; the assertion is the same, and it fails on take_known.

--- a/packages/standins/src/standins/platform_store.py
+++ b/packages/standins/src/standins/platform_store.py
@@ -22,10 +22,13 @@
         refuses: Whether every call is answered 503.
         silent: Whether calls are taken and never answered, those that wait
             for a change included.
+        holds: Whether calls that wait for a change are answered only once
+            this has ended, as by a store that stands still.
     """
 
     refuses: bool = False
     silent: bool = False
+    holds: bool = False
 
 
 class PlatformStore:
@@ -79,6 +82,11 @@
         self._cut_count += 1
         self._wake()
 
+    def release(self) -> None:
+        """Answers the calls that were held."""
+        self.faults.holds = False
+        self._wake()
+
     def compact(self) -> None:
         """Drops the history."""
         self.history.clear()
@@ -128,6 +136,9 @@
                 if revision > since and of_kind == kind
             ]
             left_s = until_s - time.monotonic()
+            if self.faults.holds:
+                await self._changed.wait()
+                continue
             if events or left_s <= 0:
                 await request.reply({"events": events, "at": self.revision})
                 return
--- a/tests/fleet/fixtures.py
+++ b/tests/fleet/fixtures.py
@@ -79,6 +79,8 @@
         self.stop = anyio.Event()
         self.stopped = anyio.Event()
         self._hosts = itertools.count(10)
+        self.store_host = f"{self.subnet}.1"
+        self.store_road = f"{self.subnet}.2"
 
     def host(self) -> str:
         """Returns the address of a new VM."""
@@ -130,8 +132,29 @@
         )
         return sidecar
 
+    async def add_store_road(self) -> platform_store.Faults:
+        """Opens a further address of the store, with faults of its own."""
+        faults = platform_store.Faults()
+
+        async def handle(request: standins_web.Request) -> None:
+            if faults.refuses:
+                await request.reply({}, status=503)
+            else:
+                await self.store.handle(request)
+
+        app = standins_web.make_app(handle)
+        await self.tasks.start(
+            functools.partial(
+                standins_web.serve, app, self.store_road, STORE_PORT
+            )
+        )
+        return faults
+
     async def add_gateway(
-        self, seeds: tuple[str, ...] = (), **options: Any
+        self,
+        seeds: tuple[str, ...] = (),
+        store_host: str = "",
+        **options: Any,
     ) -> gateway_lib.Gateway:
         """Starts a gateway, with further settings of its role."""
         host = self.host()
@@ -139,7 +162,9 @@
             "role": "gateway",
             "name": f"edge-{host.rpartition('.')[2]}",
             "failure_domain": "piedmont/north",
-            "platform": {"url": f"http://{self.subnet}.1:{STORE_PORT}"},
+            "platform": {
+                "url": f"http://{store_host or self.store_host}:{STORE_PORT}"
+            },
             "seeds": list(seeds),
             "gateway": {
                 "listen": f"{host}:{FRONT_PORT}",
--- a/tests/fleet/test_store_outage.py
+++ b/tests/fleet/test_store_outage.py
@@ -47,6 +47,12 @@
     fleet: fixtures.Fleet, gateway: gateway_lib.Gateway
 ) -> None:
     fleet.store.faults.refuses = True
+    await _notice_outage(fleet, gateway)
+
+
+async def _notice_outage(
+    fleet: fixtures.Fleet, gateway: gateway_lib.Gateway
+) -> None:
     follower = gateway.knowledge.followers[TARGETS]
     follower.restart()
     await fleet.until(
@@ -184,13 +190,44 @@
 
     async def play() -> None:
         async with fixtures.running_fleet(engines=0, plain=2) as fleet:
-            second = await fleet.add_gateway()
+            road = await fleet.add_store_road()
+            second = await fleet.add_gateway(store_host=fleet.store_road)
             await _has_read_all(fleet, second)
+            road.refuses = True
+            await _notice_outage(fleet, second)
             specs = await _lapse_in_an_outage(fleet)
             assert _usable(fleet.gateway) == set(specs)
             told = json.loads(json.dumps(fleet.gateway.knowledge.tell()))
-            await _lose_store(fleet, second)
             second.knowledge.take_known(told)
             assert _usable(second) == set(specs)
 
     fixtures.run(play)
+
+
+def test_a_watch_that_is_answered_late_tells_of_an_outage() -> None:
+    """All targets are dropped at once although they live.
+
+    The store stands still for 2.5 s. Entries lapse, and the watch that was
+    under way brings their removal when the store goes on. No call had failed,
+    so nothing told that entries could not be renewed.
+    """
+
+    async def play() -> None:
+        async with fixtures.running_fleet(engines=0, plain=2) as fleet:
+            gateway = fleet.gateway
+            specs = _specs(fleet)
+            fleet.store.faults.holds = True
+            held_since_ms = clock.boot_ms()
+            # Longer than a watch waits and its answer takes.
+            enough_ms = knowledge_lib.TARGETS_WAIT_MS + 1_000
+            await fleet.until(
+                lambda: clock.boot_ms() > held_since_ms + enough_ms,
+                "the store stands still",
+            )
+            for name in specs:
+                fleet.store.delete(TARGETS, name)
+            fleet.store.release()
+            await _has_read_all(fleet, gateway)
+            assert _usable(gateway) == set(specs)
+
+    fixtures.run(play)
