What a peer tells counts by its revision; a store that stands still was away

A record that a peer tells is taken only if it is later than all that was read or told before; its list counts as complete only while it doubts no lapse itself; an older state of a target never replaces a later one. A watch that is answered late ends an absence as a failed call does, without making the other calls anew. Lists and probes under way are not cut short by another call's answer: on a slow store they would cut each other short for ever (found by reading).

--- a/packages/radishd/src/radishd/platform/store.py
+++ b/packages/radishd/src/radishd/platform/store.py
@@ -19,6 +19,9 @@
 HTTP_TOO_MANY = 429
 CALL_TIMEOUT_MS = 1_500
 CONNECT_TIMEOUT_MS = 500
+# A watch that is answered this long after its wait has ended tells of a store
+# that stood still, though no call failed; answers take a few milliseconds.
+LATE_MS = 400
 MS_PER_S = 1_000
 MAX_PAGES = 1_000
 
@@ -59,9 +62,8 @@
     """Reads objects; every call is counted, as every call is paid for.
 
     Attributes:
-        on_back: Called before the first answer after failures is returned,
-            with the kind that was asked for and how long the store may have
-            been away, in ms.
+        on_back: Called before the first answer after an absence is returned,
+            with the kind that was asked for.
     """
 
     def __init__(self, address: str, metrics: metrics_lib.Metrics) -> None:
@@ -75,7 +77,9 @@
         self._pool = pool_lib.Pool(CONNECT_TIMEOUT_MS)
         self._metrics = metrics
         self._availability = availability.Availability()
-        self.on_back: Callable[[str, int], None] = lambda kind, away_ms: None
+        self.on_back: Callable[[str, availability.Absence], None] = (
+            lambda kind, absence: None
+        )
 
     async def list(self, kind: str) -> result.Outcome[Batch]:
         """Reads all objects of a kind, page by page."""
@@ -109,7 +113,9 @@
             The changes, which may be none, or that their history is gone.
         """
         query = f"?watch={revision}&waitMs={wait_ms}"
-        body = await self._get(kind, query, wait_ms + CALL_TIMEOUT_MS)
+        body = await self._get(
+            kind, query, wait_ms + CALL_TIMEOUT_MS, late_ms=wait_ms + LATE_MS
+        )
         if isinstance(body, result.Failure | Expired):
             return body
         records = []
@@ -121,8 +127,9 @@
         return Batch(tuple(records), int(body.get("at", revision)))
 
     async def _get(
-        self, kind: str, query: str, timeout_ms: int
+        self, kind: str, query: str, timeout_ms: int, late_ms: int = LATE_MS
     ) -> result.Outcome[dict[str, Any]] | Expired:
+        began_ms = clock.boot_ms()
         outcome: Any = None
         with anyio.move_on_after(timeout_ms / MS_PER_S):
             outcome = await self._call(f"{kind}{query}")
@@ -137,9 +144,11 @@
         if failed:
             self._availability.failed()
             return outcome
-        away_ms = self._availability.answered(clock.boot_ms())
-        if away_ms:
-            self.on_back(kind, away_ms)
+        now_ms = clock.boot_ms()
+        late = now_ms - began_ms > late_ms
+        absence = self._availability.answered(now_ms, late=late)
+        if absence is not None:
+            self.on_back(kind, absence)
         return outcome
 
     async def _call(
--- a/packages/radishd/src/radishd/process/follow.py
+++ b/packages/radishd/src/radishd/process/follow.py
@@ -81,15 +81,24 @@
         self.revision = 0
         self.read_revision = 0
         self._doubted = False
+        self._asks_briefly = False
 
     def restart(self) -> None:
         """Begins with a new list, when what was read is not trusted."""
         self.revision = 0
-        self.renew()
+        self._begin_anew()
 
     def renew(self) -> None:
-        """Asks again at once, when the call under way may hang."""
+        """Asks again at once, when the watch under way may hang.
+
+        A list or a probe goes on: it ends soon in any case, and calls that
+        cut each other short would never end while the store is slow.
+        """
         self._doubted = True
+        if not self._asks_briefly:
+            self._begin_anew()
+
+    def _begin_anew(self) -> None:
         if self._restart is not None:
             self._restart.cancel()
 
@@ -101,30 +110,40 @@
                     await self._round()
 
     async def _round(self) -> None:
-        if not self.revision:
-            listed = await self._store.list(self._kind)
-            if isinstance(listed, result.Failure):
-                await self._failed(listed)
-                return
-            self._answered(listed.revision)
-            self._sink.whole(listed)
-            return
-        probing = self._doubted or bool(self.failing_since_ms)
-        changed = await self._store.watch(
-            self._kind,
-            self.revision,
-            PROBE_WAIT_MS if probing else self._wait_ms,
-        )
-        if isinstance(changed, store_lib.Expired):
+        lists = not self.revision
+        probes = self._doubted or bool(self.failing_since_ms)
+        self._asks_briefly = lists or probes
+        try:
+            if lists:
+                answer = await self._store.list(self._kind)
+            else:
+                wait_ms = PROBE_WAIT_MS if probes else self._wait_ms
+                answer = await self._store.watch(
+                    self._kind, self.revision, wait_ms
+                )
+        finally:
+            self._asks_briefly = False
+        if lists or self.revision:
+            await self._take(answer, listed=lists)
+
+    async def _take(
+        self,
+        answer: result.Outcome[store_lib.Batch] | store_lib.Expired,
+        *,
+        listed: bool,
+    ) -> None:
+        if isinstance(answer, store_lib.Expired):
             self._log.must("store_history_gone", kind=self._kind)
             self.revision = 0
             return
-        if isinstance(changed, result.Failure):
-            await self._failed(changed)
+        if isinstance(answer, result.Failure):
+            await self._failed(answer)
             return
-        self._answered(changed.revision)
-        if changed.records:
-            self._sink.changes(changed)
+        self._answered(answer.revision)
+        if listed:
+            self._sink.whole(answer)
+        elif answer.records:
+            self._sink.changes(answer)
             await anyio.sleep(self._gather_ms / MS_PER_S)
 
     async def _failed(self, failure: result.Failure) -> None:
--- a/packages/radishd/src/radishd/process/knowledge.py
+++ b/packages/radishd/src/radishd/process/knowledge.py
@@ -11,6 +11,7 @@
 
 import anyio
 from radishstack import result
+from radishstack.process import availability
 from radishstack.process import placement as placement_lib
 from radishstack.process import roster as roster_lib
 from radishstack.version import route_table
@@ -51,6 +52,8 @@
     Attributes:
         followers: Of each kind of object.
         known: Objects by kind and name, for gateways that ask.
+        told_revisions: By kind, up to which revision another gateway has
+            told all that it knows.
         changes: Of the configuration, the newest last.
     """
 
@@ -102,9 +105,10 @@
             wire.KIND_VERSIONS: self._take_version,
         }
         self.followers = self._make_followers()
-        self.known: dict[str, dict[str, Any]] = {
+        self.known: dict[str, dict[str, store_lib.Record]] = {
             kind: {} for kind in self.followers
         }
+        self.told_revisions = dict.fromkeys(self.followers, 0)
 
     def tell_news(self) -> None:
         """Tells that something has changed."""
@@ -143,7 +147,7 @@
             if name != kind:
                 follower.restart()
 
-    def _store_back(self, kind: str, away_ms: int) -> None:
+    def _store_back(self, kind: str, absence: availability.Absence) -> None:
         """Doubts absences and hanging calls, from the first answer on.
 
         Counted from the first answer on the targets, which may come seconds
@@ -151,16 +155,19 @@
         """
         revision = self.followers[wire.KIND_TARGETS].read_revision
         doubted = self._roster.outage_ended(
-            clock.boot_ms(), away_ms=away_ms, read_revision=revision
+            clock.boot_ms(),
+            away_ms=absence.away_ms,
+            read_revision=revision,
         )
         self._log.must(
             "store_outage_ended",
             kind=kind,
-            away_ms=away_ms,
+            away_ms=absence.away_ms,
+            failed=absence.failed,
             read_revision=revision,
             may_have_lapsed=doubted,
         )
-        if away_ms < HANGING_AFTER_MS:
+        if not absence.failed or absence.away_ms < HANGING_AFTER_MS:
             return
         for name, follower in self.followers.items():
             if name != kind:
@@ -277,17 +284,40 @@
             follower = self.followers.get(kind)
             if follower is None or not follower.failing_since_ms:
                 continue
+            told_revision = int(known.get("revisions", {}).get(kind, 0))
             records = [
-                store_lib.Record(name, spec, created)
-                for name, (spec, created) in names.items()
+                store_lib.Record(name, *fields)
+                for name, fields in names.items()
             ]
-            if known.get("fresh") and kind == wire.KIND_TARGETS:
-                self._drop_unlisted(names)
-            for record in records:
-                self.known[kind][record.name] = (record.spec, record.created)
+            self._take_told(kind, records, told_revision, known.get("fresh"))
+
+    def _take_told(
+        self,
+        kind: str,
+        records: list[store_lib.Record],
+        told_revision: int,
+        fresh: bool,
+    ) -> None:
+        """Takes what is later than all that was read or told before.
+
+        Otherwise a peer whose view is older would bring back targets that
+        are known to leave, and no watch would take them away again.
+        """
+        seen_revision = self._seen_revision(kind)
+        if fresh and told_revision > seen_revision:
+            self.told_revisions[kind] = told_revision
+            if kind == wire.KIND_TARGETS:
+                self._drop_unlisted({record.name for record in records})
+        for record in records:
+            if record.revision > seen_revision:
+                self.known[kind][record.name] = record
                 self._takes[kind](record)
 
-    def _drop_unlisted(self, names: dict[str, Any]) -> None:
+    def _seen_revision(self, kind: str) -> int:
+        read_revision = self.followers[kind].read_revision
+        return max(read_revision, self.told_revisions[kind])
+
+    def _drop_unlisted(self, names: set[str]) -> None:
         for name in list(self._roster.members):
             if name not in names:
                 self.known[wire.KIND_TARGETS].pop(name, None)
@@ -296,8 +326,22 @@
     def tell(self) -> dict[str, Any]:
         """Returns what another gateway may take over from here."""
         follower = self.followers[wire.KIND_TARGETS]
-        fresh = bool(follower.revision) and not follower.failing_since_ms
-        return {"objects": self.known, "fresh": fresh}
+        # While this gateway doubts absences itself, another one that takes
+        # its list as complete would have no target left.
+        fresh = (
+            bool(follower.revision)
+            and not follower.failing_since_ms
+            and not self._roster.is_in_doubt(clock.boot_ms())
+        )
+        objects = {
+            kind: {
+                name: (record.spec, record.created, record.revision)
+                for name, record in records.items()
+            }
+            for kind, records in self.known.items()
+        }
+        revisions = {kind: self._seen_revision(kind) for kind in self.known}
+        return {"objects": objects, "revisions": revisions, "fresh": fresh}
 
 
 class _Sink:
@@ -315,10 +359,7 @@
 
     def whole(self, batch: store_lib.Batch) -> None:
         """Takes all objects."""
-        known = {
-            record.name: (record.spec, record.created)
-            for record in batch.records
-        }
+        known = {record.name: record for record in batch.records}
         missing = [
             name
             for name in self._knowledge.known[self._kind]
@@ -338,6 +379,6 @@
             if record.deleted:
                 known.pop(record.name, None)
             else:
-                known[record.name] = (record.spec, record.created)
+                known[record.name] = record
             self._take(record)
         self._knowledge.tell_news()
--- a/packages/radishstack/src/radishstack/process/availability.py
+++ b/packages/radishstack/src/radishstack/process/availability.py
@@ -1,5 +1,21 @@
 """How long a dependency may have been away, from the calls made to it."""
 
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Absence:
+    """A time in which a dependency may have served nobody.
+
+    Attributes:
+        away_ms: How long it lasted at most.
+        failed: Whether a call failed in it; otherwise one was only answered
+            late.
+    """
+
+    away_ms: int
+    failed: bool
+
 
 class Availability:
     """When a dependency was last heard, and whether it has failed since."""
@@ -24,14 +40,17 @@
             self._heard_at_ms = now_ms
         self._failed = True
 
-    def answered(self, now_ms: int) -> int:
+    def answered(self, now_ms: int, *, late: bool) -> Absence | None:
         """Notes an answer.
 
+        Args:
+            now_ms: When it came.
+            late: Whether it took longer than the dependency itself takes.
+
         Returns:
-            How long it may have been away at most, in ms; 0 if no call has
-            failed since the answer before.
+            The absence that ends with it, if there may have been one.
         """
-        away_ms = now_ms - self._heard_at_ms if self._failed else 0
+        away_ms, failed = now_ms - self._heard_at_ms, self._failed
         self._heard_at_ms = now_ms
         self._failed = False
-        return away_ms
+        return Absence(away_ms, failed) if failed or late else None
--- a/packages/radishstack/src/radishstack/process/roster.py
+++ b/packages/radishstack/src/radishstack/process/roster.py
@@ -175,9 +175,11 @@
         )
 
     def upsert(self, listing: Listing) -> None:
-        """Takes one entry of the list."""
+        """Takes one entry of the list, unless a later state of it is known."""
         member = self.members.get(listing.instance)
         if member is not None:
+            if listing.changed_at < member.listing.changed_at:
+                return
             member.listing = listing
             member.lapses_at_ms = 0
             return
