Births of targets are decoded and carried, not used yet

Entry and report of a target tell when it started by its own clock; the process beside an engine passes it on. The engine's stand-in starts again under its name: it holds nothing and counts anew.

--- a/packages/radishd/src/radishd/platform/wire.py
+++ b/packages/radishd/src/radishd/platform/wire.py
@@ -138,12 +138,21 @@
             slot_count=int(spec.get("slots") or 1),
             listed_at=created,
             changed_at=revision,
+            born_ms=_born_ms(spec),
             residents=_residents(spec.get("models") or ()),
         )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         return result.Failure(result.STORE_CORRUPT, f"target {name}: {error!r}")
 
 
+def _born_ms(raw: Fields) -> int:
+    """Returns when this start of a target began by its own clock, or 0."""
+    born_ms = raw.get("born", 0)
+    if isinstance(born_ms, bool) or not isinstance(born_ms, int):
+        raise TypeError(f"birth {born_ms!r}")
+    return born_ms
+
+
 def _residents(models: Any) -> dict[str, int]:
     residents = {}
     for model in models:
@@ -185,6 +194,7 @@
             busy=bool(raw.get("busy")),
             running=int(raw.get("running") or 0),
             queued=int(raw.get("waiting") or 0),
+            born_ms=_born_ms(raw),
         )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         return result.Failure(result.STORE_CORRUPT, f"report: {error!r}")
--- a/packages/radishstack/src/radishstack/connection/fleet.capnp
+++ b/packages/radishstack/src/radishstack/connection/fleet.capnp
@@ -61,4 +61,8 @@
   loadGapMs @7 :UInt16;
   loadInTimeMs @8 :UInt32;
   fetchMs @9 :UInt32;
+  # Births of the start that this tells of and of the one before it, 0 if not
+  # known.
+  bornMs @10 :UInt64;
+  formerBornMs @11 :UInt64;
 }
--- a/packages/radishstack/src/radishstack/connection/fleet_wire.py
+++ b/packages/radishstack/src/radishstack/connection/fleet_wire.py
@@ -45,6 +45,9 @@
         pending: Adapters that are loaded or will be.
         peer_addresses: Gateways that this process hears.
         load_wait: How long a load takes now.
+        born_ms: Birth of that start, 0 if it is not told.
+        former_born_ms: Birth of the start that this process saw before it,
+            0 if it saw none.
     """
 
     instance: str
@@ -54,6 +57,8 @@
     pending: frozenset[str]
     peer_addresses: tuple[str, ...]
     load_wait: adapter_keeper.LoadWait
+    born_ms: int = 0
+    former_born_ms: int = 0
 
 
 Datagram = DemandDatagram | State
@@ -113,6 +118,8 @@
         "loadGapMs": min(round(datagram.load_wait.gap_ms), MAX_COUNT),
         "loadInTimeMs": datagram.load_wait.in_time_ms,
         "fetchMs": datagram.load_wait.fetch_ms,
+        "bornMs": datagram.born_ms,
+        "formerBornMs": datagram.former_born_ms,
     }
     return _wire.FleetDatagram.new_message(state=body).to_bytes_packed()
 
@@ -201,4 +208,6 @@
         load_wait=adapter_keeper.LoadWait(
             body.loadWaitMs, body.loadGapMs, body.loadInTimeMs, body.fetchMs
         ),
+        born_ms=body.bornMs,
+        former_born_ms=body.formerBornMs,
     )
--- a/packages/radishstack/src/radishstack/process/adapter_keeper.py
+++ b/packages/radishstack/src/radishstack/process/adapter_keeper.py
@@ -98,6 +98,7 @@
         busy: Whether it carries out an order that excludes others.
         running: Requests that run.
         queued: Requests that wait.
+        born_ms: Birth of its start, 0 where it told none.
     """
 
     accepted_count: int
@@ -106,6 +107,7 @@
     busy: bool
     running: int
     queued: int
+    born_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/radishstack/src/radishstack/process/incarnation.py
+++ b/packages/radishstack/src/radishstack/process/incarnation.py
@@ -5,6 +5,30 @@
 engine itself knows which is over, and says so by refusing an order.
 """
 
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Start:
+    """One start of a target: a target may start again under its name.
+
+    Attributes:
+        name: Name under which it registers.
+        born_ms: Unix time of the start as its own VM told it, 0 where it told
+            none. Clocks jump, so a later start may bear a smaller one: equal
+            or not is all that it says.
+    """
+
+    name: str
+    born_ms: int = 0
+
+    def is_other(self, other: "Start") -> bool:
+        """Whether another start is meant, as far as births are told."""
+        if self.name != other.name:
+            return True
+        both_told = bool(self.born_ms and other.born_ms)
+        return both_told and self.born_ms != other.born_ms
+
 
 class Incarnations:
     """The starts of one engine."""
--- a/packages/radishstack/src/radishstack/process/placement.py
+++ b/packages/radishstack/src/radishstack/process/placement.py
@@ -12,6 +12,7 @@
 import random
 
 from radishstack.process import adapter_keeper
+from radishstack.process import incarnation
 from radishstack.process import rendezvous
 from radishstack.process import roster as roster_lib
 
@@ -77,7 +78,7 @@
     """A target process' last word on its engine.
 
     Attributes:
-        instance: Which start of the engine it spoke of.
+        instance: Name of the engine that it spoke of.
         heard_at_ms: When the word arrived.
         running: Requests that run there.
         queued: Requests that wait there.
@@ -87,6 +88,7 @@
         load_wait: How long a load took there at that time.
         own_wishes: Loads wished from here since.
         adapter_limit: Adapters that the engine can hold.
+        born_ms: Birth of the start that it spoke of, 0 if that is not told.
     """
 
     instance: str
@@ -99,6 +101,12 @@
     load_wait: adapter_keeper.LoadWait = adapter_keeper.LoadWait(0, 0.0)
     own_wishes: int = 0
     adapter_limit: int = 16
+    born_ms: int = 0
+
+    @property
+    def start(self) -> incarnation.Start:
+        """The start of the engine that it spoke of."""
+        return incarnation.Start(self.instance, self.born_ms)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/radishstack/src/radishstack/process/roster.py
+++ b/packages/radishstack/src/radishstack/process/roster.py
@@ -9,6 +9,8 @@
 from collections.abc import Mapping
 import dataclasses
 
+from radishstack.process import incarnation
+
 # Failure estimate: weight of the newest outcome. With 0.25, three failures in
 # a row pass ``SICK_ABOVE`` and five good answers bring it back under.
 FAILURE_WEIGHT = 0.25
@@ -34,7 +36,7 @@
     """One target as the platform lists it.
 
     Attributes:
-        instance: Name of this start of the target; a restart has another.
+        instance: Name of the target.
         service: Its service.
         address: ``ip:port``.
         failure_domain: Where it runs.
@@ -43,6 +45,7 @@
         listed_at: Revision of the list at which it was entered; of two
             targets at one address, the later one runs.
         changed_at: Revision of the list at which it last changed.
+        born_ms: Birth of this start of it, 0 where it told none.
         residents: Versions of what it held, by adapter.
     """
 
@@ -55,6 +58,12 @@
     listed_at: int = 0
     changed_at: int = 0
     residents: Mapping[str, int] = dataclasses.field(default_factory=dict)
+    born_ms: int = 0
+
+    @property
+    def start(self) -> incarnation.Start:
+        """The start of the target that this tells of."""
+        return incarnation.Start(self.instance, self.born_ms)
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/standins/src/standins/platform_engine.py
+++ b/packages/standins/src/standins/platform_engine.py
@@ -11,11 +11,13 @@
 import dataclasses
 import enum
 import json
+import time
 from typing import Any
 
 import httptools
 
 MS_PER_S = 1_000.0
+NS_PER_MS = 1_000_000
 REASONS = {200: "OK", 202: "Accepted", 421: "Misdirected", 503: "Unavailable"}
 
 
@@ -115,13 +117,14 @@
         """Makes a target that does not listen yet.
 
         Args:
-            instance: Name of this start of it.
+            instance: Its name.
             model: Its base model; empty for a plain target.
             adapter_slots: Adapters that it holds at most.
             event_count: Events of each stream.
             timing: How long things take.
         """
         self.instance = instance
+        self.born_ms = time.time_ns() // NS_PER_MS
         self.model = model
         self.adapter_slots = adapter_slots
         self.event_count = event_count
@@ -155,6 +158,19 @@
         for task in list(self._tasks):
             task.cancel()
 
+    def restart(self, born_ms: int) -> None:
+        """Starts again under its name: holds nothing, and counts anew.
+
+        Args:
+            born_ms: What its clock says then; it may have jumped back.
+        """
+        self.born_ms = born_ms
+        self.accepted_count = 0
+        self.adapters, self.in_transit = {}, {}
+        self.running, self.held_before = {}, set()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
     def listing(self, service: str, address: str, zone: str) -> dict[str, Any]:
         """Returns what it registers."""
         return {
@@ -167,6 +183,7 @@
             "coldRemainingMs": 0,
             "models": self._models(),
             "sequence": self.accepted_count,
+            "born": self.born_ms,
         }
 
     def _models(self) -> list[dict[str, Any]]:
@@ -242,6 +259,7 @@
             "sequence": self.accepted_count,
             "waiting": 0,
             "running": sum(self.running.values()),
+            "born": self.born_ms,
         }
 
     async def _order(self, seen: Seen, writer: asyncio.StreamWriter) -> None:
@@ -274,11 +292,13 @@
         held = name in self.held_before
         load_ms = self.timing.reload_ms if held else self.timing.load_ms
         asyncio.get_running_loop().call_later(
-            load_ms / MS_PER_S, self._loaded, name, version
+            load_ms / MS_PER_S, self._loaded, name, version, self.born_ms
         )
         return 202
 
-    def _loaded(self, name: str, version: int) -> None:
+    def _loaded(self, name: str, version: int, born_ms: int) -> None:
+        if born_ms != self.born_ms:
+            return
         self.in_transit.pop(name, None)
         self.adapters[name] = version
         self.held_before.add(name)
@@ -314,11 +334,12 @@
             await asyncio.Event().wait()
         model = seen.headers.get("x-model", "")
         self.ran.append(seen.attempt_id)
-        self.running[model] = self.running.get(model, 0) + 1
+        running = self.running
+        running[model] = running.get(model, 0) + 1
         try:
             await self._finish(seen, writer, fault)
         finally:
-            self.running[model] -= 1
+            running[model] -= 1
 
     async def _finish(
         self, seen: Seen, writer: asyncio.StreamWriter, fault: Fault
