--- a/packages/radishd/src/radishd/gateway.py
+++ b/packages/radishd/src/radishd/gateway.py
@@ -180,12 +180,10 @@
         return any(one is not member for one in usable)
 
     def note_outcome(
-        self, instance: str, outcome: Outcome, adapter: str
+        self, member: roster_lib.Member, outcome: Outcome, adapter: str
     ) -> None:
         """Takes evidence on a target from a send that came to nothing."""
-        member = self.roster.members.get(instance)
-        if member is None:
-            return
+        instance = member.listing.instance
         now_ms = clock.boot_ms()
         address = member.listing.address
         if outcome is Outcome.UNSENT:
@@ -199,10 +197,20 @@
         else:
             self.roster.failed(instance, now_ms)
 
-    def note_failure_answer(self, instance: str, status: int) -> None:
+    def note_failure_answer(
+        self, member: roster_lib.Member, status: int
+    ) -> None:
         """Takes evidence on a target from its own failure."""
         if status >= HTTP_SERVER_ERROR:
-            self.roster.failed(instance, clock.boot_ms())
+            self.roster.failed(member.listing.instance, clock.boot_ms())
+
+    def note_silence(self, member: roster_lib.Member) -> None:
+        """Takes evidence on a target from a long wait for a first byte."""
+        self.roster.failed(member.listing.instance, clock.boot_ms())
+
+    def note_success(self, member: roster_lib.Member, took_ms: int) -> None:
+        """Takes evidence on a target from a good answer."""
+        self.roster.answered(member.listing.instance, took_ms)
 
     def keep(self, address: str, connection: http_client.Connection) -> None:
         """Keeps a connection whose answer was read whole."""
--- a/packages/radishd/src/radishd/request/forward.py
+++ b/packages/radishd/src/radishd/request/forward.py
@@ -144,7 +144,7 @@
             instance = member.listing.instance
             self.trail.append(f"{instance}:{outcome.value}")
             self.gateway.metrics.sends.inc({"outcome": outcome.value})
-            step = self._next_step(instance, outcome)
+            step = self._next_step(member, outcome)
             if step is forwarding.Step.GIVE_UP:
                 await self._give_up(self.state.failure)
                 return
@@ -152,9 +152,11 @@
                 pause_ms = self.gateway.spread(SHED_RETRY_MS)
                 await anyio.sleep(pause_ms / MS_PER_S)
 
-    def _next_step(self, instance: str, outcome: Outcome) -> forwarding.Step:
+    def _next_step(
+        self, member: roster_lib.Member, outcome: Outcome
+    ) -> forwarding.Step:
         gateway = self.gateway
-        gateway.note_outcome(instance, outcome, self.request.adapter)
+        gateway.note_outcome(member, outcome, self.request.adapter)
         paid = True
         if outcome is not Outcome.UNSENT:
             retries = not self.state.may_have_run and outcome in (
@@ -167,7 +169,11 @@
                 clock.boot_ms()
             )
         return self.state.ended(
-            instance, outcome, self.left_ms(), paid=paid, begun=self.began
+            member.listing.instance,
+            outcome,
+            self.left_ms(),
+            paid=paid,
+            begun=self.began,
         )
 
     async def _place(
@@ -290,7 +296,7 @@
         if sent_at_ms is None:
             return
         if clock.boot_ms() - sent_at_ms > placement_lib.ENGINE_PATIENCE_MS:
-            self.gateway.roster.failed(member.listing.instance, clock.boot_ms())
+            self.gateway.note_silence(member)
 
     def _start(
         self,
@@ -442,7 +448,7 @@
             return Outcome.FAILED
         if self.began:
             return Outcome.FAILED
-        self.gateway.note_failure_answer(instance, head.status)
+        self.gateway.note_failure_answer(send.member, head.status)
         self.trail.append(f"{instance}:{head.status}")
         await self._reply_whole(head, body)
         return None
@@ -478,7 +484,7 @@
         now_ms = clock.boot_ms()
         instance = send.member.listing.instance
         took_ms = now_ms - send.sent_at_ms
-        self.gateway.roster.answered(instance, took_ms)
+        self.gateway.note_success(send.member, took_ms)
         self.gateway.metrics.sends.inc({"outcome": "answered"})
         self.trail.append(f"{instance}:ok")
         first_ms = now_ms - self.arrived_at_ms
--- a/tests/fleet/fixtures.py
+++ b/tests/fleet/fixtures.py
@@ -23,6 +23,7 @@
 from radishd.connection import http_client
 from radishd.process import settings as settings_lib
 from radishd.process import signals
+from radishstack.request import forwarding
 from standins import platform_engine
 from standins import platform_site
 from standins import platform_store
@@ -61,6 +62,18 @@
 
 
 configuration = platform_site.configuration
+# Ends of a send that count against its target.
+BAD_OUTCOMES = (
+    forwarding.Outcome.UNSENT,
+    forwarding.Outcome.GONE,
+    forwarding.Outcome.LOST,
+    forwarding.Outcome.SILENT,
+)
+
+
+def seeded(seed: int = 1) -> random.Random:
+    """Returns a random source that is the same each time."""
+    return random.Random(seed)
 
 
 class Fleet:
