What is true of one start of a target is kept for that start

Cause: a target may start again under its name; evidence, words of its process, kept connections, the warm book and the index by service were kept for the name. Change: a start is a name and a birth. Another birth makes a new member with nothing seen; evidence counts only for the member that is current; a view counts only for its own start; a restart seen by the keeper voids what the former start held and had in use; kept connections are dropped.

Which of two is later: the entry's revision, or the process beside the engine that saw one follow the other; births only tell starts apart, since clocks are set back. A birth that was followed by another never comes back. The list and that process decide placement, the engine's own report decides orders.

Not covered: an order to a former start that is carried out late by the new one, when that has accepted just as many; the engine refuses it unless the counts agree.

--- a/packages/radishd/src/radishd/gateway.py
+++ b/packages/radishd/src/radishd/gateway.py
@@ -17,6 +17,7 @@
 from radishstack import result
 from radishstack.connection import fleet_wire
 from radishstack.process import adapter_keeper
+from radishstack.process import incarnation
 from radishstack.process import placement as placement_lib
 from radishstack.process import roster as roster_lib
 from radishstack.process import shared_budget
@@ -123,7 +124,7 @@
             self.holder,
             log,
             leaving_ms=self.own.leaving_ms,
-            on_listed=self.wishes.introduce,
+            on_listed=self._start_known,
             on_news=self.tell_news,
             on_limits=self._take_limits,
         )
@@ -133,6 +134,13 @@
         """The route table in force here."""
         return self.holder.table
 
+    def _start_known(self, member: roster_lib.Member) -> None:
+        """Takes that a start of a target is known that was not before."""
+        # Connections to a start before it lead nowhere; a request that must
+        # not run twice would be lost on one.
+        self.pool.drop(member.listing.address)
+        self.wishes.introduce(member)
+
     def _take_limits(self, limits: route_table.Limits) -> None:
         if self.server is not None:
             web.set_idle_timeout(self.server, limits.idle_timeout_ms)
@@ -186,6 +194,9 @@
         instance = member.listing.instance
         now_ms = clock.boot_ms()
         address = member.listing.address
+        if not self.roster.is_current(member):
+            # It tells of a start that is over, not of the one that runs.
+            return
         if outcome is Outcome.UNSENT:
             self.roster.unreachable(instance, now_ms)
             self.pool.drop(address)
@@ -201,16 +212,18 @@
         self, member: roster_lib.Member, status: int
     ) -> None:
         """Takes evidence on a target from its own failure."""
-        if status >= HTTP_SERVER_ERROR:
+        if status >= HTTP_SERVER_ERROR and self.roster.is_current(member):
             self.roster.failed(member.listing.instance, clock.boot_ms())
 
     def note_silence(self, member: roster_lib.Member) -> None:
         """Takes evidence on a target from a long wait for a first byte."""
-        self.roster.failed(member.listing.instance, clock.boot_ms())
+        if self.roster.is_current(member):
+            self.roster.failed(member.listing.instance, clock.boot_ms())
 
     def note_success(self, member: roster_lib.Member, took_ms: int) -> None:
         """Takes evidence on a target from a good answer."""
-        self.roster.answered(member.listing.instance, took_ms)
+        if self.roster.is_current(member):
+            self.roster.answered(member.listing.instance, took_ms)
 
     def keep(self, address: str, connection: http_client.Connection) -> None:
         """Keeps a connection whose answer was read whole."""
@@ -435,6 +448,21 @@
         spec = self._spec_of(member)
         if spec is None:
             return
+        start = incarnation.Start(datagram.instance, datagram.born_ms)
+        renewed = self.roster.restarted(start, datagram.former_born_ms)
+        if renewed is not None:
+            member = renewed
+            self.log.must(
+                "target_restarted",
+                target=start.name,
+                born_ms=start.born_ms,
+                former_born_ms=datagram.former_born_ms,
+                told_by="sidecar",
+            )
+            self._start_known(member)
+        if start.is_other(member.listing.start):
+            # A word on a start that is not known to run: the list will tell.
+            return
         before = self.placement.views.get(member.listing.address)
         view = placement_lib.View(
             instance=datagram.instance,
@@ -446,6 +474,7 @@
             own_in_flight=member.health.in_flight,
             load_wait=datagram.load_wait,
             adapter_limit=spec.adapter_limit,
+            born_ms=start.born_ms,
         )
         self.placement.hear(member.listing.address, view)
         if before is None or before.residents != view.residents:
--- a/packages/radishd/src/radishd/process/knowledge.py
+++ b/packages/radishd/src/radishd/process/knowledge.py
@@ -225,10 +225,18 @@
                 revision=listing.changed_at,
                 lapsed=lapsed,
             )
-        self._roster.upsert(listing)
-        if known is None:
-            member = self._roster.members[record.name]
-            self._on_listed(member)
+        begun = self._roster.upsert(listing)
+        if begun is None:
+            return
+        if begun.former:
+            self._log.must(
+                "target_restarted",
+                target=record.name,
+                born_ms=listing.born_ms,
+                former_born_ms=begun.former[-1],
+                told_by="list",
+            )
+        self._on_listed(begun)
 
     def _take_unlisted(self, name: str) -> None:
         now_ms = clock.boot_ms()
--- a/packages/radishd/src/radishd/sidecar.py
+++ b/packages/radishd/src/radishd/sidecar.py
@@ -74,6 +74,7 @@
         self.peer_addresses: dict[str, int] = {}
         self.incarnations = incarnation.Incarnations()
         self.report: adapter_keeper.Report | None = None
+        self.former_born_ms = 0
         self.engine_lost = False
         self.wake = anyio.Event()
         self._told_at_ms = 0
@@ -150,7 +151,16 @@
             self.engine_lost = False
             self.log.must("engine_back", residents=len(report.residents))
         self.report = report
-        self.keeper.observe(report)
+        former_born_ms = self.keeper.observe(report)
+        if former_born_ms:
+            self.former_born_ms = former_born_ms
+            self.log.must(
+                "engine_restarted",
+                instance=self.instance,
+                born_ms=report.born_ms,
+                former_born_ms=former_born_ms,
+                accepted_count=report.accepted_count,
+            )
 
     async def _give_orders(self) -> None:
         """Gives orders one by one, each on a new report."""
@@ -210,7 +220,8 @@
         report = self.report
         residents = dict(report.residents) if report is not None else {}
         pending = self.keeper.pending(now_ms)
-        told = (self.instance, residents)
+        born_ms = report.born_ms if report is not None else 0
+        told = (self.instance, born_ms, residents)
         changed, self._told = told != self._told, told
         if self._is_tell_due(now_ms):
             self._told_at_ms = now_ms
@@ -236,6 +247,8 @@
             pending=pending,
             peer_addresses=peers,
             load_wait=self.keeper.load_wait(now_ms),
+            born_ms=born_ms,
+            former_born_ms=self.former_born_ms if born_ms else 0,
         )
         for address in addresses:
             await self.socket.send(address, state)
--- a/packages/radishstack/src/radishstack/process/adapter_keeper.py
+++ b/packages/radishstack/src/radishstack/process/adapter_keeper.py
@@ -241,6 +241,7 @@
         # which nothing is known.
         self._fetch_ms = 0.0
         self._hold_until_ms = 0
+        self._born_ms = 0
 
     def restarted(self) -> None:
         """Takes that the engine runs anew, and knows nothing of before."""
@@ -277,8 +278,21 @@
         for want in demand.wants:
             self._wanted_since_ms.setdefault(want.adapter, now_ms)
 
-    def observe(self, report: Report) -> None:
-        """Takes the engine's own report."""
+    def observe(self, report: Report) -> int:
+        """Takes the engine's own report.
+
+        Returns:
+            The birth of the start before, if another one reports now; 0
+            otherwise.
+        """
+        former_born_ms = 0
+        if report.born_ms and report.born_ms != self._born_ms:
+            former_born_ms, self._born_ms = self._born_ms, report.born_ms
+        if former_born_ms:
+            # What the former start held is neither in the memory of this one
+            # nor in use; orders to it are settled by its end.
+            self.restarted()
+            self._in_flight.clear()
         self.report = report
         for adapter in self._due_ms.keys() & report.residents.keys():
             del self._due_ms[adapter]
@@ -289,6 +303,7 @@
         limit = WARM_PER_PLACE * self.adapter_limit
         while limit and len(self._warm) > limit:
             del self._warm[next(iter(self._warm))]
+        return former_born_ms
 
     def next_look_ms(self, now_ms: int) -> int:
         """Returns how long the engine's report will most likely stay as it is.
--- a/packages/radishstack/src/radishstack/process/placement.py
+++ b/packages/radishstack/src/radishstack/process/placement.py
@@ -214,7 +214,7 @@
     def hear(self, address: str, view: View) -> None:
         """Takes a target process' word, keyed by the target's address."""
         before = self.views.get(address)
-        if before is None or before.instance != view.instance:
+        if before is None or before.start.is_other(view.start):
             self.warm[address] = {}
         self.views[address] = view
         warm = self.warm[address]
@@ -250,7 +250,7 @@
     def view_of(self, member: roster_lib.Member) -> View | None:
         """Returns the word on this very start of a target."""
         view = self.views.get(member.listing.address)
-        if view is None or view.instance != member.listing.instance:
+        if view is None or view.start.is_other(member.listing.start):
             return None
         return view
 
--- a/packages/radishstack/src/radishstack/process/roster.py
+++ b/packages/radishstack/src/radishstack/process/roster.py
@@ -29,6 +29,9 @@
 # What is left of the longest pause of a target's streams with each event that
 # comes sooner: a pause counts for some fifty events, a second or two.
 PAUSE_KEPT = 0.98
+# Births of former starts that are remembered for one name: old news is some
+# seconds old, in which a target restarts a few times at most.
+MAX_FORMER = 8
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -42,8 +45,7 @@
         failure_domain: Where it runs.
         leaving: Whether it said that it leaves.
         slot_count: Requests it runs at once.
-        listed_at: Revision of the list at which it was entered; of two
-            targets at one address, the later one runs.
+        listed_at: Revision of the list at which it was entered.
         changed_at: Revision of the list at which it last changed.
         born_ms: Birth of this start of it, 0 where it told none.
         residents: Versions of what it held, by adapter.
@@ -112,12 +114,17 @@
         health: What was seen here.
         lapses_at_ms: When it is given up since the list lost it, 0 if not.
         gone: Whether it was seen to have ended.
+        began_at: Revision of the list at which this start was first seen; of
+            two targets at one address, the later one runs.
+        former: Births of its former starts.
     """
 
     listing: Listing
     health: Health
     lapses_at_ms: int = 0
     gone: bool = False
+    began_at: int = 0
+    former: tuple[int, ...] = ()
 
 
 class Roster:
@@ -183,26 +190,83 @@
             and not written_since
         )
 
-    def upsert(self, listing: Listing) -> None:
-        """Takes one entry of the list, unless a later state of it is known."""
+    def upsert(self, listing: Listing) -> Member | None:
+        """Takes one entry of the list, unless a later state of it is known.
+
+        Returns:
+            The member, if a start begins with it that was not known.
+        """
         member = self.members.get(listing.instance)
-        if member is not None:
-            if listing.changed_at < member.listing.changed_at:
-                return
-            member.listing = listing
-            member.lapses_at_ms = 0
-            return
-        member = Member(listing, Health())
+        if member is None:
+            return self._begin(listing, listing.listed_at)
+        known = member.listing
+        older = listing.changed_at < known.changed_at
+        if older or listing.born_ms in member.former:
+            return None
+        if listing.start.is_other(known.start):
+            return self._begin(listing, listing.changed_at)
+        born_ms = listing.born_ms or known.born_ms
+        member.listing = dataclasses.replace(listing, born_ms=born_ms)
+        member.lapses_at_ms = 0
+        if (listing.service, listing.address) != (known.service, known.address):
+            self._index()
+            self._claim_address(member)
+        return None
+
+    def _begin(self, listing: Listing, began_at: int) -> Member:
+        """Replaces what is known of a name, with all that was seen of it."""
+        before = self.members.get(listing.instance)
+        former: tuple[int, ...] = ()
+        if before is not None:
+            former = (*before.former, before.listing.born_ms)[-MAX_FORMER:]
+        member = Member(listing, Health(), began_at=began_at, former=former)
         self.members[listing.instance] = member
         self._index()
+        self._claim_address(member)
+        return member
+
+    def _claim_address(self, member: Member) -> None:
         # A target that restarted is listed beside its former start until
         # that entry expires; sent there, requests would only be refused.
+        address = member.listing.address
         for other in self.members.values():
-            if other is member or other.listing.address != listing.address:
+            if other is member or other.listing.address != address:
                 continue
-            older = min(other, member, key=lambda one: one.listing.listed_at)
+            older = min(other, member, key=lambda one: one.began_at)
             older.gone = True
 
+    def restarted(
+        self, start: incarnation.Start, former_born_ms: int
+    ) -> Member | None:
+        """Takes that one start of a target was seen to follow another.
+
+        The process beside an engine sees that before the list tells it. Only
+        the start that follows the known one counts: a word that waited for
+        seconds tells of one that may itself be over.
+
+        Args:
+            start: The start that runs.
+            former_born_ms: Birth of the one before it, 0 if none was seen.
+
+        Returns:
+            The member of the new start, None if nothing follows from it.
+        """
+        member = self.members.get(start.name)
+        if member is None or not former_born_ms:
+            return None
+        if former_born_ms != member.listing.born_ms:
+            return None
+        if start.born_ms in (0, former_born_ms, *member.former):
+            return None
+        listing = dataclasses.replace(
+            member.listing, born_ms=start.born_ms, residents={}
+        )
+        return self._begin(listing, member.began_at)
+
+    def is_current(self, member: Member) -> bool:
+        """Whether a member stands for the start that is known to run."""
+        return self.members.get(member.listing.instance) is member
+
     def remove(self, instance: str, now_ms: int) -> bool:
         """Takes that the list lost an entry.
 
