Objects of the store are checked before they are used

Cause: fields were read without a look at their types, an entry that turned unreadable left in force what it said before, and one nameless object broke the reader off again and again. Change: each kind is validated with pydantic, as settings are; what fails names no target, and what its entry said before goes; a service that no configuration names is passed over until one does; nameless objects and bytes that are no text spoil only themselves. One line per object and revision (object_refused), a counter.

--- a/packages/radishd/src/radishd/gateway.py
+++ b/packages/radishd/src/radishd/gateway.py
@@ -123,6 +123,7 @@
             self.placement,
             self.holder,
             log,
+            metrics,
             leaving_ms=self.own.leaving_ms,
             on_listed=self._start_known,
             on_news=self.tell_news,
--- a/packages/radishd/src/radishd/platform/store.py
+++ b/packages/radishd/src/radishd/platform/store.py
@@ -47,10 +47,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Batch:
-    """Objects, and the store's revision that they are as of."""
+    """Objects, and the store's revision that they are as of.
+
+    Attributes:
+        records: The objects.
+        revision: The store's revision.
+        nameless_count: Objects that bear no name or revision of the store;
+            the others hold all the same.
+    """
 
     records: tuple[Record, ...]
     revision: int
+    nameless_count: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -84,6 +92,7 @@
     async def list(self, kind: str) -> result.Outcome[Batch]:
         """Reads all objects of a kind, page by page."""
         records: list[Record] = []
+        nameless_count = 0
         after = ""
         for _ in range(MAX_PAGES):
             query = f"?after={after}" if after else ""
@@ -92,12 +101,19 @@
                 return body
             if isinstance(body, Expired):
                 return result.Failure(result.STORE_CORRUPT, f"list of {kind}")
-            page = [_record(raw) for raw in body.get("items") or ()]
+            read = [_record(raw) for raw in _entries(body, "items")]
+            page = [record for record in read if record is not None]
+            nameless_count += len(read) - len(page)
             records.extend(page)
             if not body.get("hasMore") or not page:
-                return Batch(tuple(records), int(body["at"]))
+                at = body.get("at")
+                if not isinstance(at, int):
+                    break
+                return Batch(tuple(records), at, nameless_count)
             after = page[-1].name
-        return result.Failure(result.STORE_CORRUPT, f"{kind}: endless pages")
+        return result.Failure(
+            result.STORE_CORRUPT, f"{kind}: no end, or no revision"
+        )
 
     async def watch(
         self, kind: str, revision: int, wait_ms: int
@@ -118,13 +134,12 @@
         )
         if isinstance(body, result.Failure | Expired):
             return body
-        records = []
-        for event in body.get("events") or ():
-            record = _record(event["object"])
-            if event.get("deleted"):
-                record = dataclasses.replace(record, deleted=True)
-            records.append(record)
-        return Batch(tuple(records), int(body.get("at", revision)))
+        read = [_change(raw) for raw in _entries(body, "events")]
+        records = tuple(record for record in read if record is not None)
+        at = body.get("at")
+        if not isinstance(at, int):
+            at = revision
+        return Batch(records, at, len(read) - len(records))
 
     async def _get(
         self, kind: str, query: str, timeout_ms: int, late_ms: int = LATE_MS
@@ -183,18 +198,47 @@
             return result.Failure(
                 result.STORE_UNAVAILABLE, f"status {answer.head.status}"
             )
-        try:
-            return json.loads(answer.body)
-        except ValueError as error:
-            return result.Failure(result.STORE_CORRUPT, repr(error))
+        return _body(answer.body)
 
     def drop_connections(self) -> None:
         """Trusts no kept connection, as after this process stood still."""
         self._pool.drop_all()
 
 
-def _record(raw: Any) -> Record:
-    metadata = raw["metadata"]
-    created = int(metadata.get("created") or 0)
-    revision = int(metadata.get("revision") or 0)
-    return Record(metadata["name"], raw.get("spec"), created, revision)
+def _body(data: bytes) -> result.Outcome[dict[str, Any]]:
+    """Decodes an answer; bytes that are no text spoil only their own field."""
+    try:
+        body = json.loads(data.decode("utf-8", "replace"), strict=False)
+    except (ValueError, RecursionError) as error:
+        return result.Failure(result.STORE_CORRUPT, repr(error))
+    if not isinstance(body, dict):
+        return result.Failure(result.STORE_CORRUPT, "not an object")
+    return body
+
+
+def _entries(body: dict[str, Any], field: str) -> list[Any]:
+    entries = body.get(field)
+    return entries if isinstance(entries, list) else []
+
+
+def _record(raw: Any) -> Record | None:
+    """Decodes an object, None if it bears no name or revision of the store."""
+    try:
+        metadata = raw["metadata"]
+        name = metadata["name"]
+        created = int(metadata.get("created") or 0)
+        revision = int(metadata.get("revision") or 0)
+    except (KeyError, TypeError, ValueError, AttributeError):
+        return None
+    if not isinstance(name, str):
+        return None
+    return Record(name, raw.get("spec"), created, revision)
+
+
+def _change(raw: Any) -> Record | None:
+    if not isinstance(raw, dict):
+        return None
+    record = _record(raw.get("object"))
+    if record is None or not raw.get("deleted"):
+        return record
+    return dataclasses.replace(record, deleted=True)
--- a/packages/radishd/src/radishd/platform/wire.py
+++ b/packages/radishd/src/radishd/platform/wire.py
@@ -2,8 +2,11 @@
 
 from collections.abc import Mapping
 import json
+from typing import Annotated
 from typing import Any
+from typing import Literal
 
+import pydantic
 from radishstack import result
 from radishstack.process import adapter_keeper
 from radishstack.process import roster
@@ -26,6 +29,53 @@
 
 Fields = Mapping[str, Any]
 
+_Text = Annotated[str, pydantic.Field(min_length=1, pattern=r"^[!-~]+$")]
+_Count = Annotated[int, pydantic.Field(ge=0)]
+_Time = Annotated[float, pydantic.Field(ge=0)]
+_Address = Annotated[
+    str, pydantic.Field(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")
+]
+
+
+class _Checked(pydantic.BaseModel):
+    """An object that anybody may have written: each field is checked.
+
+    Sent to what such an entry names, requests would go where nobody answers
+    for them. Fields that are not known here pass; writers may be newer.
+    """
+
+    model_config = pydantic.ConfigDict(
+        strict=True, extra="ignore", frozen=True, defer_build=True
+    )
+
+
+class _Model(_Checked):
+    name: _Text
+    version: _Count = 0
+    adapters: list[_Text] = []
+
+
+class _Target(_Checked):
+    service: _Text
+    address: _Address
+    zone: _Text
+    version: _Text
+    slots: Annotated[int, pydantic.Field(ge=1)]
+    state: Literal["ready", "draining"]
+    coldRemainingMs: _Time  # noqa: N815
+    sequence: _Count
+    # Told only by a target that leaves at short notice.
+    remainingMs: _Time | None = None  # noqa: N815
+    # Unix milliseconds by the target's own clock.
+    born: int = 0
+    models: list[_Model] = []
+
+
+class _Version(_Checked):
+    model: _Text
+    adapter: Annotated[str, pydantic.Field(pattern=r"^[!-~]*$")] = ""
+    version: _Count
+
 
 def configuration(spec: Fields) -> result.Outcome[route_table.RouteTable]:
     """Decodes the operator's configuration.
@@ -128,21 +178,32 @@
         The target, or what could not be read.
     """
     try:
-        return roster.Listing(
-            instance=name,
-            service=spec["service"],
-            address=spec["address"],
-            failure_domain=spec.get("zone", ""),
-            # A target that leaves at short notice also says in how long.
-            leaving=spec.get("state") == _DRAINING or "remainingMs" in spec,
-            slot_count=int(spec.get("slots") or 1),
-            listed_at=created,
-            changed_at=revision,
-            born_ms=_born_ms(spec),
-            residents=_residents(spec.get("models") or ()),
+        entry = _Target.model_validate(spec)
+        residents = _residents(spec.get("models") or ())
+    except (TypeError, ValueError, AttributeError) as error:
+        return _unreadable(f"target {name}", error)
+    return roster.Listing(
+        instance=name,
+        service=entry.service,
+        address=entry.address,
+        failure_domain=entry.zone,
+        leaving=entry.state == _DRAINING or entry.remainingMs is not None,
+        slot_count=entry.slots,
+        listed_at=created,
+        changed_at=revision,
+        born_ms=entry.born,
+        residents=residents,
+    )
+
+
+def _unreadable(what: str, error: Exception) -> result.Failure:
+    reason = repr(error)
+    if isinstance(error, pydantic.ValidationError):
+        reason = "; ".join(
+            f"{'.'.join(map(str, one['loc']))}: {one['msg']}"
+            for one in error.errors(include_url=False, include_input=False)
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        return result.Failure(result.STORE_CORRUPT, f"target {name}: {error!r}")
+    return result.Failure(result.STORE_CORRUPT, f"{what}: {reason}")
 
 
 def _born_ms(raw: Fields) -> int:
@@ -171,12 +232,11 @@
         The adapter, or the base model where none is named, and its version.
     """
     try:
-        name = spec["model"]
-        if spec.get("adapter"):
-            name = f"{name}/{spec['adapter']}"
-        return adapter_keeper.Want(name, int(spec["version"]))
-    except (KeyError, TypeError, ValueError) as error:
-        return result.Failure(result.STORE_CORRUPT, f"version: {error!r}")
+        entry = _Version.model_validate(spec)
+    except ValueError as error:
+        return _unreadable("version", error)
+    name = f"{entry.model}/{entry.adapter}" if entry.adapter else entry.model
+    return adapter_keeper.Want(name, entry.version)
 
 
 def report(body: bytes) -> result.Outcome[adapter_keeper.Report]:
--- a/packages/radishd/src/radishd/process/knowledge.py
+++ b/packages/radishd/src/radishd/process/knowledge.py
@@ -23,6 +23,7 @@
 from radishd.process import clock
 from radishd.process import decision_log
 from radishd.process import follow
+from radishd.process import metrics as metrics_lib
 
 MS_PER_S = 1_000
 # A watch of the targets is renewed this often, so that a store that went
@@ -40,6 +41,10 @@
 # call's own retry comes about as soon, and renewals that fail again would
 # make each other's.
 HANGING_AFTER_MS = 500
+# Objects that could not be used of which the state is remembered, so that each
+# is logged once; and how much of the reason a line holds.
+MAX_REFUSED = 1_024
+MAX_REASON_CHARS = 400
 # Versions of the configuration of which operators are told what changed, and
 # differences of one version that a line of the log names.
 MAX_CHANGES = 32
@@ -65,6 +70,7 @@
         placement: placement_lib.Placement,
         holder: route_table.TableHolder,
         log: decision_log.DecisionLog,
+        metrics: metrics_lib.Metrics,
         *,
         leaving_ms: int,
         on_listed: Callable[[roster_lib.Member], None],
@@ -80,6 +86,7 @@
             placement: Takes announced versions.
             holder: Takes configurations.
             log: Where what is learned is logged.
+            metrics: Where objects that cannot be used are counted.
             leaving_ms: How soon a target that leaves gets no more work.
             on_listed: Told of a start of a target that was not known.
             on_news: Told that something has changed.
@@ -91,6 +98,7 @@
         self._placement = placement
         self._holder = holder
         self._log = log
+        self._metrics = metrics
         self._leaving_ms = leaving_ms
         self._on_listed = on_listed
         self._on_news = on_news
@@ -108,8 +116,16 @@
         self.known: dict[str, dict[str, store_lib.Record]] = {
             kind: {} for kind in self.followers
         }
+        self._refused: dict[tuple[str, str], int] = {}
         self.told_revisions = dict.fromkeys(self.followers, 0)
 
+    def note_nameless(self, kind: str, count: int) -> None:
+        """Takes that objects were passed over that bear no name."""
+        for _ in range(count):
+            self._metrics.unreadable.inc({"kind": kind})
+        if count:
+            self._log.write("objects_nameless", kind=kind, count=count)
+
     def tell_news(self) -> None:
         """Tells that something has changed."""
         self._on_news()
@@ -178,7 +194,7 @@
             return
         table = wire.configuration(record.spec)
         if isinstance(table, result.Failure):
-            self._log.must("configuration_unreadable", reason=table.message)
+            self._refuse(wire.KIND_CONFIGURATION, record, table.message)
             return
         before = self._holder.table
         if not self._holder.offer(table):
@@ -201,6 +217,34 @@
             changes=change.details[:MAX_LOGGED_CHANGES],
         )
         self._on_limits(table.limits)
+        if before.services.keys() != table.services.keys():
+            # Targets of a service that was not named before, or is no more.
+            for target in list(self.known[wire.KIND_TARGETS].values()):
+                self._take_target(target)
+
+    def _refuse(self, kind: str, record: store_lib.Record, reason: str) -> None:
+        """Takes that an object cannot be used; logs each state of it once."""
+        key = (kind, record.name)
+        if self._refused.get(key) == record.revision:
+            return
+        if len(self._refused) >= MAX_REFUSED:
+            self._refused.clear()
+        self._refused[key] = record.revision
+        self._metrics.unreadable.inc({"kind": kind})
+        self._log.must(
+            "object_refused",
+            kind=kind,
+            object=record.name,
+            revision=record.revision,
+            reason=reason[:MAX_REASON_CHARS],
+        )
+
+    def _refuse_target(self, record: store_lib.Record, reason: str) -> None:
+        self._refuse(wire.KIND_TARGETS, record, reason)
+        # What it said before is not true any more, and what it says now names
+        # nothing that a request could be sent to.
+        if self._roster.drop(record.name):
+            self._log.write("target_dropped", target=record.name)
 
     def _take_target(self, record: store_lib.Record) -> None:
         if record.deleted:
@@ -210,7 +254,13 @@
             record.name, record.spec, record.created, record.revision
         )
         if isinstance(listing, result.Failure):
-            self._log.must("target_unreadable", reason=listing.message)
+            self._refuse_target(record, listing.message)
+            return
+        table = self._holder.table
+        if table.version and listing.service not in table.services:
+            # Taken for a target it would count as the later one at its
+            # address, and whichever runs there would get no more work.
+            self._refuse_target(record, f"no service {listing.service!r}")
             return
         known = self._roster.members.get(record.name)
         lapsed = known is not None and bool(known.lapses_at_ms)
@@ -256,7 +306,7 @@
             return
         want = wire.announced(record.spec)
         if isinstance(want, result.Failure):
-            self._log.must("version_unreadable", reason=want.message)
+            self._refuse(wire.KIND_VERSIONS, record, want.message)
             return
         now_ms = clock.boot_ms()
         taken = self._placement.announce(want.adapter, want.version, now_ms)
@@ -367,6 +417,7 @@
 
     def whole(self, batch: store_lib.Batch) -> None:
         """Takes all objects."""
+        self._knowledge.note_nameless(self._kind, batch.nameless_count)
         known = {record.name: record for record in batch.records}
         missing = [
             name
@@ -382,6 +433,7 @@
 
     def changes(self, batch: store_lib.Batch) -> None:
         """Takes changed objects."""
+        self._knowledge.note_nameless(self._kind, batch.nameless_count)
         known = self._knowledge.known[self._kind]
         for record in batch.records:
             if record.deleted:
--- a/packages/radishd/src/radishd/process/metrics.py
+++ b/packages/radishd/src/radishd/process/metrics.py
@@ -61,6 +61,10 @@
         self.store_calls = counter(
             "store_calls_total", "Calls of the object API by outcome"
         )
+        self.unreadable = counter(
+            "unreadable_objects_total",
+            "Objects of the store that could not be used, by kind",
+        )
         self.control_bytes = counter(
             "control_bytes_total", "Bytes of probes and digests by direction"
         )
--- a/packages/radishstack/src/radishstack/process/roster.py
+++ b/packages/radishstack/src/radishstack/process/roster.py
@@ -267,6 +267,13 @@
         """Whether a member stands for the start that is known to run."""
         return self.members.get(member.listing.instance) is member
 
+    def drop(self, instance: str) -> bool:
+        """Forgets a target at once; returns whether it was known."""
+        if self.members.pop(instance, None) is None:
+            return False
+        self._index()
+        return True
+
     def remove(self, instance: str, now_ms: int) -> bool:
         """Takes that the list lost an entry.
 
@@ -279,9 +286,7 @@
         if self._may_have_lapsed(member.listing, now_ms):
             member.lapses_at_ms = self._grace_end_ms
             return False
-        del self.members[instance]
-        self._index()
-        return True
+        return self.drop(instance)
 
     def replace_all(
         self, listings: Iterable[Listing], now_ms: int
