Only what is proven to be over is passed over later

Cause: a start that the process beside a target had told, and the list had not, was counted as over when the list told another one; that may be the entry which the start before it wrote late, and then the running one got no work for good. Change: a birth is remembered as over only if the list told it and then a later one, or if the process saw another follow it.

Ruled out: remembering none (a write of a former start that lands late would bring it back). The unit test was red.

--- a/packages/radishd/src/radishd/process/knowledge.py
+++ b/packages/radishd/src/radishd/process/knowledge.py
@@ -278,12 +278,12 @@
         begun = self._roster.upsert(listing)
         if begun is None:
             return
-        if begun.former:
+        if known is not None:
             self._log.must(
                 "target_restarted",
                 target=record.name,
                 born_ms=listing.born_ms,
-                former_born_ms=begun.former[-1],
+                former_born_ms=known.listing.born_ms,
                 told_by="list",
             )
         self._on_listed(begun)
--- a/packages/radishstack/src/radishstack/process/roster.py
+++ b/packages/radishstack/src/radishstack/process/roster.py
@@ -116,7 +116,8 @@
         gone: Whether it was seen to have ended.
         began_at: Revision of the list at which this start was first seen; of
             two targets at one address, the later one runs.
-        former: Births of its former starts.
+        former: Births of starts of it that are proven to be over.
+        listed: Whether the list told this start.
     """
 
     listing: Listing
@@ -125,6 +126,7 @@
     gone: bool = False
     began_at: int = 0
     former: tuple[int, ...] = ()
+    listed: bool = True
 
 
 class Roster:
@@ -204,21 +206,26 @@
         if older or listing.born_ms in member.former:
             return None
         if listing.start.is_other(known.start):
-            return self._begin(listing, listing.changed_at)
+            # A start that only the process beside it told may be the later
+            # one: counted as over, it would stay so when the list tells it.
+            ended = (known.born_ms,) if member.listed else ()
+            return self._begin(listing, listing.changed_at, ended)
         born_ms = listing.born_ms or known.born_ms
         member.listing = dataclasses.replace(listing, born_ms=born_ms)
         member.lapses_at_ms = 0
+        member.listed = True
         if (listing.service, listing.address) != (known.service, known.address):
             self._index()
             self._claim_address(member)
         return None
 
-    def _begin(self, listing: Listing, began_at: int) -> Member:
+    def _begin(
+        self, listing: Listing, began_at: int, ended: tuple[int, ...] = ()
+    ) -> Member:
         """Replaces what is known of a name, with all that was seen of it."""
         before = self.members.get(listing.instance)
-        former: tuple[int, ...] = ()
-        if before is not None:
-            former = (*before.former, before.listing.born_ms)[-MAX_FORMER:]
+        known = before.former if before is not None else ()
+        former = (*known, *ended)[-MAX_FORMER:]
         member = Member(listing, Health(), began_at=began_at, former=former)
         self.members[listing.instance] = member
         self._index()
@@ -261,7 +268,9 @@
         listing = dataclasses.replace(
             member.listing, born_ms=start.born_ms, residents={}
         )
-        return self._begin(listing, member.began_at)
+        renewed = self._begin(listing, member.began_at, (former_born_ms,))
+        renewed.listed = False
+        return renewed
 
     def is_current(self, member: Member) -> bool:
         """Whether a member stands for the start that is known to run."""
--- a/tests/stack/test_proofs.py
+++ b/tests/stack/test_proofs.py
@@ -22,9 +22,7 @@
 
 def test_nothing_of_a_former_start_is_believed() -> None:
     """Restarts under one name; entries, words and reports in any order."""
-    # The second seed once showed a start that was taken for over by the late
-    # entry of the one before it, and whose own entry was then passed over.
-    for seed in (1, 210):
+    for seed in (1, 2, 8, 9, 210):
         runner.run(starts.StartsMachine, seed=seed, examples=100, steps=60)
     assert starts.COUNTS["fault restart"] > 100
     assert starts.COUNTS["fault late write"] > 20
