--- a/tests/fleet/test_starts.py
+++ b/tests/fleet/test_starts.py
@@ -165,6 +165,26 @@
     assert order.accepted_count == 1
 
 
+def test_uses_of_a_former_start_keep_no_place() -> None:
+    """A load waits two seconds for the place of an adapter that nobody uses.
+
+    The engine restarts while requests run there. They ended with it, but
+    counted as in flight until the words that told them had grown old.
+    """
+    keeper = adapter_keeper.Keeper()
+    use = adapter_keeper.Use(ADAPTER, 3, 3)
+    keeper.hear(
+        adapter_keeper.Demand("g", NAME, 4, ("base7",), (use,), (), {}), 0
+    )
+    report = adapter_keeper.Report(
+        7, {"base7": 1, ADAPTER: 1}, {}, False, 3, 0, born_ms=5_000
+    )
+    keeper.observe(report)
+    assert keeper.in_flight(ADAPTER, 1) == 3
+    keeper.observe(dataclasses.replace(report, born_ms=9_000))
+    assert keeper.in_flight(ADAPTER, 1) == 0
+
+
 def test_late_evidence_on_a_former_start_does_not_hurt_the_new_one() -> None:
     """A target that has just restarted is passed over.
 
