--- a/tests/fleet/test_store_outage.py
+++ b/tests/fleet/test_store_outage.py
@@ -231,3 +231,33 @@
             assert _usable(gateway) == set(specs)
 
     fixtures.run(play)
+
+
+def test_a_gateway_that_starts_in_an_outage_keeps_what_it_was_told() -> None:
+    """A gateway that was replaced in an outage refuses everything after it.
+
+    It has never read the list and uses the targets that a peer told. The store
+    comes back, their entries have lapsed, and as the gateway had read no
+    revision before, all of them passed for written since.
+    """
+
+    async def play() -> None:
+        async with fixtures.running_fleet(engines=0, plain=2) as fleet:
+            specs = _specs(fleet)
+            road = await fleet.add_store_road()
+            road.refuses = True
+            await _lose_store(fleet, fleet.gateway)
+            second = await fleet.add_gateway(
+                seeds=(fleet.gateway.own.peers,), store_host=fleet.store_road
+            )
+            await fleet.until(
+                lambda: _usable(second) == set(specs), "a peer has told them"
+            )
+            for name in specs:
+                fleet.store.delete(TARGETS, name)
+            fleet.store.faults.refuses = False
+            road.refuses = False
+            await _has_read_all(fleet, second)
+            assert _usable(second) == set(specs)
+
+    fixtures.run(play)
