What is known when the store is back was written before, whoever told it

Cause: an absence was doubted by the revision that this gateway had read; one that started in the outage had read none and dropped all targets that a peer had told once their entries were missing. Change: the revision is that of the newest entry known when the store answers again. Besides: births are checked for their size, refused objects are logged within the rate, a watch that ends while a new list is asked for is passed over with a word why.

--- a/packages/radishd/src/radishd/platform/wire.py
+++ b/packages/radishd/src/radishd/platform/wire.py
@@ -32,6 +32,8 @@
 _Text = Annotated[str, pydantic.Field(min_length=1, pattern=r"^[!-~]+$")]
 _Count = Annotated[int, pydantic.Field(ge=0)]
 _Time = Annotated[float, pydantic.Field(ge=0)]
+# Clocks may be wrong, but a birth has to fit where it is passed on.
+_Birth = Annotated[int, pydantic.Field(ge=0, lt=2**63)]
 _Address = Annotated[
     str, pydantic.Field(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")
 ]
@@ -67,10 +69,13 @@
     # Told only by a target that leaves at short notice.
     remainingMs: _Time | None = None  # noqa: N815
     # Unix milliseconds by the target's own clock.
-    born: int = 0
+    born: _Birth = 0
     models: list[_Model] = []
 
 
+_BIRTH = pydantic.TypeAdapter(_Birth)
+
+
 class _Version(_Checked):
     model: _Text
     adapter: Annotated[str, pydantic.Field(pattern=r"^[!-~]*$")] = ""
@@ -208,10 +213,7 @@
 
 def _born_ms(raw: Fields) -> int:
     """Returns when this start of a target began by its own clock, or 0."""
-    born_ms = raw.get("born", 0)
-    if isinstance(born_ms, bool) or not isinstance(born_ms, int):
-        raise TypeError(f"birth {born_ms!r}")
-    return born_ms
+    return _BIRTH.validate_python(raw.get("born", 0), strict=True)
 
 
 def _residents(models: Any) -> dict[str, int]:
--- a/packages/radishd/src/radishd/process/follow.py
+++ b/packages/radishd/src/radishd/process/follow.py
@@ -123,6 +123,7 @@
                 )
         finally:
             self._asks_briefly = False
+        # A watch that ends while a new list is asked for is not trusted.
         if lists or self.revision:
             await self._take(answer, listed=lists)
 
--- a/packages/radishd/src/radishd/process/knowledge.py
+++ b/packages/radishd/src/radishd/process/knowledge.py
@@ -169,18 +169,15 @@
         Counted from the first answer on the targets, which may come seconds
         after the store's return, doubt would hide those that leave meanwhile.
         """
-        revision = self.followers[wire.KIND_TARGETS].read_revision
         doubted = self._roster.outage_ended(
-            clock.boot_ms(),
-            away_ms=absence.away_ms,
-            read_revision=revision,
+            clock.boot_ms(), away_ms=absence.away_ms
         )
         self._log.must(
             "store_outage_ended",
             kind=kind,
             away_ms=absence.away_ms,
             failed=absence.failed,
-            read_revision=revision,
+            read_revision=self._seen_revision(wire.KIND_TARGETS),
             may_have_lapsed=doubted,
         )
         if not absence.failed or absence.away_ms < HANGING_AFTER_MS:
@@ -231,7 +228,7 @@
             self._refused.clear()
         self._refused[key] = record.revision
         self._metrics.unreadable.inc({"kind": kind})
-        self._log.must(
+        self._log.write(
             "object_refused",
             kind=kind,
             object=record.name,
@@ -347,13 +344,15 @@
                 store_lib.Record(name, *fields)
                 for name, fields in names.items()
             ]
-            self._take_told(kind, records, told_revision, known.get("fresh"))
+            fresh = bool(known.get("fresh"))
+            self._take_told(kind, records, told_revision, fresh=fresh)
 
     def _take_told(
         self,
         kind: str,
         records: list[store_lib.Record],
         told_revision: int,
+        *,
         fresh: bool,
     ) -> None:
         """Takes what is later than all that was read or told before.
--- a/packages/radishstack/src/radishstack/process/roster.py
+++ b/packages/radishstack/src/radishstack/process/roster.py
@@ -155,9 +155,7 @@
             own.append(member)
         self._by_service = by_service
 
-    def outage_ended(
-        self, now_ms: int, *, away_ms: int, read_revision: int
-    ) -> bool:
+    def outage_ended(self, now_ms: int, *, away_ms: int) -> bool:
         """Notes that the list can be read again.
 
         Entries lapse while the platform cannot renew them; taking their
@@ -166,7 +164,6 @@
         Args:
             now_ms: When it answered again.
             away_ms: How long it may have been away.
-            read_revision: Revision of the list that was read last before.
 
         Returns:
             Whether entries may have lapsed in it.
@@ -174,7 +171,11 @@
         if away_ms < self._outlived_ms:
             return False
         self._grace_end_ms = now_ms + self._lapse_grace_ms
-        self._outage_revision = read_revision
+        # All that is known now was written before, whoever told it.
+        self._outage_revision = max(
+            (member.listing.changed_at for member in self.members.values()),
+            default=0,
+        )
         return True
 
     def is_in_doubt(self, now_ms: int) -> bool:
--- a/tests/fleet/test_placement.py
+++ b/tests/fleet/test_placement.py
@@ -206,7 +206,7 @@
 def test_entries_that_lapse_in_an_outage_are_kept_for_a_moment() -> None:
     """And one that does not come back is then given up."""
     roster = _roster(2)
-    roster.outage_ended(NOW_MS, away_ms=4_000, read_revision=0)
+    roster.outage_ended(NOW_MS, away_ms=4_000)
     assert not roster.remove("i0", NOW_MS + 100)
     assert len(roster.usable("llm", NOW_MS + 200)) == 2
     assert roster.drop_lapsed(NOW_MS + 2_499) == []
