--- a/tests/fleet/test_starts.py
+++ b/tests/fleet/test_starts.py
@@ -185,6 +185,37 @@
     assert keeper.in_flight(ADAPTER, 1) == 0
 
 
+def test_a_name_that_was_refused_once_gets_orders_again() -> None:
+    """An engine that is back under a former name stays empty for good.
+
+    Another engine ran on its VM meanwhile and refused orders to the former
+    name. The process beside it kept that for the name: gateways that name the
+    engine which now runs were not heard.
+    """
+
+    async def play() -> None:
+        async with fixtures.running_fleet(engines=1, plain=0) as fleet:
+            engine = fleet.targets[NAME]
+            (sidecar,) = fleet.sidecars.values()
+            engine.instance = "i-other"
+            engine.restart(engine.born_ms + 1_000)
+            fleet.tasks.start_soon(_call_once, fleet)
+            await fleet.until(
+                lambda: not sidecar.instance, "the other engine refuses"
+            )
+            engine.instance = NAME
+            engine.restart(engine.born_ms + 1_000)
+            await fleet.until(
+                lambda: sidecar.instance == NAME, "it is named again"
+            )
+
+    fixtures.run(play)
+
+
+async def _call_once(fleet: fixtures.Fleet) -> None:
+    await fleet.call("/chat/x", adapter="a1")
+
+
 def test_late_evidence_on_a_former_start_does_not_hurt_the_new_one() -> None:
     """A target that has just restarted is passed over.
 
