A refusal of a former start is forgotten when another start reports

Cause: the process beside an engine kept names that were refused for good; a target may start again under one. Change: with a new birth in the report they are forgotten; one that is still over is refused once more. Roster.replace_all, which nothing called, goes.

--- a/packages/radishd/src/radishd/sidecar.py
+++ b/packages/radishd/src/radishd/sidecar.py
@@ -154,6 +154,7 @@
         former_born_ms = self.keeper.observe(report)
         if former_born_ms:
             self.former_born_ms = former_born_ms
+            self.incarnations.restarted()
             self.log.must(
                 "engine_restarted",
                 instance=self.instance,
--- a/packages/radishstack/src/radishstack/process/incarnation.py
+++ b/packages/radishstack/src/radishstack/process/incarnation.py
@@ -56,3 +56,12 @@
         """Takes the engine's word that the current start is over."""
         self._ended.add(self.current)
         self.current = ""
+
+    def restarted(self) -> None:
+        """Takes that another start of the engine runs than the one before.
+
+        It may be one of a name that was over: kept, that refusal would leave
+        the engine without orders for good. A name that is still over is
+        refused once more.
+        """
+        self._ended.clear()
--- a/packages/radishstack/src/radishstack/process/roster.py
+++ b/packages/radishstack/src/radishstack/process/roster.py
@@ -5,7 +5,6 @@
 connections, answers that failed) is fresh but local.
 """
 
-from collections.abc import Iterable
 from collections.abc import Mapping
 import dataclasses
 
@@ -298,21 +297,6 @@
             return False
         return self.drop(instance)
 
-    def replace_all(
-        self, listings: Iterable[Listing], now_ms: int
-    ) -> list[str]:
-        """Takes a whole list.
-
-        Returns:
-            Instances that were dropped.
-        """
-        seen = set()
-        for listing in listings:
-            seen.add(listing.instance)
-            self.upsert(listing)
-        missing = [name for name in self.members if name not in seen]
-        return [name for name in missing if self.remove(name, now_ms)]
-
     def drop_lapsed(self, now_ms: int) -> list[str]:
         """Drops entries whose grace has passed."""
         lapsed = [
