--- a/tests/fleet/test_starts.py
+++ b/tests/fleet/test_starts.py
@@ -76,6 +76,21 @@
     assert roster.members["i1"].listing.born_ms == 2_000
 
 
+def test_an_older_state_of_an_entry_changes_nothing() -> None:
+    """A target that leaves gets work again, or a start that is over does.
+
+    A peer tells what it has read, which may be older than what is known here:
+    the same start before it left, or one that was never heard of here.
+    """
+    roster = _roster(changed_at=5, leaving=True)
+    roster.upsert(_listing(changed_at=3))
+    assert _usable(roster) == []
+    roster.upsert(_listing(changed_at=6))
+    assert _usable(roster) == ["i1"]
+    roster.upsert(_listing(changed_at=4, born_ms=1_000))
+    assert roster.members["i1"].listing.born_ms == 5_000
+
+
 def test_a_birth_that_is_not_told_changes_nothing() -> None:
     """What was seen of a target is forgotten with each of its entries.
 
