--- a/tests/operators/test_fleet.py
+++ b/tests/operators/test_fleet.py
@@ -107,3 +107,23 @@
         cli.main, ["--platform", "http://127.0.0.1:1", "fleet", "config"]
     )
     assert run.exit_code == 4, run.output
+
+
+def test_one_bad_entry_hides_no_target_from_operators() -> None:
+    """``fleet status`` and ``fleet config`` end with an error.
+
+    Another writer has entered an object that cannot be read. The first such
+    entry ended the command, just when an operator looks for who wrote it.
+    """
+
+    async def play() -> None:
+        async with fixtures.running_fleet(engines=0, plain=1) as fleet:
+            fleet.store.put("servers", "a-foreign", {"state": "resting"})
+            admin = fleet.gateway.settings.gateway.admin
+            shown = await _radishctl(fleet, "fleet", "status", admin)
+            assert shown.exit_code == 0, shown.output
+            assert "i-plain0" in shown.output
+            assert "a-foreign" in shown.output
+            assert (await _radishctl(fleet, "fleet", "config")).exit_code == 0
+
+    fixtures.run(play)
