--- a/packages/radishctl/src/radishctl/fleet.py
+++ b/packages/radishctl/src/radishctl/fleet.py
@@ -60,7 +60,9 @@
             record.name, record.spec, record.created, record.revision
         )
         if isinstance(target, result.Failure):
-            return target
+            # Ended by it, an operator could not look for who wrote it.
+            click.echo(f"passed over: {target.message}", err=True)
+            continue
         targets.append(target)
     return _Kept(table, tuple(targets))
 
