A full engine is looked at when a place can come free

Cause: while a load waits for a place, the process beside the engine asked it for its report every 15 ms. A place comes free by a gateway's word that the last run of an adapter has ended, or by the 25 ms after it, so most of these reports told nothing; overdue loads were looked for at the same pace.

Change: Keeper.hear tells whether an order may follow from a word (something new is wanted, or a run ended while a load lacks a place); next_look_ms follows the due time of loads, the end of the 25 ms, and backs off where a load is overdue.

Tests: four, three of which fail on the code before (looks every 15 ms).

--- a/bench/replay.py
+++ b/bench/replay.py
@@ -257,10 +257,7 @@
 
     def hear(self, demand: adapter_keeper.Demand) -> None:
         """Takes a gateway's demand."""
-        now_ms = self.fleet.now_ms
-        before = self.keeper.pending(now_ms)
-        self.keeper.hear(demand, now_ms)
-        if self.keeper.pending(now_ms) - before:
+        if self.keeper.hear(demand, self.fleet.now_ms):
             self._round()
 
     def _round(self) -> None:
--- a/packages/radishstack/src/radishstack/process/adapter_keeper.py
+++ b/packages/radishstack/src/radishstack/process/adapter_keeper.py
@@ -49,11 +49,15 @@
 DUE_PART = 0.8
 # The same from its own memory.
 WARM_LOAD_MS = 25
-# How often the engine is asked for its report: while wishes wait for a place,
-# and at the least. In the replay each 10 ms more of the former cost 0.009 of
-# worth under load.
+# How often the engine is asked for its report: where a change is due, and at
+# the least. A place that is waited for comes free when a gateway's word says
+# that a run has ended, so the engine need not be asked for that.
 LOOK_MS = 15
 IDLE_LOOK_MS = 100
+# Part of the time that a load is overdue after which it is looked for again:
+# while the weight store is slow, looks at a steady pace would be the same
+# report over and over.
+OVERDUE_PART = 0.25
 # Half-life of an adapter's count of requests: popularity moves in seconds.
 HALF_LIFE_MS = 10_000
 
@@ -242,6 +246,8 @@
         self._fetch_ms = 0.0
         self._hold_until_ms = 0
         self._born_ms = 0
+        # Whether a load waits for a run to end, as of the last decision.
+        self._lacks_place = False
 
     def restarted(self) -> None:
         """Takes that the engine runs anew, and knows nothing of before."""
@@ -256,8 +262,21 @@
         self.report = None
         self._hold_until_ms = until_ms
 
-    def hear(self, demand: Demand, now_ms: int) -> None:
-        """Takes a gateway's word."""
+    def hear(self, demand: Demand, now_ms: int) -> bool:
+        """Takes a gateway's word.
+
+        Returns:
+            Whether an order may follow from it: something is wanted that was
+            not, or a run has ended while wishes wait for its place.
+        """
+        before = self.pending(now_ms) if demand.wants else frozenset()
+        freed = self._take(demand, now_ms)
+        if demand.wants and self.pending(now_ms) - before:
+            return True
+        return freed and self._lacks_place
+
+    def _take(self, demand: Demand, now_ms: int) -> bool:
+        """Takes a word; returns whether an adapter is used no more."""
         if demand.adapter_limit:
             self.adapter_limit = demand.adapter_limit
             self.base_models = demand.base_models
@@ -271,12 +290,14 @@
             self.last_use_ms[use.adapter] = now_ms
             for _ in range(use.sent):
                 self.popularity.touch(use.adapter, now_ms)
+        _, used = self._in_flight.get(demand.gateway, (now_ms, {}))
         self._in_flight[demand.gateway] = (now_ms, in_flight)
         # What it does not want any more has nobody waiting there: a load for
         # callers that have left would keep a place from those that wait.
         self._wants[demand.gateway] = (now_ms, demand.wants)
         for want in demand.wants:
             self._wanted_since_ms.setdefault(want.adapter, now_ms)
+        return bool(used.keys() - in_flight.keys())
 
     def observe(self, report: Report) -> int:
         """Takes the engine's own report.
@@ -316,14 +337,38 @@
             return LOOK_MS
         if not self.pending(now_ms):
             return IDLE_LOOK_MS
+        look_ms = self._next_load_ms(report, now_ms)
         if any(
             name not in report.in_transit for name in self._open_wants(now_ms)
         ):
+            look_ms = min(look_ms, self._next_place_ms(report, now_ms))
+        return min(max(look_ms, LOOK_MS), IDLE_LOOK_MS)
+
+    def _next_load_ms(self, report: Report, now_ms: int) -> int:
+        """Returns in how long a load is likely to have ended."""
+        look_ms = IDLE_LOOK_MS
+        for name in report.in_transit:
+            left_ms = self._due_ms.get(name, now_ms) - now_ms
+            if left_ms < 0:
+                left_ms = round(-left_ms * OVERDUE_PART)
+            look_ms = min(look_ms, left_ms)
+        return look_ms
+
+    def _next_place_ms(self, report: Report, now_ms: int) -> int:
+        """Returns in how long the next load can be ordered."""
+        if not self._lacks_place:
             return LOOK_MS
-        due_ms = min(
-            self._due_ms.get(name, now_ms) for name in report.in_transit
+        if len(report.in_transit) >= MAX_IN_TRANSIT:
+            return IDLE_LOOK_MS
+        idle_ms = [
+            self.last_use_ms.get(name, 0) + IDLE_MS - now_ms
+            for name in report.residents
+            if not is_base(name) and not self.in_flight(name, now_ms)
+        ]
+        return min(
+            (left_ms for left_ms in idle_ms if left_ms > 0),
+            default=IDLE_LOOK_MS,
         )
-        return min(max(due_ms - now_ms, LOOK_MS), IDLE_LOOK_MS)
 
     def in_flight(self, adapter: str, now_ms: int) -> int:
         """Returns how many requests gateways have on an adapter."""
@@ -444,6 +489,7 @@
             The order, or None if none helps now.
         """
         self._note_fetched(now_ms)
+        self._lacks_place = False
         order = self._decide(now_ms)
         if order is None or order.operation is Operation.UNLOAD:
             return order
@@ -506,12 +552,14 @@
         self, report: Report, adapter: str, now_ms: int
     ) -> Order | None:
         if len(report.in_transit) >= MAX_IN_TRANSIT:
+            self._lacks_place = True
             return None
         if self._occupied(report) < self.adapter_limit:
             version = self.announced.get(adapter, 0)
             return self._order(Operation.LOAD, adapter, version, now_ms)
         victim = self._victim(report, now_ms)
         if victim is None:
+            self._lacks_place = True
             return None
         return self._order(Operation.UNLOAD, victim, 0, now_ms)
 
--- a/tests/fleet/test_keeper.py
+++ b/tests/fleet/test_keeper.py
@@ -105,6 +105,68 @@
     assert keeper.decide(1_400) is not None
 
 
+def test_a_full_engine_is_not_asked_all_the_while() -> None:
+    """Symptom: a process beside a full engine takes 5 % of a core.
+
+    Sequence: all places are in use and another adapter is wanted. Cause: the
+    engine was asked 66 times a second whether a place is free, though a place
+    comes free by a gateway's word that its last run has ended.
+    """
+    keeper = adapter_keeper.Keeper()
+    uses = tuple(adapter_keeper.Use(name, 1, 1) for name in _full())
+    keeper.hear(_demand("base/new", uses=uses), 1_000)
+    keeper.observe(_report(_full()))
+    assert keeper.decide(1_500) is None
+    assert keeper.next_look_ms(1_500) == adapter_keeper.IDLE_LOOK_MS
+
+
+def test_the_end_of_a_run_is_news_where_a_place_is_waited_for() -> None:
+    """The word that a run has ended has its place taken at once."""
+    keeper = adapter_keeper.Keeper()
+    uses = tuple(adapter_keeper.Use(name, 1, 1) for name in _full())
+    assert keeper.hear(_demand("base/new", uses=uses), 1_000) is False
+    keeper.observe(_report(_full()))
+    assert keeper.decide(1_500) is None
+    ended = (adapter_keeper.Use("base/a0", 0, 1), *uses[1:])
+    assert keeper.hear(_demand("base/new", uses=ended), 1_510)
+    assert keeper.decide(1_511) is None
+    left_ms = adapter_keeper.IDLE_MS - 1
+    assert keeper.next_look_ms(1_511) == left_ms
+    order = keeper.decide(1_511 + left_ms)
+    assert order.operation is Operation.UNLOAD and order.adapter == "base/a0"
+
+
+def test_the_end_of_a_run_is_no_news_where_nothing_waits() -> None:
+    """A look for every run that ends would cost as much as a steady pace."""
+    keeper = adapter_keeper.Keeper()
+    uses = tuple(adapter_keeper.Use(name, 1, 1) for name in _full())
+    keeper.hear(_demand(uses=uses), 1_000)
+    keeper.observe(_report(_full()))
+    assert keeper.decide(1_500) is None
+    assert not keeper.hear(_demand(uses=uses[1:]), 1_510)
+
+
+def test_an_overdue_load_is_looked_for_at_a_growing_pace() -> None:
+    """Symptom: looks at engines double while the weight store is slow.
+
+    Sequence: a load that takes a quarter of a second takes a whole one.
+    Cause: once overdue it was looked for every 15 ms.
+    """
+    keeper = adapter_keeper.Keeper()
+    keeper.hear(_demand("base/a1"), 1_000)
+    keeper.observe(_report({}))
+    keeper.settled(keeper.decide(1_000), 1_000, refused=False)
+    looks = []
+    now_ms = 1_000
+    while now_ms < 2_000:
+        keeper.observe(_report({}, {"base/a1": 0}, accepted=1))
+        keeper.hear(_demand("base/a1"), now_ms)
+        keeper.decide(now_ms)
+        now_ms += keeper.next_look_ms(now_ms)
+        looks.append(now_ms)
+    assert len(looks) < 25, looks
+
+
 def test_an_empty_engine_gets_its_base_model_first() -> None:
     """Adapters need it; the engine refuses them without."""
     keeper = adapter_keeper.Keeper()
