A request takes a narrow port of its gateway, and no new circle of imports

Cause: request/forward named the whole Gateway class for type checkers, so the two modules (596 and 680 lines) could only be read together; one of three circles.

Change: request/gateway_port says, as a Protocol, the twenty things a forwarded request needs. Annotations only, no behaviour.

--- a/packages/radishd/src/radishd/request/forward.py
+++ b/packages/radishd/src/radishd/request/forward.py
@@ -10,7 +10,6 @@
 from collections.abc import Callable
 import dataclasses
 import enum
-from typing import TYPE_CHECKING
 from typing import TypeVar
 
 import anyio
@@ -29,9 +28,7 @@
 from radishd.process import clock
 from radishd.process import web
 from radishd.process import wishes as wishes_lib
-
-if TYPE_CHECKING:
-    from radishd import gateway as gateway_lib
+from radishd.request import gateway_port
 
 MS_PER_S = 1_000
 # When to come back after a refusal, by what it takes to change: a full or
@@ -72,7 +69,7 @@
 
     def __init__(
         self,
-        gateway: gateway_lib.Gateway,
+        gateway: gateway_port.GatewayPort,
         request: front.Request,
         route: route_table.Route,
         body: bytes,
--- /dev/null
+++ b/packages/radishd/src/radishd/request/gateway_port.py
@@ -0,0 +1,87 @@
+"""What a forwarded request needs of its gateway, and nothing else.
+
+A request that took the gateway's class would know all that the process does,
+and the two modules could only be read together.
+"""
+
+import random
+import typing
+
+from radishstack.process import placement as placement_lib
+from radishstack.process import roster as roster_lib
+from radishstack.process import shared_budget
+from radishstack.request import forwarding
+from radishstack.version import route_table
+
+from radishd.connection import http_client
+from radishd.connection import pool as pool_lib
+from radishd.process import metrics as metrics_lib
+from radishd.process import news as news_lib
+from radishd.process import wishes as wishes_lib
+
+
+class GatewayPort(typing.Protocol):
+    """One gateway, as a forwarded request sees it.
+
+    Attributes:
+        roster: Targets that are known.
+        placement: Where adapters are and are to be loaded.
+        wishes: What is told to the processes beside engines.
+        news: Wakes a request whose adapter has come.
+        pool: Connections to targets.
+        metrics: Metrics of the process.
+        random: Its random source.
+        draining: Whether the process is about to end.
+        waits_end_at_ms: Until when a request may wait for an adapter then.
+    """
+
+    roster: roster_lib.Roster
+    placement: placement_lib.Placement
+    wishes: wishes_lib.Wishes
+    news: news_lib.News
+    pool: pool_lib.Pool
+    metrics: metrics_lib.Metrics
+    random: random.Random
+    draining: bool
+    waits_end_at_ms: int
+
+    @property
+    def table(self) -> route_table.RouteTable:
+        """The route table in force."""
+
+    def pick_service(self, route: route_table.Route) -> str:
+        """Picks a service of a route by weight."""
+
+    def spread(self, bounds_ms: tuple[int, int]) -> int:
+        """Returns a time within bounds, so that returners do not meet."""
+
+    def budget(self, service: str) -> shared_budget.SharedBudget:
+        """Returns this gateway's part of a service's retry budget."""
+
+    def has_other(self, service: str, member: roster_lib.Member) -> bool:
+        """Whether another target could take a request of a service."""
+
+    def note_outcome(
+        self,
+        member: roster_lib.Member,
+        outcome: forwarding.Outcome,
+        adapter: str,
+    ) -> None:
+        """Takes evidence on a target from a send that came to nothing."""
+
+    def note_failure_answer(
+        self, member: roster_lib.Member, status: int
+    ) -> None:
+        """Takes evidence on a target from its own failure."""
+
+    def note_silence(self, member: roster_lib.Member) -> None:
+        """Takes evidence on a target from a long wait for a first byte."""
+
+    def note_success(self, member: roster_lib.Member, took_ms: int) -> None:
+        """Takes evidence on a target from a good answer."""
+
+    def keep(self, address: str, connection: http_client.Connection) -> None:
+        """Keeps a connection whose answer was read whole."""
+
+    def put_away(self, connection: http_client.Connection) -> None:
+        """Closes a connection that was not kept."""
