--- a/packages/radishd/src/radishd/sidecar.py
+++ b/packages/radishd/src/radishd/sidecar.py
@@ -205,7 +205,6 @@
         born_ms = report.born_ms if report is not None else 0
         told = (self.instance, born_ms, residents)
         changed, self._told = told != self._told, told
-        self.audience.forget(now_ms)
         words = self.audience.due(
             now_ms, changed=changed, held=frozenset(residents)
         )
--- a/packages/radishstack/src/radishstack/process/audience.py
+++ b/packages/radishstack/src/radishstack/process/audience.py
@@ -77,7 +77,10 @@
     def __init__(self) -> None:
         """Starts with none."""
         self._gateways: dict[Address, _Gateway] = {}
+        self._waiting: set[Address] = set()
         self._named = 0
+        # When the next regular word is due, at the earliest; 0 if unknown.
+        self._next_at_ms = 0
 
     def __len__(self) -> int:
         """Returns how many gateways are known."""
@@ -108,10 +111,18 @@
             # One that was not heard before knows nothing of this engine yet.
             known = _Gateway(peer_address, now_ms, now_ms)
             self._gateways[address] = known
+            self._next_at_ms = 0
         known.peer_address = peer_address
         known.heard_at_ms = now_ms
         known.waits = waits
+        if waits:
+            self._waiting.add(address)
+        else:
+            self._waiting.discard(address)
         if uses:
+            if now_ms - known.used_at_ms > USING_MS:
+                # Told like an idle one, it would take the engine for silent.
+                self._next_at_ms = 0
             known.used_at_ms = now_ms
 
     def waits_of(self, address: Address) -> frozenset[str]:
@@ -126,6 +137,7 @@
             for address, one in self._gateways.items()
             if now_ms - one.heard_at_ms <= GATEWAY_MS
         }
+        self._waiting &= self._gateways.keys()
 
     def user_ms(self) -> int:
         """Returns how often users are told."""
@@ -137,14 +149,6 @@
         crowd = len(self._gateways) / SMALL_CROWD
         return round(min(max(1.0, crowd) * USER_MS, IDLE_MS))
 
-    def next_due_ms(self, now_ms: int) -> int:
-        """Returns in what time the next word is due, at most."""
-        due_ms = [
-            one.told_at_ms + self._every_ms(one, now_ms)
-            for one in self._gateways.values()
-        ]
-        return max(0, min(due_ms, default=now_ms + USER_MS) - now_ms)
-
     def _every_ms(self, one: _Gateway, now_ms: int) -> int:
         if now_ms - one.used_at_ms <= USING_MS:
             return self.user_ms()
@@ -163,21 +167,53 @@
         Returns:
             Words to be told; those that they go to count as told.
         """
+        at_once = self._told_at_once(changed=changed, held=held)
+        if now_ms >= self._next_at_ms:
+            at_once |= self._regular(now_ms)
         promises: dict[int, list[Address]] = {}
-        all_at_once = changed and len(self._gateways) <= SMALL_CROWD
-        for address, one in self._gateways.items():
+        for address in sorted(at_once):
+            one = self._gateways[address]
+            one.told_at_ms = now_ms
             every_ms = self._every_ms(one, now_ms)
-            is_due = now_ms - one.told_at_ms >= every_ms
-            concerned = changed and bool(one.waits)
-            owed = not one.waits.isdisjoint(held)
-            if is_due or all_at_once or concerned or owed:
-                one.told_at_ms = now_ms
-                promises.setdefault(every_ms, []).append(address)
+            promises.setdefault(every_ms, []).append(address)
         return [
             Word(tuple(addresses), every_ms)
             for every_ms, addresses in promises.items()
         ]
 
+    def _told_at_once(
+        self, *, changed: bool, held: frozenset[str]
+    ) -> set[Address]:
+        """Returns those that are told whether or not it is their turn."""
+        if changed and len(self._gateways) <= SMALL_CROWD:
+            return set(self._gateways)
+        if changed:
+            return set(self._waiting)
+        return {
+            address
+            for address in self._waiting
+            if not self._gateways[address].waits.isdisjoint(held)
+        }
+
+    def _regular(self, now_ms: int) -> set[Address]:
+        """Takes those whose turn it is, and notes when the next one's is.
+
+        All gateways are weighed only when one is due: tens of looks at an
+        engine a second, over hundreds of gateways, would be most of what the
+        process does.
+        """
+        self.forget(now_ms)
+        due = set()
+        next_at_ms = now_ms + self.user_ms()
+        for address, one in self._gateways.items():
+            due_at_ms = one.told_at_ms + self._every_ms(one, now_ms)
+            if now_ms >= due_at_ms:
+                due.add(address)
+            else:
+                next_at_ms = min(next_at_ms, due_at_ms)
+        self._next_at_ms = next_at_ms
+        return due
+
     def take_names(self) -> tuple[str, ...]:
         """Takes the gateways that the next word names."""
         names = sorted({one.peer_address for one in self._gateways.values()})
--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -506,8 +506,15 @@
     Mutant(
         "control follows use",
         "radishstack/process/audience.py",
-        "            owed = not one.waits.isdisjoint(held)",
-        "            owed = False",
+        "            if not self._gateways[address].waits.isdisjoint(held)",
+        "            if False",
+        _test("fleet.test_audience"),
+    ),
+    Mutant(
+        "control follows use",
+        "radishstack/process/audience.py",
+        "            if now_ms - known.used_at_ms > USING_MS:",
+        "            if False:",
         _test("fleet.test_audience"),
     ),
     Mutant(
--- a/tests/fleet/test_audience.py
+++ b/tests/fleet/test_audience.py
@@ -98,6 +98,22 @@
     assert [word.addresses for word in words] == [(address,)]
 
 
+def test_one_that_begins_to_use_the_engine_is_told_as_a_user() -> None:
+    """Symptom: an engine passes for silent to a gateway that begins to use it.
+
+    Sequence: a gateway that was told a while ago says that it uses the engine.
+    Cause: it was told again only when the idle ones were due, after more than
+    the 700 ms for which it waits for an answer.
+    """
+    audience = _audience(68)
+    audience.due(NOW_MS, changed=False, held=frozenset())
+    assert not audience.due(NOW_MS + 400, changed=False, held=frozenset())
+    _hear(audience, 1, 1, NOW_MS + 410)
+    (word,) = audience.due(NOW_MS + 410, changed=False, held=frozenset())
+    assert word.addresses == (("10.0.0.0", 80),)
+    assert word.next_ms == audience_lib.USER_SELDOM_MS
+
+
 def test_words_name_every_gateway_in_turn() -> None:
     """Symptom: half of all control bytes are names of gateways.
 
