Audience: a dead method goes, and its page says where the pace ends

Found when the change was read as a newcomer would: waits_of had no caller, and the module promised a pace that falls for ever though it ends at once a second. No behaviour changes; tests of the audience pass. Ruled out: no bound on the pace, with which what idle gateways believe would be ten seconds old at 390.

--- a/packages/radishd/src/radishd/process/knowledge.py
+++ b/packages/radishd/src/radishd/process/knowledge.py
@@ -37,8 +37,8 @@
 RARE_WAIT_MS = 15_000
 # The first change of the configuration is taken at once; those that follow it
 # are gathered for this part of the time in which a change must be in force.
-# Changes in a storm come every 80 ms, and each would cost a call of every
-# gateway.
+# Changes of a storm come tens of milliseconds apart, and each would cost a call
+# of every gateway.
 CONFIGURATION_GATHER_PART = 0.2
 VERSIONS_GATHER_MS = 120
 # After an outage of this length the other calls are made anew: one that began
--- a/packages/radishstack/src/radishstack/process/audience.py
+++ b/packages/radishstack/src/radishstack/process/audience.py
@@ -3,10 +3,9 @@
 Told alike, every gateway would hear of every engine several times a second,
 and the words would grow with gateways times engines whatever is asked for. A
 gateway that uses an engine is told often, so that it sees the engine stop
-within a moment; one that does not is told seldom, and the more seldom the more
-gateways there are, so that what a process sends to those is the same at any
-size of the fleet. Each word says when the next one comes, and a gateway that
-begins to use the engine is told as a user from then on.
+within a moment; one that does not is told seldom, up to once a second, and the
+more seldom the more gateways there are. Each word says when the next one comes,
+and a gateway that begins to use the engine is told as a user from then on.
 """
 
 import dataclasses
@@ -125,11 +124,6 @@
                 self._next_at_ms = 0
             known.used_at_ms = now_ms
 
-    def waits_of(self, address: Address) -> frozenset[str]:
-        """Returns the adapters that a gateway's requests wait for."""
-        known = self._gateways.get(address)
-        return known.waits if known is not None else frozenset()
-
     def forget(self, now_ms: int) -> None:
         """Drops gateways that are gone."""
         self._gateways = {
