Soak: a relay stands on a link, the field's word

Read as a newcomer: "road" was a word of our own for what the field calls a link. Ruled out: sharing the ports with tests/fleet/fixtures, which a tool outside the tests would have to import.

--- a/soak/judge.py
+++ b/soak/judge.py
@@ -16,7 +16,7 @@
 PROMISES = frozenset({408, 421, 429, 503})
 REPEATABLE = frozenset({"long", "look"})
 EVENTS = 4
-# A gateway is in touch when nothing was done to it, its roads or the store for
+# A gateway is in touch when nothing was done to it, its links or the store for
 # so long: the users' pages excuse it until then.
 STABLE_MS = 3_000
 LEAVING_MS = 2_000
--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -60,7 +60,7 @@
         "            left = not done\n"
         "            tasks.cancel_scope.cancel()\n",
         "            left = not done\n",
-        _seeds(340, Kind.SIDE_PAUSE, Kind.ROAD_SILENT),
+        _seeds(340, Kind.SIDE_PAUSE, Kind.LINK_SILENT),
     ),
     mutants.Mutant(
         "no engine is overfilled",
--- a/soak/relay.py
+++ b/soak/relay.py
@@ -1,4 +1,4 @@
-"""A loopback relay on the road to a target or to the store."""
+"""A loopback relay on the link to a target or to the store."""
 
 import asyncio
 import contextlib
@@ -10,7 +10,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Road:
+class Link:
     """How the relay behaves now.
 
     Attributes:
@@ -31,7 +31,7 @@
         Args:
             to: Where connections lead.
         """
-        self.road = Road()
+        self.link = Link()
         self._to = to
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -63,8 +63,8 @@
             writer.transport.abort()
             return
         self._writers |= {writer, far_writer}
-        roads = ((reader, far_writer), (far_reader, writer))
-        for source, sink in roads:
+        links = ((reader, far_writer), (far_reader, writer))
+        for source, sink in links:
             task = asyncio.create_task(self._pass(source, sink))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
@@ -74,8 +74,8 @@
     ) -> None:
         try:
             while data := await reader.read(RELAY_BYTES):
-                await asyncio.sleep(self.road.delay_ms / MS_PER_S)
-                while self.road.silent:
+                await asyncio.sleep(self.link.delay_ms / MS_PER_S)
+                while self.link.silent:
                     await asyncio.sleep(POLL_S)
                 writer.write(data)
                 await writer.drain()
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -19,9 +19,9 @@
     STORE_HOLDS = "store_holds"
     STORE_CUTS = "store_cuts"
     STORE_FORGETS = "store_forgets"
-    ROAD_SILENT = "road_silent"
-    ROAD_RESET = "road_reset"
-    ROAD_SLOW = "road_slow"
+    LINK_SILENT = "link_silent"
+    LINK_RESET = "link_reset"
+    LINK_SLOW = "link_slow"
     TARGET_RESTART = "target_restart"
     TARGET_LEAVE = "target_leave"
     TARGET_FAULTS = "target_faults"
@@ -41,9 +41,9 @@
         Kind.TARGET_RESTART,
         Kind.TARGET_LEAVE,
         Kind.TARGET_FAULTS,
-        Kind.ROAD_SILENT,
-        Kind.ROAD_RESET,
-        Kind.ROAD_SLOW,
+        Kind.LINK_SILENT,
+        Kind.LINK_RESET,
+        Kind.LINK_SLOW,
     }
 )
 # Pause between two faults at the beginning of a series, and within one: faults
--- a/soak/world.py
+++ b/soak/world.py
@@ -28,7 +28,7 @@
 ADMIN_PORT = 8_144
 STORE_PORT = 8_145
 TARGET_PORT = 8_146
-ROAD_PORT = 8_147
+LINK_PORT = 8_147
 CALLERS = 10
 RETRY_EXTRA = 20
 MS_PER_S = 1_000
@@ -107,7 +107,7 @@
 
 
 class Place:
-    """One target VM: its road, the target that runs there now, its sidecar."""
+    """One target VM: its link, the target that runs there now, its sidecar."""
 
     def __init__(self, number: int, host: str, *, engine: bool) -> None:
         """Stands empty."""
@@ -116,7 +116,7 @@
         self.engine = engine
         self.starts = 0
         self.target: Target | None = None
-        self.road = relay.Relay((host, TARGET_PORT))
+        self.link = relay.Relay((host, TARGET_PORT))
         self.sidecar: processes.Program | None = None
         self.busy = False
 
@@ -203,7 +203,7 @@
     def _register(self, place: Place, state: str = "ready") -> None:
         service = platform_site.ENGINES if place.engine else platform_site.PLAIN
         entry = place.target.listing(
-            service, f"{place.host}:{ROAD_PORT}", "north"
+            service, f"{place.host}:{LINK_PORT}", "north"
         )
         self.store.put(
             "servers", place.target.instance, entry | {"state": state}
@@ -309,16 +309,16 @@
     async def _strike_target(
         self, kind: Kind, place: Place, for_s: float
     ) -> None:
-        if kind is Kind.ROAD_RESET:
-            place.road.reset()
-        elif kind is Kind.ROAD_SILENT:
-            place.road.road.silent = True
+        if kind is Kind.LINK_RESET:
+            place.link.reset()
+        elif kind is Kind.LINK_SILENT:
+            place.link.link.silent = True
             await asyncio.sleep(for_s)
-            place.road.road.silent = False
-        elif kind is Kind.ROAD_SLOW:
-            place.road.road.delay_ms = SLOW_MS
+            place.link.link.silent = False
+        elif kind is Kind.LINK_SLOW:
+            place.link.link.delay_ms = SLOW_MS
             await asyncio.sleep(for_s)
-            place.road.road.delay_ms = 0
+            place.link.link.delay_ms = 0
         elif kind is Kind.TARGET_FAULTS:
             target = place.target
             target.fault = self._spoil
@@ -437,7 +437,7 @@
         self._write_configuration()
         for place in self.places:
             await self._occupy(place)
-            await place.road.start(place.host, ROAD_PORT)
+            await place.link.start(place.host, LINK_PORT)
             if place.engine:
                 place.sidecar = self._sidecar(place)
                 await place.sidecar.start()
@@ -519,7 +519,7 @@
         for program in self._programs():
             await program.end()
         for place in self.places:
-            place.road.stop()
+            place.link.stop()
             if place.target is not None:
                 await place.target.stop()
                 self._settle(place.target)
