Sight: a target that ended is told from a connection that broke

What operators saw: 502 with sends=[...:lost], the same line for a lost answer, a reset and a target that ended, and nothing that says whether two requests are the same. Now a broken send has its request's fingerprint in the log, and the target is connected to at once: target_broke_off says whether it had ended and which fingerprints it was running; radishstack_target_breaks_total counts both. A connection that its keep-alive gave up counts as silent, since the peer ended nothing. No request is decided otherwise. Ruled out: the name of the adapter as the mark of a request; others use it too.

--- /dev/null
+++ b/packages/radishd/src/radishd/connection/crash_watch.py
@@ -0,0 +1,111 @@
+"""Tells targets that ended from connections that only broke.
+
+An answer that breaks off proves little: a link, a limit on connections or a
+lost answer looks the same. A target that has ended refuses connections until
+it is started again, seconds later, so it is connected to at once.
+"""
+
+from collections.abc import Callable
+import dataclasses
+
+import anyio
+from radishstack.process import crash as crash_lib
+from radishstack.process import incarnation
+from radishstack.process import roster as roster_lib
+
+from radishd.connection import http_client
+from radishd.process import clock
+from radishd.process import decision_log
+from radishd.process import metrics as metrics_lib
+
+MS_PER_S = 1_000
+# All answers of a target that ends break at the same moment; those that are
+# noticed within this time are looked into together.
+GATHER_MS = 10
+CONNECT_TIMEOUT_MS = 400
+# Fingerprints that a line of the log holds.
+MAX_LOGGED = 8
+
+OnCrash = Callable[[crash_lib.Crash], None]
+
+
+@dataclasses.dataclass(slots=True)
+class _Broken:
+    address: str
+    at_ms: int
+    suspects: dict[str, crash_lib.Suspect]
+
+
+class CrashWatch:
+    """The sends of one gateway that broke, by start of a target."""
+
+    def __init__(
+        self,
+        log: decision_log.DecisionLog,
+        metrics: metrics_lib.Metrics,
+        on_crash: OnCrash,
+    ) -> None:
+        """Starts with none.
+
+        Args:
+            log: Where crashes are logged.
+            metrics: Where they are counted.
+            on_crash: Told of each start that was seen to have ended.
+        """
+        self._log = log
+        self._metrics = metrics
+        self._on_crash = on_crash
+        self._broken: dict[incarnation.Start, _Broken] = {}
+        self._wake = anyio.Event()
+
+    def broke(
+        self, member: roster_lib.Member, fingerprint: str, began_at_ms: int
+    ) -> None:
+        """Takes that a target broke off an answer.
+
+        Args:
+            member: The target.
+            fingerprint: The request's.
+            began_at_ms: When the request was sent.
+        """
+        listing = member.listing
+        broken = self._broken.setdefault(
+            listing.start, _Broken(listing.address, clock.boot_ms(), {})
+        )
+        broken.suspects[fingerprint] = crash_lib.Suspect(
+            fingerprint, began_at_ms
+        )
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Looks into broken sends until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            while True:
+                await self._wake.wait()
+                self._wake = anyio.Event()
+                await anyio.sleep(GATHER_MS / MS_PER_S)
+                broken, self._broken = self._broken, {}
+                for start, sends in broken.items():
+                    tasks.start_soon(self._look, start, sends)
+
+    async def _look(self, start: incarnation.Start, broken: _Broken) -> None:
+        connection = await http_client.open_connection(
+            broken.address, CONNECT_TIMEOUT_MS
+        )
+        ended = isinstance(connection, http_client.Lost)
+        if not ended:
+            connection.close()
+        suspects = tuple(broken.suspects.values())
+        self._metrics.crashes.inc({"ended": "yes" if ended else "no"})
+        self._log.write(
+            "target_broke_off",
+            target=start.name,
+            born_ms=start.born_ms,
+            ended=ended,
+            reason=connection.reason if ended else "it can be connected to",
+            age_ms=clock.boot_ms() - broken.at_ms,
+            suspects=len(suspects),
+            fingerprints=[one.fingerprint for one in suspects[:MAX_LOGGED]],
+        )
+        if ended:
+            self._on_crash(crash_lib.Crash(start, broken.at_ms, suspects))
--- a/packages/radishd/src/radishd/gateway.py
+++ b/packages/radishd/src/radishd/gateway.py
@@ -17,6 +17,7 @@
 from radishstack import result
 from radishstack.connection import fleet_wire
 from radishstack.process import adapter_keeper
+from radishstack.process import crash as crash_lib
 from radishstack.process import incarnation
 from radishstack.process import placement as placement_lib
 from radishstack.process import roster as roster_lib
@@ -25,6 +26,7 @@
 from radishstack.version import route_table
 
 from radishd import peers as peers_lib
+from radishd.connection import crash_watch as crash_watch_lib
 from radishd.connection import http_client
 from radishd.connection import pool as pool_lib
 from radishd.platform import front
@@ -104,6 +106,9 @@
         self.wishes = wishes_lib.Wishes(self.placement, log, self._send_demand)
         self.budgets: dict[str, shared_budget.SharedBudget] = {}
         self.news = news_lib.News()
+        self.crash_watch = crash_watch_lib.CrashWatch(
+            log, metrics, self._target_crashed
+        )
         self.draining = False
         self.waits_end_at_ms = 0
         self.in_flight = 0
@@ -144,6 +149,10 @@
         self.pool.drop(member.listing.address)
         self.wishes.introduce(member)
 
+    def _target_crashed(self, crash: crash_lib.Crash) -> None:
+        """Takes that a target was seen to have ended."""
+        del crash
+
     def _take_limits(self, limits: route_table.Limits) -> None:
         if self.server is not None:
             web.set_idle_timeout(self.server, limits.idle_timeout_ms)
@@ -373,6 +382,8 @@
             fields["reason"] = failure.message
         if forward.needs_adapter:
             fields["adapter"] = forward.request.adapter
+        if forward.known_fingerprint:
+            fields["fingerprint"] = forward.known_fingerprint
         self.log.write(
             "request",
             request=forward.request.attempt_id,
@@ -620,6 +631,7 @@
             "tell_demand": gateway.tell_demand,
             "tell_hurried": gateway.wishes.tell_hurried,
             "sweep": gateway.sweep,
+            "crash_watch": gateway.crash_watch.run,
             "ask_peers": gateway.knowledge.ask_peers,
             "stillness": functools.partial(
                 stillness.watch, gateway.stood_still
--- a/packages/radishd/src/radishd/process/metrics.py
+++ b/packages/radishd/src/radishd/process/metrics.py
@@ -72,6 +72,10 @@
             "control_lost_total", "Datagrams that could not be sent"
         )
         self.sends = counter("sends_total", "Sends to targets by outcome")
+        self.crashes = counter(
+            "target_breaks_total",
+            "Targets that broke answers off, by whether they had ended",
+        )
         self.orders = counter("orders_total", "Orders to the engine by verdict")
         self.still = counter(
             "standstills_total", "Times that this process stood still"
--- a/packages/radishd/src/radishd/request/forward.py
+++ b/packages/radishd/src/radishd/request/forward.py
@@ -18,6 +18,7 @@
 from radishstack.process import placement as placement_lib
 from radishstack.process import roster as roster_lib
 from radishstack.request import event_stream
+from radishstack.request import fingerprint as fingerprint_lib
 from radishstack.request import forwarding
 from radishstack.request import silence
 from radishstack.request import waiting as waiting_lib
@@ -42,6 +43,8 @@
 PRIORITY_MAX = 9
 
 Outcome = forwarding.Outcome
+# Ends of a send by which a target that has ended shows.
+_BROKEN_OFF = frozenset({Outcome.LOST, Outcome.SPOILED})
 _Part = TypeVar("_Part")
 
 
@@ -49,6 +52,13 @@
     """An answer that has begun cannot be ended whole; cut it visibly."""
 
 
+def _outcome_of(lost: http_client.Lost) -> Outcome:
+    """Returns how a send ended whose connection is lost."""
+    if lost.spoiled:
+        return Outcome.SPOILED
+    return Outcome.SILENT if lost.silent else Outcome.LOST
+
+
 class Pace(enum.Enum):
     """Marks that a peer was silent for longer than was allowed."""
 
@@ -104,12 +114,25 @@
         self.trail: list[str] = []
         self.status = 0
         self.sent = False
+        self.sent_at_ms = 0
+        self.known_fingerprint = ""
         self._send = send
         spec = gateway.table.services.get(self.service)
         self.needs_adapter = bool(
             spec is not None and spec.adapter_limit and request.adapter
         )
 
+    def fingerprint(self) -> str:
+        """Returns what it asks, computed once it is needed."""
+        if not self.known_fingerprint:
+            self.known_fingerprint = fingerprint_lib.of_request(
+                self.request.method,
+                self.request.host,
+                self.request.target,
+                self.body,
+            )
+        return self.known_fingerprint
+
     def left_ms(self) -> int:
         """Returns how long the caller still waits."""
         return self.deadline_at_ms - clock.boot_ms()
@@ -154,6 +177,10 @@
     ) -> forwarding.Step:
         gateway = self.gateway
         gateway.note_outcome(member, outcome, self.request.adapter)
+        if outcome in _BROKEN_OFF:
+            gateway.crash_watch.broke(
+                member, self.fingerprint(), self.sent_at_ms
+            )
         paid = True
         if outcome is not Outcome.UNSENT:
             retries = not self.state.may_have_run and outcome in (
@@ -322,8 +349,9 @@
             resume_after=self.events.last_id if self.route.resumable else b"",
         )
         self.sent = True
+        self.sent_at_ms = clock.boot_ms()
         connection.send(data)
-        return Send(member, connection, clock.boot_ms())
+        return Send(member, connection, self.sent_at_ms)
 
     async def _answer(self, send: Send) -> Outcome | None:
         head = await self._head(send)
@@ -332,7 +360,7 @@
         if head is Pace.SILENT:
             return Outcome.SILENT
         if isinstance(head, http_client.Lost):
-            return Outcome.SPOILED if head.spoiled else Outcome.LOST
+            return _outcome_of(head)
         instance = send.member.listing.instance
         match front.classify(head, self.request.attempt_id, instance):
             case front.Kind.SHED:
@@ -428,7 +456,7 @@
         """Passes a target's failure on, unless another target may do."""
         body = await http_client.read_body(send.connection)
         if isinstance(body, http_client.Lost):
-            return Outcome.SPOILED if body.spoiled else Outcome.LOST
+            return _outcome_of(body)
         self.gateway.keep(send.member.listing.address, send.connection)
         instance = send.member.listing.instance
         may_retry = (
@@ -465,7 +493,7 @@
             if piece is Pace.SILENT:
                 return Outcome.SILENT
             if isinstance(piece, http_client.Lost):
-                return Outcome.SPOILED if piece.spoiled else Outcome.LOST
+                return _outcome_of(piece)
             if not piece:
                 break
             pieces.append(piece)
@@ -516,7 +544,7 @@
             if piece is Pace.SILENT:
                 return Outcome.SILENT
             if isinstance(piece, http_client.Lost):
-                return Outcome.SPOILED if piece.spoiled else Outcome.LOST
+                return _outcome_of(piece)
             if not piece:
                 return await self._end_stream(send, head)
             now_ms = clock.boot_ms()
--- a/packages/radishd/src/radishd/request/gateway_port.py
+++ b/packages/radishd/src/radishd/request/gateway_port.py
@@ -13,6 +13,7 @@
 from radishstack.request import forwarding
 from radishstack.version import route_table
 
+from radishd.connection import crash_watch as crash_watch_lib
 from radishd.connection import http_client
 from radishd.connection import pool as pool_lib
 from radishd.process import metrics as metrics_lib
@@ -31,6 +32,7 @@
         pool: Connections to targets.
         metrics: Metrics of the process.
         random: Its random source.
+        crash_watch: Told of answers that a target broke off.
         draining: Whether the process is about to end.
         waits_end_at_ms: Until when a request may wait for an adapter then.
     """
@@ -42,6 +44,7 @@
     pool: pool_lib.Pool
     metrics: metrics_lib.Metrics
     random: random.Random
+    crash_watch: crash_watch_lib.CrashWatch
     draining: bool
     waits_end_at_ms: int
 
--- a/packages/standins/src/standins/platform_engine.py
+++ b/packages/standins/src/standins/platform_engine.py
@@ -35,6 +35,7 @@
     UNFRAMED = "unframed"
     UNSIGNED = "unsigned"
     PROMISE_AFTER_RUN = "promise_after_run"
+    CRASH = "crash"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -139,6 +140,7 @@
         self.seen: list[Seen] = []
         self.orders: list[dict[str, Any]] = []
         self.crashed = False
+        self.ended = False
         self.fault: Callable[[Seen], Fault] = lambda seen: Fault.NONE
         self.swallow_orders = 0
         self._server: asyncio.Server | None = None
@@ -353,6 +355,11 @@
             return
         if fault is Fault.RESET_AFTER_RUN:
             raise ConnectionResetError
+        if fault is Fault.CRASH:
+            await asyncio.sleep(self.timing.work_ms / MS_PER_S)
+            self.ended = True
+            await self.stop()
+            raise ConnectionResetError
         if self.model:
             await self._stream(seen, writer, fault, signature)
             return
