A request that ends targets is refused once three ended under it

What callers saw: broken answers at one engine after another, as a request that ends whatever runs it came again at any gateway and was sent on each time. Cause: nothing outlived a request; what a gateway learned from a broken send counted against the target. Now gateways join what was running at each crash (crash_evidence, a pure function of it) and refuse at once, 503 not run, what stands at three crashes in turn; a word at each crash goes to all others, what several have in common to one other a second, and one that starts asks. Why it holds: whoever knows the same decides the same, word by word in any order. Whole suite not yet run on it.

--- a/packages/radishd/src/radishd/gateway.py
+++ b/packages/radishd/src/radishd/gateway.py
@@ -5,6 +5,7 @@
 not answer; what engines hold is told by the process beside each.
 """
 
+from collections.abc import Iterable
 import dataclasses
 import functools
 import itertools
@@ -18,6 +19,7 @@
 from radishstack.connection import fleet_wire
 from radishstack.process import adapter_keeper
 from radishstack.process import crash as crash_lib
+from radishstack.process import crash_evidence
 from radishstack.process import incarnation
 from radishstack.process import placement as placement_lib
 from radishstack.process import roster as roster_lib
@@ -33,6 +35,7 @@
 from radishd.platform import store as store_lib
 from radishd.process import admin
 from radishd.process import clock
+from radishd.process import crash_news as crash_news_lib
 from radishd.process import decision_log
 from radishd.process import fleet_socket
 from radishd.process import knowledge as knowledge_lib
@@ -122,6 +125,14 @@
             seeds=settings.seeds,
             random_source=random_source,
         )
+        self.crash_news = crash_news_lib.CrashNews(
+            self._other_gateways,
+            self._send_crash_news,
+            log,
+            metrics,
+            random_source,
+            self._keep_case,
+        )
         self.knowledge = knowledge_lib.Knowledge(
             self.store,
             self.peers,
@@ -151,7 +162,28 @@
 
     def _target_crashed(self, crash: crash_lib.Crash) -> None:
         """Takes that a target was seen to have ended."""
-        del crash
+        self.crash_news.crashed(crash)
+
+    def _other_gateways(self) -> list[fleet_socket.Address]:
+        """Returns where the other gateways take datagrams."""
+        _, port = settings_lib.split_address(self.own.control)
+        return [
+            (settings_lib.split_address(address)[0], port)
+            for address in sorted(self.peers.addresses)
+        ]
+
+    async def _send_crash_news(
+        self,
+        addresses: Iterable[fleet_socket.Address],
+        news: fleet_wire.CrashNews,
+    ) -> None:
+        if self.socket is not None:
+            await self.socket.send_all(addresses, news)
+
+    def _keep_case(self, case: crash_evidence.Case) -> None:
+        """Takes that a request is refused from now on."""
+        # Those that wait for an adapter are to be refused at once, too.
+        self.news.tell_all()
 
     def _take_limits(self, limits: route_table.Limits) -> None:
         if self.server is not None:
@@ -448,8 +480,17 @@
         self, datagram: fleet_wire.Datagram, sender: fleet_socket.Address
     ) -> None:
         """Takes a datagram."""
-        if not isinstance(datagram, fleet_wire.State):
-            return
+        if isinstance(datagram, fleet_wire.CrashNews):
+            # One that has just started is told from now on.
+            _, port = settings_lib.split_address(self.own.peers)
+            self.peers.heard((f"{sender[0]}:{port}",))
+            self.crash_news.hear(datagram, sender)
+        elif isinstance(datagram, fleet_wire.State):
+            self._hear_state(datagram, sender)
+
+    def _hear_state(
+        self, datagram: fleet_wire.State, sender: fleet_socket.Address
+    ) -> None:
         self.peers.heard(datagram.peer_addresses)
         self.peers.counted(datagram.gateway_count, clock.boot_ms())
         member = self.roster.members.get(datagram.instance)
@@ -510,6 +551,7 @@
             self.pool.sweep()
             self.peers.forget(now_ms)
             self.log.flush()
+            self.crash_news.sweep()
             self.placement.forget(now_ms, FORGET_VIEWS_MS)
             for name in self.roster.drop_lapsed(now_ms):
                 self.log.write("target_lapsed", target=name)
@@ -632,6 +674,9 @@
             "tell_hurried": gateway.wishes.tell_hurried,
             "sweep": gateway.sweep,
             "crash_watch": gateway.crash_watch.run,
+            "tell_crashes": gateway.crash_news.tell_others,
+            "pass_on_crashes": gateway.crash_news.pass_on,
+            "ask_for_crashes": gateway.crash_news.ask_at_start,
             "ask_peers": gateway.knowledge.ask_peers,
             "stillness": functools.partial(
                 stillness.watch, gateway.stood_still
--- /dev/null
+++ b/packages/radishd/src/radishd/process/crash_news.py
@@ -0,0 +1,204 @@
+"""What gateways tell each other of crashes, and what one keeps for the next.
+
+A request that ends targets comes again at any gateway. A crash is told to all
+others at once, which is rare; what several crashes have in common is told on,
+one gateway at a time, so that the cost grows with neither gateways nor targets
+and one that was cut off or has just started learns of it within seconds.
+"""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Iterable
+import random
+
+import anyio
+from radishstack.connection import fleet_wire
+from radishstack.process import crash as crash_lib
+from radishstack.process import crash_evidence
+
+from radishd.process import clock
+from radishd.process import decision_log
+from radishd.process import fleet_socket
+from radishd.process import metrics as metrics_lib
+
+MS_PER_S = 1_000
+# Words of a crash and of requests that ended well are gathered this long.
+GATHER_MS = 10
+# How many cases one datagram holds, so that it stays below a few kilobytes.
+MAX_CASES_A_WORD = 24
+# How often one other gateway is told what several crashes have in common:
+# often while it is news, rarely afterwards.
+PASS_ON_MS = 1_000
+NEWS_MS = 60_000
+PASS_ON_OLD_MS = 10_000
+# When a gateway that has started asks: it knows few others at first.
+ASK_AFTER_MS = (0, 1_000, 3_000)
+MAX_ASKED = 3
+
+Send = Callable[
+    [Iterable[fleet_socket.Address], fleet_wire.CrashNews], Awaitable[None]
+]
+
+
+class CrashNews:
+    """The evidence of one gateway, and its words to others.
+
+    Attributes:
+        evidence: What is known.
+    """
+
+    def __init__(
+        self,
+        others: Callable[[], list[fleet_socket.Address]],
+        send: Send,
+        log: decision_log.DecisionLog,
+        metrics: metrics_lib.Metrics,
+        random_source: random.Random,
+        on_refused: Callable[[crash_evidence.Case], None],
+    ) -> None:
+        """Starts knowing nothing.
+
+        Args:
+            others: Returns where the other gateways are told.
+            send: Sends a word to some of them.
+            log: Where what is believed is logged.
+            metrics: Where requests that are refused are counted.
+            random_source: Chooses whom to tell.
+            on_refused: Told what is known of a request that is refused from
+                a crash on that was seen here.
+        """
+        self.evidence = crash_evidence.CrashEvidence()
+        self._others = others
+        self._send = send
+        self._log = log
+        self._metrics = metrics
+        self._random = random_source
+        self._on_refused = on_refused
+        self._waiting: list[crash_evidence.Case] = []
+        self._asked_by: set[fleet_socket.Address] = set()
+        self._wake = anyio.Event()
+        self._refused: dict[str, int] = {}
+
+    def crashed(self, crash: crash_lib.Crash) -> None:
+        """Takes a crash that was seen here, and tells the others."""
+        cases = self.evidence.crashed(crash)
+        self._tell_soon(cases)
+        for case in cases:
+            if self._judge(case.fingerprint, told_by=""):
+                self._on_refused(self.evidence.case(case.fingerprint))
+
+    def ended_well(self, fingerprint: str) -> None:
+        """Takes that a request ran and its target went on."""
+        case = self.evidence.ended_well(fingerprint, clock.boot_ms())
+        if case is not None:
+            self._log.write("suspect_cleared", fingerprint=fingerprint)
+            self._tell_soon([case])
+
+    def _tell_soon(self, cases: list[crash_evidence.Case]) -> None:
+        self._waiting.extend(cases)
+        self._wake.set()
+
+    def verdict(self, fingerprint: str) -> crash_evidence.Verdict | None:
+        """Says whether a request is to be refused now."""
+        return self.evidence.verdict(fingerprint, clock.boot_ms())
+
+    def _judge(self, fingerprint: str, *, told_by: str) -> bool:
+        """Logs a verdict once; returns whether it is another than before."""
+        verdict = self.verdict(fingerprint)
+        moments = verdict.moments if verdict is not None else 0
+        if self._refused.get(fingerprint, 0) == moments:
+            return False
+        if verdict is None:
+            del self._refused[fingerprint]
+            self._log.must("request_pardoned", fingerprint=fingerprint)
+            return False
+        self._refused[fingerprint] = moments
+        self._log.must(
+            "request_ends_targets",
+            fingerprint=fingerprint,
+            crashes=moments,
+            last_ago_ms=clock.boot_ms() - verdict.last_at_ms,
+            refused_for_ms=verdict.left_ms,
+            told_by=told_by or "own",
+        )
+        return True
+
+    def hear(
+        self, news: fleet_wire.CrashNews, sender: fleet_socket.Address
+    ) -> None:
+        """Takes what another gateway tells, and answers if it asks."""
+        now_ms = clock.boot_ms()
+        told = [fleet_wire.case_of(case, now_ms) for case in news.cases]
+        self.take(told, told_by=sender[0])
+        if news.asks:
+            self._asked_by.add(sender)
+            self._wake.set()
+
+    def take(
+        self, cases: Iterable[crash_evidence.Case], *, told_by: str
+    ) -> None:
+        """Takes what was seen elsewhere."""
+        for case in cases:
+            if self.evidence.take(case):
+                self._judge(case.fingerprint, told_by=told_by)
+
+    async def _tell(
+        self,
+        addresses: Iterable[fleet_socket.Address],
+        cases: list[crash_evidence.Case],
+    ) -> None:
+        now_ms = clock.boot_ms()
+        told = [fleet_wire.told_case(case, now_ms) for case in cases]
+        for first in range(0, len(told), MAX_CASES_A_WORD):
+            batch = tuple(told[first : first + MAX_CASES_A_WORD])
+            await self._send(addresses, fleet_wire.CrashNews(batch))
+
+    async def tell_others(self) -> None:
+        """Tells all others of crashes, and who asks, until cancelled."""
+        while True:
+            await self._wake.wait()
+            self._wake = anyio.Event()
+            await anyio.sleep(GATHER_MS / MS_PER_S)
+            cases, self._waiting = self._waiting, []
+            asked_by, self._asked_by = self._asked_by, set()
+            await self._tell(self._others(), cases)
+            await self._tell(asked_by, list(self.evidence.several()))
+
+    async def pass_on(self) -> None:
+        """Tells one other what several crashes have in common, now and then."""
+        while True:
+            cases = list(self.evidence.several())
+            await anyio.sleep(self._pause_ms(cases) / MS_PER_S)
+            others = self._others()
+            if cases and others:
+                await self._tell((self._random.choice(others),), cases)
+
+    def _pause_ms(self, cases: list[crash_evidence.Case]) -> int:
+        newest_ms = max(
+            (case.sightings[-1].ended_at_ms for case in cases),
+            default=crash_evidence.NEVER_MS,
+        )
+        is_news = clock.boot_ms() - newest_ms < NEWS_MS
+        return PASS_ON_MS if is_news or not cases else PASS_ON_OLD_MS
+
+    async def ask(self) -> None:
+        """Asks some others for what they know."""
+        others = self._others()
+        asked = self._random.sample(others, min(MAX_ASKED, len(others)))
+        await self._send(asked, fleet_wire.CrashNews(asks=True))
+
+    async def ask_at_start(self) -> None:
+        """Asks a few times: the first others that are known may be gone."""
+        began_ms = clock.boot_ms()
+        for after_ms in ASK_AFTER_MS:
+            left_ms = began_ms + after_ms - clock.boot_ms()
+            await anyio.sleep(max(0, left_ms) / MS_PER_S)
+            await self.ask()
+        await anyio.sleep_forever()
+
+    def sweep(self) -> None:
+        """Forgets what is too old, and notes what is refused no more."""
+        self.evidence.forget(clock.boot_ms())
+        for fingerprint in list(self._refused):
+            self._judge(fingerprint, told_by="")
+        self._metrics.refused_requests.set({}, len(self._refused))
--- a/packages/radishd/src/radishd/request/forward.py
+++ b/packages/radishd/src/radishd/request/forward.py
@@ -205,6 +205,9 @@
     ) -> tuple[roster_lib.Member, int] | result.Failure:
         gateway = self.gateway
         if not self.needs_adapter:
+            refusal = self._refusal()
+            if refusal is not None:
+                return refusal
             now_ms = clock.boot_ms()
             member = gateway.placement.plain(self._usable(now_ms), now_ms)
             if member is None:
@@ -212,6 +215,30 @@
             return member, 0
         return await self._place_adapter()
 
+    def _refusal(self) -> result.Failure | None:
+        """Returns why it is not sent to any target, if targets end under it.
+
+        Sent on, it would end the next target too, and cut off all that runs
+        there: callers would see broken answers at one target after another.
+        """
+        crash_news = self.gateway.crash_news
+        if not len(crash_news.evidence):
+            return None
+        verdict = crash_news.verdict(self.fingerprint())
+        if verdict is None:
+            return None
+        return result.Failure(
+            result.REQUEST_ENDS_TARGETS,
+            f"targets ended at {verdict.moments} times under this request",
+            verdict.left_ms,
+        )
+
+    def _note_end(self) -> None:
+        """Notes that a target ran it to its end, and goes on."""
+        crash_news = self.gateway.crash_news
+        if len(crash_news.evidence):
+            crash_news.ended_well(self.fingerprint())
+
     def _usable(self, now_ms: int) -> list[roster_lib.Member]:
         return [
             member
@@ -236,6 +263,9 @@
         wish = wishes_lib.Wish(adapter, due_at_ms)
         try:
             while True:
+                refusal = self._refusal()
+                if refusal is not None:
+                    return refusal
                 now_ms = clock.boot_ms()
                 if gateway.draining:
                     waiting.end_by(gateway.waits_end_at_ms)
@@ -473,6 +503,7 @@
             return Outcome.FAILED
         if self.began:
             return Outcome.FAILED
+        self._note_end()
         self.gateway.note_failure_answer(send.member, head.status)
         self.trail.append(f"{instance}:{head.status}")
         await self._reply_whole(head, body)
@@ -501,6 +532,7 @@
             if size_bytes > MAX_BUFFERED_BYTES:
                 return Outcome.SPOILED
         self._note_success(send)
+        self._note_end()
         self.gateway.keep(send.member.listing.address, send.connection)
         await self._reply_whole(head, b"".join(pieces))
         return None
@@ -584,6 +616,7 @@
     async def _end_stream(
         self, send: Send, head: http_client.Head
     ) -> Outcome | None:
+        self._note_end()
         self.gateway.keep(send.member.listing.address, send.connection)
         await self._begin_stream(head)
         rest = self.events.rest()
--- a/packages/radishd/src/radishd/request/gateway_port.py
+++ b/packages/radishd/src/radishd/request/gateway_port.py
@@ -16,6 +16,7 @@
 from radishd.connection import crash_watch as crash_watch_lib
 from radishd.connection import http_client
 from radishd.connection import pool as pool_lib
+from radishd.process import crash_news as crash_news_lib
 from radishd.process import metrics as metrics_lib
 from radishd.process import news as news_lib
 from radishd.process import wishes as wishes_lib
@@ -33,6 +34,7 @@
         metrics: Metrics of the process.
         random: Its random source.
         crash_watch: Told of answers that a target broke off.
+        crash_news: Which requests end the targets that run them.
         draining: Whether the process is about to end.
         waits_end_at_ms: Until when a request may wait for an adapter then.
     """
@@ -45,6 +47,7 @@
     metrics: metrics_lib.Metrics
     random: random.Random
     crash_watch: crash_watch_lib.CrashWatch
+    crash_news: crash_news_lib.CrashNews
     draining: bool
     waits_end_at_ms: int
 
--- a/packages/radishstack/src/radishstack/connection/fleet.capnp
+++ b/packages/radishstack/src/radishstack/connection/fleet.capnp
@@ -1,12 +1,13 @@
 @0xd3c1a4be57f0920b;
-# Datagrams between a gateway and the process beside an engine. Every field
-# keeps its number; a peer one version older passes over fields it does not
+# Datagrams between a gateway and the process beside an engine, and between
+# gateways. Every field keeps its number; a peer one version older passes over fields it does not
 # know.
 
 struct FleetDatagram {
   union {
     demand @0 :Demand;
     state @1 :State;
+    crashNews @2 :CrashNews;
   }
 }
 
@@ -73,3 +74,26 @@
   # Adapters that the engine held last and does not any more.
   recent @14 :List(Holding);
 }
+
+struct Sighting {
+  # A start of a target that ended while it ran a request. Times are told as
+  # ages, since every VM counts from its own start.
+  target @0 :Text;
+  bornMs @1 :UInt64;
+  beganAgoMs @2 :UInt64;
+  endedAgoMs @3 :UInt64;
+}
+
+struct CrashCase {
+  fingerprint @0 :Data;
+  sightings @1 :List(Sighting);
+  # Whether an equal request has ended well, and how long ago.
+  isCleared @2 :Bool;
+  clearedAgoMs @3 :UInt64;
+}
+
+struct CrashNews {
+  cases @0 :List(CrashCase);
+  # Whether the reader is to tell what it knows.
+  asks @1 :Bool;
+}
--- a/packages/radishstack/src/radishstack/connection/fleet_wire.py
+++ b/packages/radishstack/src/radishstack/connection/fleet_wire.py
@@ -1,7 +1,8 @@
 """Datagrams between gateways and the processes beside engines, typed.
 
 Both sides repeat their word several times a second, so a lost datagram costs
-a moment of freshness and nothing else.
+a moment of freshness and nothing else. Gateways tell each other of crashes;
+what several crashes have in common they tell again.
 """
 
 from collections.abc import Mapping
@@ -14,6 +15,8 @@
 
 from radishstack import result
 from radishstack.process import adapter_keeper
+from radishstack.process import crash_evidence
+from radishstack.process import incarnation
 
 MAX_DATAGRAM_BYTES = 32 * 1024
 # One datagram carries at most this many entries of a list; the sender counts
@@ -69,7 +72,86 @@
     recent: tuple[str, ...] = ()
 
 
-Datagram = DemandDatagram | State
+@dataclasses.dataclass(frozen=True, slots=True)
+class ToldSighting:
+    """One crash with a request running, in a word between gateways.
+
+    Attributes:
+        start: The start of a target that ended.
+        began_ago_ms: How long ago the request was sent there.
+        ended_ago_ms: How long ago the target ended.
+    """
+
+    start: incarnation.Start
+    began_ago_ms: int
+    ended_ago_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ToldCase:
+    """What is known against one request, in a word between gateways.
+
+    Attributes:
+        fingerprint: The request's.
+        sightings: Crashes with it running.
+        cleared_ago_ms: How long ago an equal request ended well, None if
+            none has.
+    """
+
+    fingerprint: str
+    sightings: tuple[ToldSighting, ...]
+    cleared_ago_ms: int | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashNews:
+    """Crashes, in the word of one gateway to others.
+
+    Attributes:
+        cases: What is known against requests.
+        asks: Whether the reader is to tell what it knows.
+    """
+
+    cases: tuple[ToldCase, ...] = ()
+    asks: bool = False
+
+
+Datagram = DemandDatagram | State | CrashNews
+
+
+def told_case(case: crash_evidence.Case, now_ms: int) -> ToldCase:
+    """Returns a case with ages in place of times of this VM's clock."""
+    cleared_at_ms = case.cleared_at_ms
+    is_cleared = cleared_at_ms != crash_evidence.NEVER_MS
+    return ToldCase(
+        case.fingerprint,
+        tuple(
+            ToldSighting(
+                one.start,
+                max(0, now_ms - one.began_at_ms),
+                max(0, now_ms - one.ended_at_ms),
+            )
+            for one in case.sightings
+        ),
+        max(0, now_ms - cleared_at_ms) if is_cleared else None,
+    )
+
+
+def case_of(told: ToldCase, now_ms: int) -> crash_evidence.Case:
+    """Returns a case with times of this VM's clock in place of ages."""
+    cleared_at_ms = crash_evidence.NEVER_MS
+    if told.cleared_ago_ms is not None:
+        cleared_at_ms = now_ms - told.cleared_ago_ms
+    return crash_evidence.Case(
+        told.fingerprint,
+        tuple(
+            crash_evidence.Sighting(
+                one.start, now_ms - one.began_ago_ms, now_ms - one.ended_ago_ms
+            )
+            for one in told.sightings
+        ),
+        cleared_at_ms,
+    )
 
 
 def left_out_count(datagram: DemandDatagram) -> int:
@@ -142,6 +224,31 @@
     return _wire.FleetDatagram.new_message(state=body).to_bytes_packed()
 
 
+@encode.register
+def _(datagram: CrashNews) -> bytes:
+    body = {
+        "cases": [
+            {
+                "fingerprint": bytes.fromhex(case.fingerprint),
+                "sightings": [
+                    {
+                        "target": one.start.name,
+                        "bornMs": one.start.born_ms,
+                        "beganAgoMs": one.began_ago_ms,
+                        "endedAgoMs": one.ended_ago_ms,
+                    }
+                    for one in case.sightings
+                ],
+                "isCleared": case.cleared_ago_ms is not None,
+                "clearedAgoMs": case.cleared_ago_ms or 0,
+            }
+            for case in datagram.cases
+        ],
+        "asks": datagram.asks,
+    }
+    return _wire.FleetDatagram.new_message(crashNews=body).to_bytes_packed()
+
+
 def _holdings(versions: Mapping[str, int]) -> list[dict[str, Any]]:
     by_base: dict[str, dict[str, Any]] = {}
     for name, version in versions.items():
@@ -183,8 +290,11 @@
         return result.Failure(result.FRAME_TOO_LARGE, f"{len(data)} bytes")
     try:
         message = _wire.FleetDatagram.from_bytes_packed(data)
-        if message.which() == "demand":
-            return _decode_demand(message.demand)
+        match message.which():
+            case "demand":
+                return _decode_demand(message.demand)
+            case "crashNews":
+                return _decode_crash_news(message.crashNews)
         return _decode_state(message.state)
     except (capnp.KjException, ValueError) as error:
         return result.Failure(result.FRAME_MALFORMED, str(error))
@@ -232,3 +342,22 @@
         gateway_count=body.gatewayCount,
         recent=tuple(_versions(body.recent)),
     )
+
+
+def _decode_crash_news(body: object) -> CrashNews:
+    cases = tuple(
+        ToldCase(
+            bytes(case.fingerprint).hex(),
+            tuple(
+                ToldSighting(
+                    incarnation.Start(one.target, one.bornMs),
+                    one.beganAgoMs,
+                    one.endedAgoMs,
+                )
+                for one in case.sightings
+            ),
+            case.clearedAgoMs if case.isCleared else None,
+        )
+        for case in body.cases
+    )
+    return CrashNews(cases, body.asks)
--- a/packages/radishstack/src/radishstack/result.py
+++ b/packages/radishstack/src/radishstack/result.py
@@ -101,6 +101,7 @@
 TARGET_SHED = Code(2021, "target_shed", 503, elsewhere=True)
 TARGET_MISMATCH = Code(2022, "target_mismatch", 503, elsewhere=True)
 ROUTE_TIMEOUT_UNSENT = Code(2023, "route_timeout_unsent", 503)
+REQUEST_ENDS_TARGETS = Code(2024, "request_ends_targets", 503)
 
 OUTCOME_UNKNOWN = Code(3001, "outcome_unknown", 504, Executed.UNKNOWN)
 KEY_QUARANTINED = Code(3002, "key_quarantined", 503, Executed.UNKNOWN)
--- /dev/null
+++ b/tests/fleet/test_crash_evidence.py
@@ -0,0 +1,185 @@
+"""Which requests are held to end targets, and which must not be."""
+
+from radishstack.connection import fleet_wire
+from radishstack.process import crash as crash_lib
+from radishstack.process import crash_evidence
+from radishstack.process import incarnation
+from radishstack.request import fingerprint as fingerprint_lib
+
+POISON = "50" * fingerprint_lib.SIZE_BYTES
+OTHER = "07" * fingerprint_lib.SIZE_BYTES
+RUN_MS = 350
+
+
+def _crash(
+    number: int, at_ms: int, *fingerprints: str, run_ms: int = RUN_MS
+) -> crash_lib.Crash:
+    suspects = tuple(
+        crash_lib.Suspect(one, at_ms - run_ms) for one in fingerprints
+    )
+    return crash_lib.Crash(incarnation.Start(f"i{number}", 1), at_ms, suspects)
+
+
+def _evidence(*crashes: crash_lib.Crash) -> crash_evidence.CrashEvidence:
+    evidence = crash_evidence.CrashEvidence()
+    for crash in crashes:
+        evidence.crashed(crash)
+    return evidence
+
+
+def test_a_request_at_each_crash_is_refused_and_its_neighbours_are_not() -> (
+    None
+):
+    """The crashes of the users' day: 8.727, 9.549, 9.980 s, then 14.796 s.
+
+    Each engine ran up to eleven others, every one of them other than at the
+    crash before. All are suspects; only what stands at each is refused.
+    """
+    neighbours = [f"{number:032x}" for number in range(30)]
+    evidence = _evidence(
+        _crash(0, 8_727, POISON, *neighbours[:7]),
+        _crash(1, 9_549, POISON, *neighbours[7:11]),
+    )
+    assert evidence.verdict(POISON, 9_600) is None
+    evidence.crashed(_crash(2, 9_980, POISON, *neighbours[10:20]))
+    verdict = evidence.verdict(POISON, 10_000)
+    assert verdict is not None and verdict.moments == 3
+    for fingerprint in neighbours:
+        assert evidence.verdict(fingerprint, 10_000) is None
+
+
+def test_a_cut_of_power_makes_no_request_suspect() -> None:
+    """A rack fails with a popular request running on all of its engines.
+
+    Its engines end within a quarter of a second, in any order, and all their
+    requests were sent before. Counted as one crash each, whatever runs on
+    three engines at once would be refused at the whole site.
+    """
+    evidence = crash_evidence.CrashEvidence()
+    for number in range(12):
+        run_ms = 100 + 17 * number
+        at_ms = 5_000 + 20 * number
+        evidence.crashed(_crash(number, at_ms, OTHER, run_ms=run_ms + at_ms))
+    assert evidence.verdict(OTHER, 5_300) is None
+
+
+def test_a_popular_request_that_ends_well_elsewhere_is_cleared() -> None:
+    """Many callers send the same body; engines end for reasons of their own.
+
+    An equal request was running at each of five crashes, as one always is.
+    Between the crashes others of it ended well, which none does that ends
+    targets.
+    """
+    evidence = crash_evidence.CrashEvidence()
+    for number in range(5):
+        at_ms = 5_000 * (number + 1)
+        evidence.crashed(_crash(number, at_ms, OTHER))
+        assert evidence.verdict(OTHER, at_ms) is None
+        assert evidence.ended_well(OTHER, at_ms + 100) is not None
+        assert evidence.ended_well(OTHER, at_ms + 200) is None
+        assert evidence.verdict(OTHER, at_ms + 300) is None
+
+
+def test_a_caller_who_repeats_beside_the_culprit_is_not_refused() -> None:
+    """A small service of three targets, all ended by one request.
+
+    Another request was sent on to each of them in turn, and broke each time.
+    At the third crash the two cannot be told apart; at the fourth only one is
+    there.
+    """
+    evidence = _evidence(
+        *(_crash(number, 1_000 * number, POISON, OTHER) for number in range(3))
+    )
+    assert evidence.verdict(OTHER, 2_100) is None
+    assert evidence.verdict(POISON, 2_100) is None
+    evidence.crashed(_crash(3, 3_000, POISON))
+    assert evidence.verdict(POISON, 3_100) is not None
+    assert evidence.verdict(OTHER, 3_100) is None
+
+
+def test_two_at_once_are_counted_though_they_crash_together() -> None:
+    """The culprit comes twice at once, and ends two targets in 50 ms."""
+    evidence = crash_evidence.CrashEvidence()
+    for number in range(3):
+        at_ms = 3_000 * (number + 1)
+        evidence.crashed(_crash(2 * number, at_ms, POISON))
+        evidence.crashed(_crash(2 * number + 1, at_ms + 50, POISON))
+    assert evidence.verdict(POISON, 9_100) is not None
+
+
+def test_a_refusal_ends_and_the_next_one_is_longer() -> None:
+    """An innocent request is back after minutes, a culprit stays away."""
+    evidence = _evidence(
+        *(_crash(number, 1_000 * number, POISON) for number in range(3))
+    )
+    first = evidence.verdict(POISON, 2_000)
+    assert first.left_ms == crash_evidence.HOLD_MS
+    later_ms = 2_000 + first.left_ms
+    assert evidence.verdict(POISON, later_ms) is None
+    evidence.crashed(_crash(3, later_ms + 1_000, POISON))
+    second = evidence.verdict(POISON, later_ms + 1_000)
+    assert second.left_ms > first.left_ms
+    evidence.forget(later_ms + 1_000 + crash_evidence.SEVERAL_KEPT_MS + 1)
+    assert not len(evidence)
+
+
+def test_what_is_remembered_is_bounded_and_keeps_what_counts() -> None:
+    """A cut of power leaves thousands of suspects; the culprit stays known."""
+    evidence = _evidence(
+        *(_crash(number, 1_000 * number, POISON) for number in range(3))
+    )
+    for number in range(3 * crash_evidence.MAX_CASES):
+        evidence.crashed(_crash(10 + number, 10_000, f"{number:032x}"))
+        assert len(evidence) <= crash_evidence.MAX_CASES
+    assert evidence.verdict(POISON, 10_100) is not None
+
+
+def test_evidence_is_the_same_in_whatever_order_it_comes() -> None:
+    """Words of crashes overtake each other, and come twice."""
+    seen = _evidence(
+        *(_crash(number, 1_000 * number, POISON, OTHER) for number in range(4))
+    )
+    seen.ended_well(OTHER, 4_000)
+    cases = list(seen.several())
+    other_way = crash_evidence.CrashEvidence()
+    for case in reversed(cases):
+        for sighting in reversed(case.sightings):
+            part = crash_evidence.Case(case.fingerprint, (sighting,))
+            assert other_way.take(part)
+            assert not other_way.take(part)
+    other_way.take(crash_evidence.Case(OTHER, (), 4_000))
+    assert other_way.verdict(POISON, 4_100) == seen.verdict(POISON, 4_100)
+    assert other_way.verdict(OTHER, 4_100) is None
+
+
+def test_a_crash_is_told_by_its_age() -> None:
+    """Each VM counts from its own start, so a time is told as an age."""
+    evidence = _evidence(_crash(0, 1_000, POISON))
+    evidence.ended_well(POISON, 1_500)
+    for case in (evidence.case(POISON), crash_evidence.Case(POISON)):
+        news = fleet_wire.CrashNews((fleet_wire.told_case(case, 2_000),))
+        read = fleet_wire.decode(fleet_wire.encode(news))
+        assert read == news
+        (told,) = read.cases
+        joined = fleet_wire.case_of(told, 2_000)
+        assert joined == case
+        assert fleet_wire.case_of(told, 9_000).cleared_at_ms in (
+            8_500,
+            crash_evidence.NEVER_MS,
+        )
+
+
+def test_a_fingerprint_names_what_is_asked_and_nothing_else() -> None:
+    """Equal requests of two attempts are one; another path or body is not."""
+    first = fingerprint_lib.of_request("POST", "shop", b"/chat/x", b"body")
+    assert first == fingerprint_lib.of_request(
+        "POST", "shop", b"/chat/x", b"body"
+    )
+    assert len(first) == 2 * fingerprint_lib.SIZE_BYTES
+    others = {
+        fingerprint_lib.of_request("PUT", "shop", b"/chat/x", b"body"),
+        fingerprint_lib.of_request("POST", "shops", b"/chat/x", b"body"),
+        fingerprint_lib.of_request("POST", "shop", b"/chat/", b"xbody"),
+        fingerprint_lib.of_request("POST", "shop", b"/chat/x", b"body2"),
+    }
+    assert len(others | {first}) == 5
--- a/tests/fleet/test_crashes.py
+++ b/tests/fleet/test_crashes.py
@@ -65,6 +65,10 @@
     await fleet.until(
         lambda: all(not one.ready() for one in gateways), "all are up"
     )
+    await fleet.until(
+        lambda: all(len(one.peers.addresses) >= count for one in gateways),
+        "they know each other",
+    )
     return gateways
 
 
@@ -76,9 +80,10 @@
 async def _all_know(
     fleet: fixtures.Fleet, gateways: list[gateway_lib.Gateway]
 ) -> None:
-    """Waits until all targets that run are used."""
+    """Waits until all plain targets that run are used."""
+    plain = {name for name, one in fleet.targets.items() if not one.model}
     await fleet.until(
-        lambda: all(_usable(one) == set(fleet.targets) for one in gateways),
+        lambda: all(_usable(one) == plain for one in gateways),
         "gateways know all targets",
     )
 
@@ -125,7 +130,7 @@
     """
 
     async def play() -> None:
-        async with fixtures.running_fleet(engines=0, plain=3) as fleet:
+        async with fixtures.running_fleet(engines=1, plain=3) as fleet:
             gateways = await _add_gateways(fleet, 3)
             runs = _arm(fleet)
             answers = []
@@ -138,3 +143,73 @@
                 assert float(answer.headers["retry-after"]) > 0
 
     fixtures.run(play)
+
+
+async def _convict(
+    fleet: fixtures.Fleet, gateways: list[gateway_lib.Gateway]
+) -> None:
+    """Sends the request until it is refused at all gateways."""
+    for gateway in itertools.cycle(gateways):
+        await _crash_once(fleet, gateway)
+        await _all_know(fleet, gateways)
+        if all(
+            one.crash_news.evidence.refused(clock.boot_ms()) for one in gateways
+        ):
+            return
+
+
+def test_a_gateway_that_starts_refuses_what_the_others_refuse() -> None:
+    """A gateway is replaced while a request that ends targets goes round.
+
+    What was known of it lay in the memory of the others, and the new one sent
+    it to the next target.
+    """
+
+    async def play() -> None:
+        async with fixtures.running_fleet(engines=1, plain=3) as fleet:
+            gateways = await _add_gateways(fleet, 2)
+            runs = _arm(fleet)
+            await _convict(fleet, gateways)
+            (late,) = await _add_gateways(fleet, 1)
+            await fleet.until(
+                lambda: bool(late.crash_news.evidence.refused(clock.boot_ms())),
+                "it has been told",
+            )
+            before = len(runs)
+            answer = await fleet.call("/book/1", body=POISON, gateway=late)
+            assert answer.status == 503 and len(runs) == before, answer
+
+    fixtures.run(play)
+
+
+def test_an_equal_request_that_ends_well_clears_it_everywhere() -> None:
+    """Targets end under a request that is not to blame.
+
+    Once they run it to its end it is to be refused nowhere, also at gateways
+    that have not served it since.
+    """
+
+    async def play() -> None:
+        async with fixtures.running_fleet(engines=1, plain=3) as fleet:
+            gateways = await _add_gateways(fleet, 2)
+            _arm(fleet)
+            for _ in range(2):
+                await _crash_once(fleet, gateways[0])
+                await _all_know(fleet, gateways)
+            for target in fleet.targets.values():
+                target.fault = lambda seen: Fault.NONE
+            answer = await fleet.call(
+                "/book/1", body=POISON, gateway=gateways[1]
+            )
+            assert answer.status == 200, answer
+            await fleet.until(
+                lambda: (
+                    not any(
+                        list(one.crash_news.evidence.several())
+                        for one in gateways
+                    )
+                ),
+                "it is cleared",
+            )
+
+    fixtures.run(play)
