What is known of requests that end targets outlives a restart of the site

What callers would see: after a cut of power at all gateways a request that ends targets ends three more before it is refused again; what was known lay in memory alone. A gateway that stood still, or whose store was away, asks the others. Ruled out: the processes beside engines as its memory; they restart with the rest.

--- a/packages/radishd/src/radishd/gateway.py
+++ b/packages/radishd/src/radishd/gateway.py
@@ -38,6 +38,7 @@
 from radishd.process import crash_news as crash_news_lib
 from radishd.process import decision_log
 from radishd.process import fleet_socket
+from radishd.process import kept_cases as kept_cases_lib
 from radishd.process import knowledge as knowledge_lib
 from radishd.process import logs
 from radishd.process import metrics as metrics_lib
@@ -133,6 +134,11 @@
             random_source,
             self._keep_case,
         )
+        self.kept_cases = kept_cases_lib.KeptCases(
+            self.store,
+            functools.partial(self.crash_news.take, told_by="store"),
+            log,
+        )
         self.knowledge = knowledge_lib.Knowledge(
             self.store,
             self.peers,
@@ -146,6 +152,7 @@
             on_listed=self._start_known,
             on_news=self.news.tell_all,
             on_limits=self._take_limits,
+            on_store_back=self.crash_news.ask_soon,
         )
 
     @property
@@ -182,6 +189,7 @@
 
     def _keep_case(self, case: crash_evidence.Case) -> None:
         """Takes that a request is refused from now on."""
+        self.kept_cases.keep(case)
         # Those that wait for an adapter are to be refused at once, too.
         self.news.tell_all()
 
@@ -569,6 +577,7 @@
         self.store.drop_connections()
         self.placement.views.clear()
         self.roster.forget_evidence()
+        self.crash_news.ask_soon()
         for follower in self.knowledge.followers.values():
             follower.restart()
 
@@ -675,6 +684,7 @@
             "sweep": gateway.sweep,
             "crash_watch": gateway.crash_watch.run,
             "tell_crashes": gateway.crash_news.tell_others,
+            "keep_crashes": gateway.kept_cases.run,
             "pass_on_crashes": gateway.crash_news.pass_on,
             "ask_for_crashes": gateway.crash_news.ask_at_start,
             "ask_peers": gateway.knowledge.ask_peers,
--- a/packages/radishd/src/radishd/platform/store.py
+++ b/packages/radishd/src/radishd/platform/store.py
@@ -14,7 +14,10 @@
 from radishd.process import clock
 from radishd.process import metrics as metrics_lib
 
+HTTP_SUCCESS = range(200, 300)
 HTTP_OK = 200
+HTTP_NOT_FOUND = 404
+HTTP_CONFLICT = 409
 HTTP_GONE = 410
 HTTP_TOO_MANY = 429
 CALL_TIMEOUT_MS = 1_500
@@ -67,7 +70,7 @@
 
 
 class Store:
-    """Reads objects; every call is counted, as every call is paid for.
+    """Reads and writes objects; every call is counted, as each is paid for.
 
     Attributes:
         on_back: Called before the first answer after an absence is returned,
@@ -89,13 +92,23 @@
             lambda kind, absence: None
         )
 
-    async def list(self, kind: str) -> result.Outcome[Batch]:
-        """Reads all objects of a kind, page by page."""
+    async def list(
+        self, kind: str, *, stale: bool = False
+    ) -> result.Outcome[Batch]:
+        """Reads all objects of a kind, page by page.
+
+        Args:
+            kind: Kind of object.
+            stale: Whether what is seconds old will do; it costs less.
+        """
         records: list[Record] = []
         nameless_count = 0
         after = ""
         for _ in range(MAX_PAGES):
-            query = f"?after={after}" if after else ""
+            fields = ["staleOk=1"] if stale else []
+            if after:
+                fields.append(f"after={after}")
+            query = "?" + "&".join(fields) if fields else ""
             body = await self._get(kind, query, CALL_TIMEOUT_MS)
             if isinstance(body, result.Failure):
                 return body
@@ -141,6 +154,67 @@
             at = revision
         return Batch(records, at, len(read) - len(records))
 
+    async def create(
+        self, kind: str, name: str, spec: dict[str, Any]
+    ) -> result.Failure | None:
+        """Creates an object, unless there is one of that name.
+
+        An answer may be lost after the object was created; asked again, the
+        store says that it exists, which is as good.
+
+        Args:
+            kind: Kind of object.
+            name: Its name.
+            spec: Its content.
+
+        Returns:
+            Why it may not be there, None if it is.
+        """
+        body = json.dumps({"metadata": {"name": name}, "spec": spec})
+        return await self._change(
+            "POST", kind, kind, body.encode(), settled=HTTP_CONFLICT
+        )
+
+    async def delete(self, kind: str, name: str) -> result.Failure | None:
+        """Removes an object; returns why it may still be there, if it may."""
+        return await self._change(
+            "DELETE", kind, f"{kind}/{name}", settled=HTTP_NOT_FOUND
+        )
+
+    async def _change(
+        self,
+        method: str,
+        kind: str,
+        path: str,
+        body: bytes = b"",
+        *,
+        settled: int,
+    ) -> result.Failure | None:
+        """Makes a call that changes an object.
+
+        Args:
+            method: HTTP method.
+            kind: Kind of object.
+            path: Path below the objects.
+            body: JSON, if any.
+            settled: Status that says that nothing is left to be done.
+        """
+        answer: result.Outcome[http_client.Answer] = result.Failure(
+            result.STORE_UNAVAILABLE, f"no answer in {CALL_TIMEOUT_MS} ms"
+        )
+        with anyio.move_on_after(CALL_TIMEOUT_MS / MS_PER_S):
+            answer = await self._exchange(method, path, body)
+        failure = answer if isinstance(answer, result.Failure) else None
+        if failure is None:
+            status = answer.head.status
+            if status not in HTTP_SUCCESS and status != settled:
+                failure = result.Failure(
+                    result.STORE_UNAVAILABLE, f"status {status}"
+                )
+        outcome = "answered" if failure is None else "failed"
+        self._metrics.store_calls.inc({"outcome": outcome, "kind": kind})
+        return failure
+
     async def _get(
         self, kind: str, query: str, timeout_ms: int, late_ms: int = LATE_MS
     ) -> result.Outcome[dict[str, Any]] | Expired:
@@ -169,14 +243,33 @@
     async def _call(
         self, path: str
     ) -> result.Outcome[dict[str, Any]] | Expired:
+        answer = await self._exchange("GET", path)
+        if isinstance(answer, result.Failure):
+            return answer
+        if answer.head.status == HTTP_GONE:
+            return Expired()
+        if answer.head.status != HTTP_OK:
+            return result.Failure(
+                result.STORE_UNAVAILABLE, f"status {answer.head.status}"
+            )
+        return _body(answer.body)
+
+    async def _exchange(
+        self, method: str, path: str, body: bytes = b""
+    ) -> result.Outcome[http_client.Answer]:
         connection = await self._pool.take(self._address, fresh=False)
         if isinstance(connection, http_client.Lost):
             return result.Failure(result.STORE_UNAVAILABLE, connection.reason)
+        lines = [
+            f"{method} /-/objects/{path} HTTP/1.1",
+            f"Host: {self._address}",
+        ]
+        if body:
+            lines.append("Content-Type: application/json")
+            lines.append(f"Content-Length: {len(body)}")
+        head = "\r\n".join(lines) + "\r\n\r\n"
         try:
-            connection.send(
-                f"GET /-/objects/{path} HTTP/1.1\r\n"
-                f"Host: {self._address}\r\n\r\n".encode()
-            )
+            connection.send(head.encode() + body)
             answer = await http_client.read_answer(connection)
         except BaseException:
             connection.close()
@@ -192,13 +285,7 @@
                 connection,
                 http_client.keep_alive_s(answer.head),
             )
-        if answer.head.status == HTTP_GONE:
-            return Expired()
-        if answer.head.status != HTTP_OK:
-            return result.Failure(
-                result.STORE_UNAVAILABLE, f"status {answer.head.status}"
-            )
-        return _body(answer.body)
+        return answer
 
     def drop_connections(self) -> None:
         """Trusts no kept connection, as after this process stood still."""
--- a/packages/radishd/src/radishd/platform/wire.py
+++ b/packages/radishd/src/radishd/platform/wire.py
@@ -9,6 +9,8 @@
 import pydantic
 from radishstack import result
 from radishstack.process import adapter_keeper
+from radishstack.process import crash_evidence
+from radishstack.process import incarnation
 from radishstack.process import roster
 from radishstack.version import route_table
 
@@ -18,6 +20,8 @@
 KIND_CONFIGURATION = "config"
 KIND_TARGETS = "servers"
 KIND_VERSIONS = "versions"
+# A kind of our own: requests that end the targets that run them.
+KIND_CRASHES = "crashes"
 # The one object of the configuration.
 CONFIGURATION_NAME = "main"
 
@@ -76,6 +80,18 @@
 _BIRTH = pydantic.TypeAdapter(_Birth)
 
 
+class _Sighting(_Checked):
+    target: _Text
+    born_ms: _Birth
+    began_unix_ms: int
+    ended_unix_ms: int
+
+
+class _CrashCase(_Checked):
+    fingerprint: Annotated[str, pydantic.Field(pattern=r"^[0-9a-f]{32}$")]
+    sightings: Annotated[list[_Sighting], pydantic.Field(max_length=64)]
+
+
 class _Version(_Checked):
     model: _Text
     adapter: Annotated[str, pydantic.Field(pattern=r"^[!-~]*$")] = ""
@@ -241,6 +257,59 @@
     return adapter_keeper.Want(name, entry.version)
 
 
+def crash_case_spec(
+    case: crash_evidence.Case, now_ms: int, unix_ms: int
+) -> dict[str, Any]:
+    """Encodes what is known against a request, for the store to keep.
+
+    Args:
+        case: What is known.
+        now_ms: This VM's clock.
+        unix_ms: The wall clock, by which another VM can read it.
+    """
+    sightings = [
+        {
+            "target": one.start.name,
+            "born_ms": one.start.born_ms,
+            "began_unix_ms": one.began_at_ms - now_ms + unix_ms,
+            "ended_unix_ms": one.ended_at_ms - now_ms + unix_ms,
+        }
+        for one in case.sightings
+    ]
+    return {"fingerprint": case.fingerprint, "sightings": sightings}
+
+
+def crash_case(
+    spec: Any, now_ms: int, unix_ms: int
+) -> result.Outcome[crash_evidence.Case]:
+    """Decodes what the store keeps of a request.
+
+    Args:
+        spec: The object's content.
+        now_ms: This VM's clock.
+        unix_ms: The wall clock. A crash that lies in its future by another
+            VM's clock is taken for one of now.
+
+    Returns:
+        The case, or what could not be read.
+    """
+    try:
+        entry = _CrashCase.model_validate(spec)
+    except ValueError as error:
+        return _unreadable("crash", error)
+    return crash_evidence.Case(
+        entry.fingerprint,
+        tuple(
+            crash_evidence.Sighting(
+                incarnation.Start(one.target, one.born_ms),
+                now_ms - max(0, unix_ms - one.began_unix_ms),
+                now_ms - max(0, unix_ms - one.ended_unix_ms),
+            )
+            for one in entry.sightings
+        ),
+    )
+
+
 def report(body: bytes) -> result.Outcome[adapter_keeper.Report]:
     """Decodes an engine's report on itself."""
     try:
--- a/packages/radishd/src/radishd/process/crash_news.py
+++ b/packages/radishd/src/radishd/process/crash_news.py
@@ -76,6 +76,7 @@
         self._on_refused = on_refused
         self._waiting: list[crash_evidence.Case] = []
         self._asked_by: set[fleet_socket.Address] = set()
+        self._asks = False
         self._wake = anyio.Event()
         self._refused: dict[str, int] = {}
 
@@ -162,6 +163,9 @@
             cases, self._waiting = self._waiting, []
             asked_by, self._asked_by = self._asked_by, set()
             await self._tell(self._others(), cases)
+            if self._asks:
+                self._asks = False
+                await self._ask()
             await self._tell(asked_by, list(self.evidence.several()))
 
     async def pass_on(self) -> None:
@@ -181,8 +185,12 @@
         is_news = clock.boot_ms() - newest_ms < NEWS_MS
         return PASS_ON_MS if is_news or not cases else PASS_ON_OLD_MS
 
-    async def ask(self) -> None:
-        """Asks some others for what they know."""
+    def ask_soon(self) -> None:
+        """Asks for what was told while this gateway could not be reached."""
+        self._asks = True
+        self._wake.set()
+
+    async def _ask(self) -> None:
         others = self._others()
         asked = self._random.sample(others, min(MAX_ASKED, len(others)))
         await self._send(asked, fleet_wire.CrashNews(asks=True))
@@ -193,7 +201,7 @@
         for after_ms in ASK_AFTER_MS:
             left_ms = began_ms + after_ms - clock.boot_ms()
             await anyio.sleep(max(0, left_ms) / MS_PER_S)
-            await self.ask()
+            await self._ask()
         await anyio.sleep_forever()
 
     def sweep(self) -> None:
--- /dev/null
+++ b/packages/radishd/src/radishd/process/kept_cases.py
@@ -0,0 +1,112 @@
+"""What the store keeps of requests that end targets.
+
+Gateways know them in memory. Where all restart at once nobody could tell the
+next ones, and the request would end as many targets again before it is
+refused.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+
+import anyio
+from radishstack import result
+from radishstack.process import crash_evidence
+
+from radishd.platform import store as store_lib
+from radishd.platform import wire
+from radishd.process import clock
+from radishd.process import decision_log
+
+MS_PER_S = 1_000
+# Pause after a call that failed, doubled up to the maximum; calls are paid
+# for, and other gateways tell what is kept here in the meantime.
+RETRY_FIRST_MS = 500
+RETRY_MAX_MS = 30_000
+# Cases that wait to be written; one that does not fit is told by gateways.
+MAX_WAITING = 64
+
+Take = Callable[[Iterable[crash_evidence.Case]], None]
+
+
+class KeptCases:
+    """Reads cases as the gateway starts, and writes its own."""
+
+    def __init__(
+        self, store: store_lib.Store, take: Take, log: decision_log.DecisionLog
+    ) -> None:
+        """Starts with nothing read and nothing to write.
+
+        Args:
+            store: The platform's store.
+            take: Given what is read.
+            log: Where it is logged.
+        """
+        self._store = store
+        self._take = take
+        self._log = log
+        self._waiting: dict[str, crash_evidence.Case] = {}
+        self._wake = anyio.Event()
+
+    def keep(self, case: crash_evidence.Case) -> None:
+        """Has a case written as soon as the store takes it."""
+        if len(self._waiting) >= MAX_WAITING:
+            self._log.write("case_not_kept", fingerprint=case.fingerprint)
+            return
+        # Two gateways that saw the same crash write the same object.
+        name = f"{case.fingerprint}-{len(case.sightings)}"
+        self._waiting[name] = case
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Reads what is kept, then writes, until cancelled."""
+        await self._read()
+        while True:
+            await self._wake.wait()
+            self._wake = anyio.Event()
+            await self._write()
+
+    async def _read(self) -> None:
+        pause_ms = RETRY_FIRST_MS
+        while True:
+            batch = await self._store.list(wire.KIND_CRASHES, stale=True)
+            if not isinstance(batch, result.Failure):
+                break
+            await anyio.sleep(pause_ms / MS_PER_S)
+            pause_ms = min(2 * pause_ms, RETRY_MAX_MS)
+        now_ms = clock.boot_ms()
+        cases = []
+        for record in batch.records:
+            case = wire.crash_case(record.spec, now_ms, clock.unix_ms())
+            if isinstance(case, result.Failure):
+                self._log.write(
+                    "object_refused",
+                    kind=wire.KIND_CRASHES,
+                    object=record.name,
+                    revision=record.revision,
+                    reason=case.message,
+                )
+                continue
+            if crash_evidence.is_over(case, now_ms):
+                await self._store.delete(wire.KIND_CRASHES, record.name)
+                continue
+            cases.append(case)
+        if cases:
+            self._log.must("cases_read", count=len(cases))
+        self._take(cases)
+
+    async def _write(self) -> None:
+        pause_ms = RETRY_FIRST_MS
+        while self._waiting:
+            name, case = next(iter(self._waiting.items()))
+            spec = wire.crash_case_spec(case, clock.boot_ms(), clock.unix_ms())
+            failure = await self._store.create(wire.KIND_CRASHES, name, spec)
+            if failure is None:
+                del self._waiting[name]
+                self._log.must("case_kept", object=name)
+                pause_ms = RETRY_FIRST_MS
+                continue
+            self._log.write(
+                "case_not_kept", object=name, reason=failure.message
+            )
+            await anyio.sleep(pause_ms / MS_PER_S)
+            pause_ms = min(2 * pause_ms, RETRY_MAX_MS)
--- a/packages/radishd/src/radishd/process/knowledge.py
+++ b/packages/radishd/src/radishd/process/knowledge.py
@@ -82,6 +82,7 @@
         on_listed: Callable[[roster_lib.Member], None],
         on_news: Callable[[], None],
         on_limits: Callable[[route_table.Limits], None],
+        on_store_back: Callable[[], None],
     ) -> None:
         """Starts knowing nothing.
 
@@ -98,6 +99,7 @@
             on_listed: Told of a start of a target that was not known.
             on_news: Told that something has changed.
             on_limits: Told the limits of a new configuration.
+            on_store_back: Told that the store answers after an absence.
         """
         self._store = store
         self._peers = peers
@@ -111,6 +113,7 @@
         self._on_listed = on_listed
         self._on_news = on_news
         self._on_limits = on_limits
+        self._on_store_back = on_store_back
         store.on_back = self._store_back
         self.changes: collections.deque[table_changes.Change] = (
             collections.deque(maxlen=MAX_CHANGES)
@@ -190,6 +193,7 @@
             read_revision=self._seen_revision(wire.KIND_TARGETS),
             may_have_lapsed=doubted,
         )
+        self._on_store_back()
         if not absence.failed or absence.away_ms < HANGING_AFTER_MS:
             return
         for name, follower in self.followers.items():
--- a/packages/radishstack/src/radishstack/process/crash_evidence.py
+++ b/packages/radishstack/src/radishstack/process/crash_evidence.py
@@ -211,13 +211,16 @@
     def forget(self, now_ms: int) -> None:
         """Drops what is too old to count."""
         for case in list(self._cases.values()):
-            kept_ms = (
-                SEVERAL_KEPT_MS if len(case.sightings) > 1 else SINGLE_KEPT_MS
-            )
-            if now_ms - _last_ms(case) > kept_ms:
+            if is_over(case, now_ms):
                 self._forget_one(case.fingerprint)
 
 
+def is_over(case: Case, now_ms: int) -> bool:
+    """Whether a case is too old to count."""
+    kept_ms = SEVERAL_KEPT_MS if len(case.sightings) > 1 else SINGLE_KEPT_MS
+    return now_ms - _last_ms(case) > kept_ms
+
+
 def _last_ms(case: Case) -> int:
     last_ms = case.sightings[-1].ended_at_ms if case.sightings else NEVER_MS
     return max(last_ms, case.cleared_at_ms)
--- a/packages/standins/src/standins/platform_store.py
+++ b/packages/standins/src/standins/platform_store.py
@@ -19,6 +19,7 @@
     """Faults that a test turns on while the store runs.
 
     Attributes:
+        loses_answers: Whether writes are done and not answered.
         refuses: Whether every call is answered 503.
         silent: Whether calls are taken and never answered, those that wait
             for a change included.
@@ -26,6 +27,7 @@
             this has ended, as by a store that stands still.
     """
 
+    loses_answers: bool = False
     refuses: bool = False
     silent: bool = False
     holds: bool = False
@@ -94,13 +96,19 @@
 
     async def handle(self, request: web.Request) -> None:
         """Answers one call."""
-        kind = request.path.removeprefix(PREFIX)
+        kind, _, name = request.path.removeprefix(PREFIX).partition("/")
         self.calls[kind] += 1
         if self.faults.silent:
             await anyio.sleep_forever()
         if self.faults.refuses:
             await request.reply({}, status=503)
             return
+        if request.method == "POST":
+            await self._create(request, kind)
+            return
+        if request.method == "DELETE":
+            await self._remove(request, kind, name)
+            return
         if "watch" in request.query:
             await self._watch(request, kind)
             return
@@ -112,6 +120,25 @@
         body = {"items": items, "hasMore": more, "at": self.revision}
         await request.reply(body)
 
+    async def _create(self, request: web.Request, kind: str) -> None:
+        body = request.json()
+        name = body["metadata"]["name"]
+        known = self.objects.get(kind, {}).get(name)
+        if known is not None:
+            await request.reply(known, status=409)
+            return
+        self.put(kind, name, body["spec"])
+        if self.faults.loses_answers:
+            await anyio.sleep_forever()
+        await request.reply(self.objects[kind][name], status=201)
+
+    async def _remove(self, request: web.Request, kind: str, name: str) -> None:
+        if name not in self.objects.get(kind, {}):
+            await request.reply({}, status=404)
+            return
+        self.delete(kind, name)
+        await request.reply({})
+
     async def _watch(self, request: web.Request, kind: str) -> None:
         since = int(request.query["watch"])
         wait_s = int(request.query.get("waitMs", 0)) / MS_PER_S
--- a/tests/fleet/test_crash_evidence.py
+++ b/tests/fleet/test_crash_evidence.py
@@ -1,5 +1,7 @@
 """Which requests are held to end targets, and which must not be."""
 
+from radishd.platform import wire
+from radishstack import result
 from radishstack.connection import fleet_wire
 from radishstack.process import crash as crash_lib
 from radishstack.process import crash_evidence
@@ -169,6 +171,23 @@
         )
 
 
+def test_what_the_store_keeps_is_read_by_another_clock() -> None:
+    """A VM that reads it counts from its own start, and clocks jump."""
+    evidence = _evidence(
+        *(_crash(number, 1_000 * number, POISON) for number in range(3))
+    )
+    spec = wire.crash_case_spec(evidence.case(POISON), 2_100, 1_000_000)
+    read = wire.crash_case(spec, -40_000, 1_000_500)
+    assert isinstance(read, crash_evidence.Case), read
+    joined = crash_evidence.CrashEvidence()
+    joined.take(read)
+    verdict = joined.verdict(POISON, -40_000)
+    assert verdict.left_ms == crash_evidence.HOLD_MS - 600
+    ahead = wire.crash_case(spec, 9_000, 500_000)
+    assert ahead.sightings[-1].ended_at_ms == 9_000
+    assert isinstance(wire.crash_case({"fingerprint": 7}, 0, 0), result.Failure)
+
+
 def test_a_fingerprint_names_what_is_asked_and_nothing_else() -> None:
     """Equal requests of two attempts are one; another path or body is not."""
     first = fingerprint_lib.of_request("POST", "shop", b"/chat/x", b"body")
--- a/tests/fleet/test_crashes.py
+++ b/tests/fleet/test_crashes.py
@@ -213,3 +213,65 @@
             )
 
     fixtures.run(play)
+
+
+def test_a_site_that_restarts_whole_still_refuses_it() -> None:
+    """All gateways restart at once, and the request comes again.
+
+    What was known of it lay in their memory alone, so the next three targets
+    ended under it before it was refused once more.
+    """
+
+    async def play() -> None:
+        async with fixtures.running_fleet(engines=0, plain=3) as fleet:
+            gateways = await _add_gateways(fleet, 1)
+            runs = _arm(fleet)
+            # The answer to the write is lost, which proves nothing.
+            fleet.store.faults.loses_answers = True
+            await _convict(fleet, gateways)
+            kept = fleet.store.objects.get("crashes", {})
+            await fleet.until(lambda: bool(kept), "it is kept")
+            fleet.store.faults.loses_answers = False
+            fleet.store.put("crashes", "foreign", {"fingerprint": 7})
+            # This one knows no other gateway, nor is it known to any.
+            late = await fleet.add_gateway()
+            await fleet.until(
+                lambda: (
+                    not late.ready()
+                    and bool(late.crash_news.evidence.refused(clock.boot_ms()))
+                ),
+                "it has read what is kept",
+            )
+            before = len(runs)
+            answer = await fleet.call("/book/1", body=POISON, gateway=late)
+            assert answer.status == 503 and len(runs) == before, answer
+            assert "foreign" in fleet.store.objects["crashes"]
+
+    fixtures.run(play)
+
+
+def test_a_refusal_in_an_outage_is_kept_afterwards() -> None:
+    """The store is away as the third target ends."""
+
+    async def play() -> None:
+        async with fixtures.running_fleet(engines=0, plain=3) as fleet:
+            gateways = await _add_gateways(fleet, 1)
+            _arm(fleet)
+            for _ in range(2):
+                await _crash_once(fleet, gateways[0])
+                await _all_know(fleet, gateways)
+            fleet.store.faults.refuses = True
+            await fleet.call("/book/1", body=POISON, gateway=gateways[0])
+            await fleet.until(
+                lambda: bool(
+                    gateways[0].crash_news.evidence.refused(clock.boot_ms())
+                ),
+                "it is refused",
+            )
+            assert "crashes" not in fleet.store.objects
+            fleet.store.faults.refuses = False
+            await fleet.until(
+                lambda: bool(fleet.store.objects.get("crashes")), "it is kept"
+            )
+
+    fixtures.run(play)
