--- a/packages/standins/src/standins/platform_engine.py
+++ b/packages/standins/src/standins/platform_engine.py
@@ -141,6 +141,8 @@
         self.orders: list[dict[str, Any]] = []
         self.crashed = False
         self.ended = False
+        self.leaving = False
+        self.rest_s = 0.0
         self.fault: Callable[[Seen], Fault] = lambda seen: Fault.NONE
         self.swallow_orders = 0
         self._server: asyncio.Server | None = None
@@ -167,6 +169,7 @@
             born_ms: What its clock says then; it may have jumped back.
         """
         self.born_ms = born_ms
+        self.leaving = False
         self.accepted_count = 0
         self.adapters, self.in_transit = {}, {}
         self.running, self.held_before = {}, set()
@@ -305,6 +308,10 @@
         self.adapters[name] = version
         self.held_before.add(name)
 
+    def _news(self) -> list[str]:
+        """Returns the headers of all answers that tell of this target."""
+        return ["Server-Leaving: 1"] if self.leaving else []
+
     async def _reply(
         self,
         writer: asyncio.StreamWriter,
@@ -316,6 +323,7 @@
         data = json.dumps(body).encode()
         lines = [f"HTTP/1.1 {status} {REASONS.get(status, 'Other')}"]
         lines.append(f"Content-Length: {len(data)}")
+        lines.extend(self._news())
         if seen is not None:
             lines.append(f"X-Attempt-Id: {seen.attempt_id}")
         for name, value in (headers or {}).items():
@@ -328,6 +336,8 @@
     ) -> None:
         if fault is Fault.SHED:
             headers = {"X-Not-Executed": "1"}
+            if self.rest_s:
+                headers["Retry-After"] = f"{self.rest_s:g}"
             await self._reply(writer, 503, {}, headers, seen)
             return
         if fault is Fault.RESET_UNRUN:
@@ -378,6 +388,7 @@
         signature: dict[str, str],
     ) -> None:
         lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
+        lines.extend(self._news())
         lines.append(f"X-Attempt-Id: {seen.attempt_id}")
         lines.extend(f"{name}: {value}" for name, value in signature.items())
         framed = fault is not Fault.UNFRAMED
