What a target tells of itself in its answers is believed

What callers saw: requests reached a target 2.1 to 2.5 s after it had said that it leaves, in an outage of the store; soon after they would have been cut. Cause: a target left only where the list said so, and its answers' words went to callers unread. Now the adapter decodes both words, and the roster keeps them apart from the list: a start that said it leaves gets no work until another start runs, whatever the list, a peer or a renewed entry says; one that asked for rest gets none until its end, also where no other is left, and callers are told how long. The process beside an engine tells all gateways that its engine leaves. A word counts only for the start that the request was meant for; both are bounded. Ruled out: marking the entry itself (the next entry takes it back). Also here: a target is held to have ended only if no kept connection to it is open, so a lost answer opens no connection; failures of targets clear suspects.

--- a/packages/radishd/src/radishd/connection/crash_watch.py
+++ b/packages/radishd/src/radishd/connection/crash_watch.py
@@ -1,8 +1,8 @@
 """Tells targets that ended from connections that only broke.
 
 An answer that breaks off proves little: a link, a limit on connections or a
-lost answer looks the same. A target that has ended refuses connections until
-it is started again, seconds later, so it is connected to at once.
+lost answer looks the same. A target that has ended has no connection left, and
+refuses new ones until it is started again, seconds later.
 """
 
 from collections.abc import Callable
@@ -14,6 +14,7 @@
 from radishstack.process import roster as roster_lib
 
 from radishd.connection import http_client
+from radishd.connection import pool as pool_lib
 from radishd.process import clock
 from radishd.process import decision_log
 from radishd.process import metrics as metrics_lib
@@ -41,6 +42,7 @@
 
     def __init__(
         self,
+        pool: pool_lib.Pool,
         log: decision_log.DecisionLog,
         metrics: metrics_lib.Metrics,
         on_crash: OnCrash,
@@ -48,10 +50,12 @@
         """Starts with none.
 
         Args:
+            pool: Connections to targets that are kept.
             log: Where crashes are logged.
             metrics: Where they are counted.
             on_crash: Told of each start that was seen to have ended.
         """
+        self._pool = pool
         self._log = log
         self._metrics = metrics
         self._on_crash = on_crash
@@ -89,12 +93,8 @@
                     tasks.start_soon(self._look, start, sends)
 
     async def _look(self, start: incarnation.Start, broken: _Broken) -> None:
-        connection = await http_client.open_connection(
-            broken.address, CONNECT_TIMEOUT_MS
-        )
-        ended = isinstance(connection, http_client.Lost)
-        if not ended:
-            connection.close()
+        reason = await self._why_ended(broken.address)
+        ended = bool(reason)
         suspects = tuple(broken.suspects.values())
         self._metrics.crashes.inc({"ended": "yes" if ended else "no"})
         self._log.write(
@@ -102,10 +102,22 @@
             target=start.name,
             born_ms=start.born_ms,
             ended=ended,
-            reason=connection.reason if ended else "it can be connected to",
+            reason=reason or "it can be connected to",
             age_ms=clock.boot_ms() - broken.at_ms,
             suspects=len(suspects),
             fingerprints=[one.fingerprint for one in suspects[:MAX_LOGGED]],
         )
         if ended:
             self._on_crash(crash_lib.Crash(start, broken.at_ms, suspects))
+
+    async def _why_ended(self, address: str) -> str:
+        """Returns why a target is held to have ended, empty if it is not."""
+        if self._pool.has_open(address):
+            return ""
+        connection = await http_client.open_connection(
+            address, CONNECT_TIMEOUT_MS
+        )
+        if isinstance(connection, http_client.Lost):
+            return connection.reason
+        connection.close()
+        return ""
--- a/packages/radishd/src/radishd/connection/pool.py
+++ b/packages/radishd/src/radishd/connection/pool.py
@@ -87,6 +87,12 @@
             idle_ms = min(int(keep_s * MS_PER_S * KEEP_PART), MAX_IDLE_MS)
         kept.append(_Kept(connection, now_ms, now_ms + idle_ms))
 
+    def has_open(self, address: str) -> bool:
+        """Whether a kept connection to an address has not been ended."""
+        return any(
+            one.connection.is_open for one in self._kept.get(address, ())
+        )
+
     def drop(self, address: str) -> None:
         """Closes what is kept for an address."""
         for one in self._kept.pop(address, []):
--- a/packages/radishd/src/radishd/gateway.py
+++ b/packages/radishd/src/radishd/gateway.py
@@ -111,7 +111,7 @@
         self.budgets: dict[str, shared_budget.SharedBudget] = {}
         self.news = news_lib.News()
         self.crash_watch = crash_watch_lib.CrashWatch(
-            log, metrics, self._target_crashed
+            self.pool, log, metrics, self._target_crashed
         )
         self.draining = False
         self.waits_end_at_ms = 0
@@ -272,6 +272,40 @@
         if self.roster.is_current(member):
             self.roster.answered(member.listing.instance, took_ms)
 
+    def note_news(
+        self,
+        member: roster_lib.Member,
+        news: front.TargetNews,
+        attempt_id: str,
+    ) -> None:
+        """Takes what a target tells of itself in an answer."""
+        start = member.listing.start
+        if news.leaving:
+            self._take_leaving(start, told_by="answer", request=attempt_id)
+        if news.rest_ms:
+            self.roster.rests(member, news.rest_ms, clock.boot_ms())
+            self.log.write(
+                "target_rests",
+                target=start.name,
+                rest_ms=news.rest_ms,
+                request=attempt_id,
+            )
+
+    def _take_leaving(
+        self, start: incarnation.Start, *, told_by: str, request: str = ""
+    ) -> None:
+        if not self.roster.leaves(start):
+            return
+        self.log.must(
+            "target_said_leaving",
+            target=start.name,
+            born_ms=start.born_ms,
+            told_by=told_by,
+            request=request,
+        )
+        # What waits for a load there is to choose anew.
+        self.news.tell_all()
+
     def keep(self, address: str, connection: http_client.Connection) -> None:
         """Keeps a connection whose answer was read whole."""
         keep_s = connection.announced_keep_s()
@@ -525,6 +559,8 @@
         if start.is_other(member.listing.start):
             # A word on a start that is not known to run: the list will tell.
             return
+        if datagram.leaving:
+            self._take_leaving(start, told_by="sidecar")
         before = self.placement.views.get(member.listing.address)
         view = placement_lib.View(
             instance=datagram.instance,
@@ -614,6 +650,12 @@
             "in_flight": self.in_flight,
             "draining": self.draining,
             "refusals": self.refusals,
+            "refused_requests": {
+                fingerprint: dataclasses.asdict(verdict)
+                for fingerprint, verdict in self.crash_news.evidence.refused(
+                    now_ms
+                ).items()
+            },
             "targets": {
                 name: {
                     "listing": dataclasses.asdict(member.listing),
--- a/packages/radishd/src/radishd/platform/engine.py
+++ b/packages/radishd/src/radishd/platform/engine.py
@@ -9,6 +9,7 @@
 
 from radishd.connection import http_client
 from radishd.connection import pool as pool_lib
+from radishd.platform import front
 from radishd.platform import wire
 
 # The engine answers on its own VM within some milliseconds. An order that is
@@ -70,7 +71,11 @@
             return result.Failure(
                 result.TARGET_COLD, f"report status {answer.head.status}"
             )
-        return wire.report(answer.body)
+        report = wire.report(answer.body)
+        if isinstance(report, result.Failure):
+            return report
+        leaving = front.is_leaving(answer.head)
+        return dataclasses.replace(report, leaving=leaving)
 
     async def order(
         self, order: adapter_keeper.Order, instance: str
--- a/packages/radishd/src/radishd/platform/front.py
+++ b/packages/radishd/src/radishd/platform/front.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 import json
+import math
 
 from radishstack import result
 
@@ -17,6 +18,8 @@
 _SIGNATURE = b"x-server-signature"
 _NOT_RUN = b"x-not-executed"
 _ENCODING = b"content-encoding"
+_LEAVING = b"server-leaving"
+_RETRY_AFTER = b"retry-after"
 _CONNECTION = b"connection"
 _HOST = b"host"
 
@@ -60,6 +63,7 @@
 
 HTTP_SUCCESS = range(200, 300)
 HTTP_MISDIRECTED = 421
+HTTP_UNAVAILABLE = 503
 # Callers take these as a promise that the request did not run.
 PROMISES = frozenset({408, 421, 429, 503})
 MS_PER_S = 1_000
@@ -210,6 +214,55 @@
     return Kind.FAILURE
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetNews:
+    """What an answer tells of its target, beside the request.
+
+    Attributes:
+        leaving: Whether it leaves: it is about to end, whatever it runs.
+        rest_ms: For how long it wants nothing from this VM, 0 if it did not
+            say.
+    """
+
+    leaving: bool = False
+    rest_ms: int = 0
+
+
+NO_NEWS = TargetNews()
+
+
+def target_news(head: http_client.Head, instance: str) -> TargetNews:
+    """Decodes what an answer tells of the target that gave it.
+
+    Args:
+        head: Status and headers.
+        instance: The start of the target that the request was meant for.
+    """
+    actual = head.get(_INSTANCE)
+    if actual is not None and actual.decode("latin-1") != instance:
+        # Another start at that address speaks of itself.
+        return NO_NEWS
+    return TargetNews(is_leaving(head), _rest_ms(head))
+
+
+def is_leaving(head: http_client.Head) -> bool:
+    """Whether an answer says that its target leaves."""
+    return (head.get(_LEAVING) or b"").strip() == b"1"
+
+
+def _rest_ms(head: http_client.Head) -> int:
+    if head.status != HTTP_UNAVAILABLE:
+        return 0
+    try:
+        rest_s = float(head.get(_RETRY_AFTER) or b"0")
+    except ValueError:
+        # A date, which targets do not send, or garbage.
+        return 0
+    if not math.isfinite(rest_s):
+        return 0
+    return round(max(0.0, rest_s) * MS_PER_S)
+
+
 def response_headers(head: http_client.Head) -> list[tuple[bytes, bytes]]:
     """Returns the headers of a target's answer that the caller gets."""
     return [pair for pair in head.headers if pair[0] not in _RESPONSE_DROPPED]
--- a/packages/radishd/src/radishd/process/crash_news.py
+++ b/packages/radishd/src/radishd/process/crash_news.py
@@ -34,6 +34,7 @@
 # When a gateway that has started asks: it knows few others at first.
 ASK_AFTER_MS = (0, 1_000, 3_000)
 MAX_ASKED = 3
+FORGET_EVERY_MS = 10_000
 
 Send = Callable[
     [Iterable[fleet_socket.Address], fleet_wire.CrashNews], Awaitable[None]
@@ -79,6 +80,7 @@
         self._asks = False
         self._wake = anyio.Event()
         self._refused: dict[str, int] = {}
+        self._forgot_at_ms = clock.boot_ms()
 
     def crashed(self, crash: crash_lib.Crash) -> None:
         """Takes a crash that was seen here, and tells the others."""
@@ -206,7 +208,10 @@
 
     def sweep(self) -> None:
         """Forgets what is too old, and notes what is refused no more."""
-        self.evidence.forget(clock.boot_ms())
+        now_ms = clock.boot_ms()
+        if now_ms - self._forgot_at_ms > FORGET_EVERY_MS:
+            self._forgot_at_ms = now_ms
+            self.evidence.forget(now_ms)
         for fingerprint in list(self._refused):
             self._judge(fingerprint, told_by="")
         self._metrics.refused_requests.set({}, len(self._refused))
--- a/packages/radishd/src/radishd/request/forward.py
+++ b/packages/radishd/src/radishd/request/forward.py
@@ -306,10 +306,12 @@
         code = result.NO_TARGET
         if self.state.may_have_run:
             code = result.OUTCOME_UNKNOWN
+        retry_after_ms = self.gateway.spread(NO_TARGET_RETRY_MS)
+        rest_ms = self.gateway.roster.rest_ms(self.service, clock.boot_ms())
         return result.Failure(
             code,
             f"no target of {self.service} can take it",
-            self.gateway.spread(NO_TARGET_RETRY_MS),
+            rest_ms + retry_after_ms,
         )
 
     async def _try(
@@ -419,6 +421,11 @@
             head = await self._read(send, connection.head)
             if not isinstance(head, http_client.Head):
                 return head
+            news = front.target_news(head, instance)
+            if news != front.NO_NEWS:
+                self.gateway.note_news(
+                    send.member, news, self.request.attempt_id
+                )
             kind = front.classify(head, self.request.attempt_id, instance)
             if kind is not front.Kind.FOREIGN:
                 return head
@@ -488,6 +495,7 @@
         if isinstance(body, http_client.Lost):
             return _outcome_of(body)
         self.gateway.keep(send.member.listing.address, send.connection)
+        self._note_end()
         instance = send.member.listing.instance
         may_retry = (
             self.route.repeatable
@@ -503,7 +511,6 @@
             return Outcome.FAILED
         if self.began:
             return Outcome.FAILED
-        self._note_end()
         self.gateway.note_failure_answer(send.member, head.status)
         self.trail.append(f"{instance}:{head.status}")
         await self._reply_whole(head, body)
--- a/packages/radishd/src/radishd/request/gateway_port.py
+++ b/packages/radishd/src/radishd/request/gateway_port.py
@@ -16,6 +16,7 @@
 from radishd.connection import crash_watch as crash_watch_lib
 from radishd.connection import http_client
 from radishd.connection import pool as pool_lib
+from radishd.platform import front
 from radishd.process import crash_news as crash_news_lib
 from radishd.process import metrics as metrics_lib
 from radishd.process import news as news_lib
@@ -86,6 +87,14 @@
     def note_success(self, member: roster_lib.Member, took_ms: int) -> None:
         """Takes evidence on a target from a good answer."""
 
+    def note_news(
+        self,
+        member: roster_lib.Member,
+        news: front.TargetNews,
+        attempt_id: str,
+    ) -> None:
+        """Takes what a target tells of itself in an answer."""
+
     def keep(self, address: str, connection: http_client.Connection) -> None:
         """Keeps a connection whose answer was read whole."""
 
--- a/packages/radishd/src/radishd/sidecar.py
+++ b/packages/radishd/src/radishd/sidecar.py
@@ -203,7 +203,8 @@
         report = self.report
         residents = dict(self._residents())
         born_ms = report.born_ms if report is not None else 0
-        told = (self.instance, born_ms, residents)
+        leaving = report is not None and report.leaving
+        told = (self.instance, born_ms, residents, leaving)
         changed, self._told = told != self._told, told
         words = self.audience.due(
             now_ms, changed=changed, held=frozenset(residents)
@@ -222,6 +223,7 @@
             former_born_ms=self.former_born_ms if born_ms else 0,
             gateway_count=len(self.audience),
             recent=self.keeper.recently_held(),
+            leaving=leaving,
         )
         for word in words:
             promised = dataclasses.replace(state, next_ms=word.next_ms)
--- a/packages/radishstack/src/radishstack/connection/fleet.capnp
+++ b/packages/radishstack/src/radishstack/connection/fleet.capnp
@@ -73,6 +73,8 @@
   gatewayCount @13 :UInt16;
   # Adapters that the engine held last and does not any more.
   recent @14 :List(Holding);
+  # Whether the engine says that it leaves.
+  leaving @15 :Bool;
 }
 
 struct Sighting {
--- a/packages/radishstack/src/radishstack/connection/fleet_wire.py
+++ b/packages/radishstack/src/radishstack/connection/fleet_wire.py
@@ -56,6 +56,7 @@
         gateway_count: How many gateways this process hears.
         recent: Adapters that the engine held last and does not any more, the
             one held last at the end.
+        leaving: Whether the engine says that it leaves.
     """
 
     instance: str
@@ -70,6 +71,7 @@
     next_ms: int = 0
     gateway_count: int = 0
     recent: tuple[str, ...] = ()
+    leaving: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -220,6 +222,7 @@
         "nextMs": min(datagram.next_ms, MAX_COUNT),
         "gatewayCount": min(datagram.gateway_count, MAX_COUNT),
         "recent": _holdings(dict.fromkeys(datagram.recent, 0)),
+        "leaving": datagram.leaving,
     }
     return _wire.FleetDatagram.new_message(state=body).to_bytes_packed()
 
@@ -341,6 +344,7 @@
         next_ms=body.nextMs,
         gateway_count=body.gatewayCount,
         recent=tuple(_versions(body.recent)),
+        leaving=body.leaving,
     )
 
 
--- a/packages/radishstack/src/radishstack/process/adapter_keeper.py
+++ b/packages/radishstack/src/radishstack/process/adapter_keeper.py
@@ -107,6 +107,7 @@
         running: Requests that run.
         queued: Requests that wait.
         born_ms: Birth of its start, 0 where it told none.
+        leaving: Whether it says that it leaves.
     """
 
     accepted_count: int
@@ -116,6 +117,7 @@
     running: int
     queued: int
     born_ms: int = 0
+    leaving: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/radishstack/src/radishstack/process/roster.py
+++ b/packages/radishstack/src/radishstack/process/roster.py
@@ -31,6 +31,12 @@
 # Births of former starts that are remembered for one name: old news is some
 # seconds old, in which a target restarts a few times at most.
 MAX_FORMER = 8
+# Starts that said that they leave, of which that is remembered: their entries
+# lapse and come back, with a state that was written before.
+MAX_LEAVERS = 1_024
+# The longest rest that a target is given. Garbage in its place would take the
+# target from this process until it starts again.
+MAX_REST_MS = 600_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -80,6 +86,7 @@
         unanswered: When each of those that have no answer yet was sent.
         pause_ms: Longest pause of its streams lately.
         progressed_at_ms: When bytes of any answer came from it.
+        rests_until_ms: Until when it wants no work from this process.
     """
 
     failure_share: float = 0.0
@@ -90,6 +97,7 @@
     unanswered: dict[object, int] = dataclasses.field(default_factory=dict)
     pause_ms: float = 0.0
     progressed_at_ms: int = 0
+    rests_until_ms: int = 0
 
     def progressed(self, pause_ms: int, now_ms: int) -> None:
         """Notes an event of a stream, so long after the one before."""
@@ -146,6 +154,7 @@
         self._outlived_ms = OUTLIVED_HEARTBEATS * heartbeat_ms
         self._grace_end_ms = 0
         self._outage_revision = 0
+        self._leavers: dict[str, incarnation.Start] = {}
 
     def _index(self) -> None:
         by_service: dict[str, list[Member]] = {}
@@ -331,10 +340,8 @@
         """
         staying = [
             member
-            for member in self.of_service(service)
-            if not member.listing.leaving
-            and not member.gone
-            and not 0 < member.lapses_at_ms <= now_ms
+            for member in self._staying(service, now_ms)
+            if member.health.rests_until_ms <= now_ms
         ]
         trusted = [
             member
@@ -343,6 +350,53 @@
         ]
         return trusted or staying
 
+    def _staying(self, service: str, now_ms: int) -> list[Member]:
+        return [
+            member
+            for member in self.of_service(service)
+            if not member.listing.leaving
+            and not self.said_to_leave(member.listing.start)
+            and not member.gone
+            and not 0 < member.lapses_at_ms <= now_ms
+        ]
+
+    def rest_ms(self, service: str, now_ms: int) -> int:
+        """Returns for how long all targets of a service want no work."""
+        ends_ms = [
+            member.health.rests_until_ms
+            for member in self._staying(service, now_ms)
+        ]
+        return max(0, min(ends_ms, default=0) - now_ms)
+
+    def rests(self, member: Member, rest_ms: int, now_ms: int) -> None:
+        """Takes a target's word that it wants no work from here for a while.
+
+        It is kept even where no other target is left: work sent all the same
+        is turned away, and delays the target's return.
+        """
+        until_ms = now_ms + min(rest_ms, MAX_REST_MS)
+        health = member.health
+        health.rests_until_ms = max(health.rests_until_ms, until_ms)
+
+    def leaves(self, start: incarnation.Start) -> bool:
+        """Takes a start's own word that it leaves; returns whether it is news.
+
+        Kept apart from what the list says, which is written by others and
+        later: in an outage it would bring the target back.
+        """
+        if self.said_to_leave(start):
+            return False
+        self._leavers.pop(start.name, None)
+        while len(self._leavers) >= MAX_LEAVERS:
+            del self._leavers[next(iter(self._leavers))]
+        self._leavers[start.name] = start
+        return True
+
+    def said_to_leave(self, start: incarnation.Start) -> bool:
+        """Whether this very start said that it leaves."""
+        said = self._leavers.get(start.name)
+        return said is not None and not said.is_other(start)
+
     def unreachable(self, instance: str, now_ms: int) -> None:
         """Notes that a target could not be reached, and leaves it alone."""
         member = self.members.get(instance)
--- a/soak/world.py
+++ b/soak/world.py
@@ -65,7 +65,7 @@
 FAULTS = tuple(
     fault
     for fault in platform_engine.Fault
-    if fault is not platform_engine.Fault.NONE
+    if fault not in (platform_engine.Fault.NONE, platform_engine.Fault.CRASH)
 )
 Kind = schedule.Kind
 
