The soak learns requests that end targets, and words of targets

What it plays from outside: a request that ends each target that runs it and comes again at any gateway, alone or twice at once; a target that leaves by its word only; one that asks for rest. The judge checks that at most three repeats reach a target after the third crash, that nobody else is refused for it (all callers of the soak send equal bodies), that a gateway keeps to words that it passed on. A stand-in that has ended has a link that refuses.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -101,16 +101,20 @@
         if leaves:
             wait_s = self._random.uniform(*LEAVE_S)
         pieces: list[bytes] = []
-        status, whole, ended = 0, False, False
+        status, whole, ended, leaver = 0, False, False, ""
         try:
             async with asyncio.timeout(wait_s):
-                status, whole = await _read(connection, pieces)
+                status, whole, leaver = await _read(connection, pieces)
                 ended = True
         except TimeoutError:
             pass
         if not (whole and connection.finish()):
             connection.close()
             self._connection = None
+        if leaver:
+            self._history.leavers.append(
+                history_lib.Leaver(self._gateway, leaver, history_lib.now_ms())
+            )
         self._history.attempts.append(
             history_lib.Attempt(
                 attempt_id=attempt_id,
@@ -128,15 +132,24 @@
 
 async def _read(
     connection: http_client.Connection, pieces: list[bytes]
-) -> tuple[int, bool]:
-    """Reads an answer; returns its status and whether it ended whole."""
+) -> tuple[int, bool, str]:
+    """Reads an answer.
+
+    Returns:
+        Its status, whether it ended whole, and the target's name if it says
+        that the target leaves.
+    """
     head = await connection.head()
     if isinstance(head, http_client.Lost):
-        return 0, False
+        return 0, False, ""
+    leaver = ""
+    if head.get(b"server-leaving"):
+        signature = head.get(b"x-server-signature") or b""
+        leaver = signature.decode().partition(".")[2]
     while True:
         piece = await connection.chunk()
         if isinstance(piece, http_client.Lost):
-            return head.status, False
+            return head.status, False, leaver
         if not piece:
-            return head.status, True
+            return head.status, True, leaver
         pieces.append(piece)
--- /dev/null
+++ b/soak/culprit.py
@@ -0,0 +1,89 @@
+"""A request that ends each target that runs it, and comes again anywhere."""
+
+import asyncio
+from collections.abc import Callable
+import contextlib
+import random
+import secrets
+
+from radishd.connection import http_client
+from standins import platform_site
+
+from soak import callers
+from soak import history as history_lib
+
+BODY = b"what is asked here ends whatever runs it"
+ROUTES = ("chat", "book")
+ADAPTER = "a0"
+# It comes again some time after it was answered, sometimes twice at once.
+PAUSE_S = (0.1, 1.2)
+TWICE_PART = 0.3
+LEFT_MS = 3_000
+GRACE_MS = 1_000
+MS_PER_S = 1_000
+
+
+class Culprit:
+    """One such request, for as long as it comes."""
+
+    def __init__(
+        self,
+        history: history_lib.History,
+        source: random.Random,
+        choose: Callable[[], tuple[int, str] | None],
+    ) -> None:
+        """Makes one that was not sent yet.
+
+        Args:
+            history: Where its attempts are kept.
+            source: Its random source.
+            choose: Chooses a gateway: its number and address, None if none
+                takes connections.
+        """
+        self._history = history
+        self._random = source
+        self._choose = choose
+        self._route = source.choice(ROUTES)
+        # Each one is another request.
+        self._path = f"/{self._route}/{secrets.token_hex(4)}"
+
+    async def run(self, for_s: float) -> None:
+        """Comes again and again for a while."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(for_s):
+                while True:
+                    both = self._random.random() < TWICE_PART
+                    await asyncio.gather(
+                        *(self._call() for _ in range(1 + both))
+                    )
+                    await asyncio.sleep(self._random.uniform(*PAUSE_S))
+
+    async def _call(self) -> None:
+        chosen = self._choose()
+        if chosen is None:
+            return
+        number, address = chosen
+        connection = await http_client.open_connection(
+            address, callers.CONNECT_MS
+        )
+        if isinstance(connection, http_client.Lost):
+            return
+        attempt_id = secrets.token_hex(8)
+        sent_at_ms = history_lib.now_ms()
+        self._history.culprits[attempt_id] = history_lib.Culprit(
+            self._path, number, sent_at_ms
+        )
+        connection.send(
+            platform_site.request(
+                "POST",
+                self._path,
+                attempt_id,
+                adapter=ADAPTER if self._route in callers.OF_ENGINES else "",
+                body=BODY,
+                left_ms=LEFT_MS,
+            )
+        )
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout((LEFT_MS + GRACE_MS) / MS_PER_S):
+                await http_client.read_answer(connection)
+        connection.close()
--- a/soak/history.py
+++ b/soak/history.py
@@ -79,6 +79,53 @@
     until_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Culprit:
+    """One attempt of a request that ends each target that runs it.
+
+    Attributes:
+        path: Its path; attempts of the same path are the same request.
+        gateway: Number of the gateway.
+        sent_at_ms: When it was sent.
+    """
+
+    path: str
+    gateway: int
+    sent_at_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Leaver:
+    """A gateway passed on a target's word that it leaves.
+
+    Attributes:
+        gateway: Number of the gateway.
+        target: Name of the target's start.
+        at_ms: When its caller had the answer.
+    """
+
+    gateway: int
+    target: str
+    at_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rest:
+    """A target turned an attempt away and asked for rest.
+
+    Attributes:
+        attempt_id: The attempt.
+        target: Name of the target's start.
+        at_ms: When.
+        rest_ms: For how long.
+    """
+
+    attempt_id: str
+    target: str
+    at_ms: int
+    rest_ms: int
+
+
 @dataclasses.dataclass(slots=True)
 class History:
     """All of one run.
@@ -94,6 +141,9 @@
         overfilled: Targets that were ordered to hold too much.
         quiet_from_ms: From when on nothing was done any more.
         memory_mib: Largest memory of each process.
+        culprits: Attempts that end each target that runs them, by name.
+        leavers: Words of targets that leave, as callers had them.
+        rests: Words of targets that want no work for a while.
     """
 
     seed: int
@@ -106,6 +156,9 @@
     overfilled: list[str] = dataclasses.field(default_factory=list)
     quiet_from_ms: int = 0
     memory_mib: dict[str, float] = dataclasses.field(default_factory=dict)
+    culprits: dict[str, Culprit] = dataclasses.field(default_factory=dict)
+    leavers: list[Leaver] = dataclasses.field(default_factory=list)
+    rests: list[Rest] = dataclasses.field(default_factory=list)
 
     def save(self, path: pathlib.Path) -> None:
         """Writes it as JSON."""
@@ -118,4 +171,8 @@
     raw["attempts"] = [Attempt(**one) for one in raw["attempts"]]
     raw["arrivals"] = [Arrival(**one) for one in raw["arrivals"]]
     raw["events"] = [Event(**one) for one in raw["events"]]
+    culprits = raw.get("culprits", {})
+    raw["culprits"] = {key: Culprit(**one) for key, one in culprits.items()}
+    raw["leavers"] = [Leaver(**one) for one in raw.get("leavers", ())]
+    raw["rests"] = [Rest(**one) for one in raw.get("rests", ())]
     return History(**raw)
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -27,6 +27,14 @@
 RETRY_RATIO = 0.2
 RETRY_WINDOW_MS = 10_000
 MEMORY_MIB = 232.0
+# Targets that a request may end, and how often it may reach one afterwards.
+MOST_ENDED = 3
+MOST_REPEATS = 3
+# Requests that may still reach a target in its rest, once its word has come.
+MOST_IN_A_REST = 2
+REST_SLACK_MS = 500
+# What a gateway calls the refusal of a request that ends targets.
+ENDS_TARGETS = "request_ends_targets"
 SUCCESS = 200
 NOT_FOUND = 404
 
@@ -62,6 +70,11 @@
         """Returns how often an attempt began to run."""
         return sum(one.ran for one in self.arrivals.get(attempt_id, ()))
 
+    def gateway_of(self, attempt_id: str) -> int | None:
+        """Returns the number of the gateway that an attempt was sent to."""
+        attempt = self.attempts.get(attempt_id)
+        return attempt.gateway if attempt is not None else None
+
     def is_in_touch(self, gateway: int, from_ms: int, to_ms: int) -> bool:
         """Whether nothing was done to a gateway or the store around a time."""
         victims = {f"gateway-{gateway}", "store", "all"}
@@ -250,6 +263,100 @@
             yield Violation("memory is bounded", name, f"{used_mib:.0f} MiB")
 
 
+def _culprits(evidence: Evidence) -> Iterator[Violation]:
+    """A request that ended three targets reaches three more at most."""
+    history = evidence.history
+    runs_ms: dict[str, list[int]] = collections.defaultdict(list)
+    late: collections.Counter[str] = collections.Counter()
+    for arrival in sorted(history.arrivals, key=lambda one: one.at_ms):
+        attempt = history.culprits.get(arrival.attempt_id)
+        if attempt is None or not arrival.ran:
+            continue
+        known_ms = runs_ms[attempt.path]
+        if len(known_ms) >= MOST_ENDED:
+            since_ms = known_ms[MOST_ENDED - 1] + STABLE_MS
+            late[attempt.path] += attempt.sent_at_ms > since_ms and (
+                evidence.is_in_touch(
+                    attempt.gateway, attempt.sent_at_ms, arrival.at_ms
+                )
+            )
+        known_ms.append(arrival.at_ms)
+    for path, count in late.items():
+        if count > MOST_REPEATS:
+            yield Violation(
+                "what ends targets is refused",
+                path,
+                f"{count} repeats, {len(runs_ms[path])} ended in all",
+            )
+
+
+def _innocent(evidence: Evidence) -> Iterator[Violation]:
+    for attempt in evidence.history.attempts:
+        if ENDS_TARGETS in attempt.body:
+            yield Violation(
+                "nobody else is refused", attempt.attempt_id, attempt.route
+            )
+
+
+def _was_touched(
+    evidence: Evidence, gateway: int, from_ms: int, to_ms: int
+) -> bool:
+    """Whether a gateway was restarted or stood still in between."""
+    victims = {f"gateway-{gateway}", "all"}
+    return any(
+        event.victim in victims
+        and event.at_ms <= to_ms
+        and event.until_ms >= from_ms
+        for event in evidence.history.events
+    )
+
+
+def _leaving_by_word(evidence: Evidence) -> Iterator[Violation]:
+    told_ms: dict[tuple[int, str], int] = {}
+    for word in evidence.history.leavers:
+        told_ms.setdefault((word.gateway, word.target), word.at_ms)
+    for arrival in evidence.history.arrivals:
+        attempt = evidence.attempts.get(arrival.attempt_id)
+        if attempt is None or not arrival.ran:
+            continue
+        since_ms = told_ms.get((attempt.gateway, arrival.target))
+        if since_ms is None or attempt.sent_at_ms <= since_ms + LEAVING_MS:
+            continue
+        if not _was_touched(evidence, attempt.gateway, since_ms, arrival.at_ms):
+            yield Violation(
+                "a target's word that it leaves counts",
+                arrival.attempt_id,
+                f"{arrival.target}, {arrival.at_ms - since_ms} ms after it",
+            )
+
+
+def _rests(evidence: Evidence) -> Iterator[Violation]:
+    until: dict[tuple[int, str], list[tuple[int, int]]] = {}
+    for rest in evidence.history.rests:
+        attempt = evidence.attempts.get(rest.attempt_id)
+        if attempt is None:
+            continue
+        spans = until.setdefault((attempt.gateway, rest.target), [])
+        spans.append((rest.at_ms + REST_SLACK_MS, rest.at_ms + rest.rest_ms))
+    for (gateway, target), spans in until.items():
+        for from_ms, to_ms in spans:
+            if _was_touched(evidence, gateway, from_ms, to_ms):
+                continue
+            count = sum(
+                from_ms < arrival.at_ms < to_ms
+                and arrival.target == target
+                and evidence.gateway_of(arrival.attempt_id) == gateway
+                for arrival in evidence.history.arrivals
+            )
+            if count > MOST_IN_A_REST:
+                yield Violation(
+                    "a target that asks for rest gets it",
+                    target,
+                    f"{count} from gateway {gateway}",
+                )
+                break
+
+
 CHECKS: tuple[Callable[[Evidence], Iterator[Violation]], ...] = (
     _at_most_once,
     _not_run_is_true,
@@ -262,6 +369,10 @@
     _recovery,
     _graceful_stop,
     _memory,
+    _culprits,
+    _innocent,
+    _leaving_by_word,
+    _rests,
 )
 
 
--- a/soak/relay.py
+++ b/soak/relay.py
@@ -41,13 +41,18 @@
         """Listens."""
         self._server = await asyncio.start_server(self._accept, host, port)
 
+    @property
+    def is_open(self) -> bool:
+        """Whether it listens."""
+        return self._server is not None and self._server.is_serving()
+
     def reset(self) -> None:
         """Resets every connection."""
         for writer in list(self._writers):
             writer.transport.abort()
 
     def stop(self) -> None:
-        """Ends for good."""
+        """Ends, until it is started again."""
         if self._server is not None:
             self._server.close()
         self.reset()
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -29,6 +29,9 @@
     VERSION = "version"
     CONFIGURATION = "configuration"
     RELOAD = "reload"
+    CULPRIT = "culprit"
+    LEAVE_BY_WORD = "leave_by_word"
+    REST = "rest"
 
 
 # Where a kind strikes; the others have the store or the whole site.
@@ -41,6 +44,8 @@
         Kind.TARGET_RESTART,
         Kind.TARGET_LEAVE,
         Kind.TARGET_FAULTS,
+        Kind.LEAVE_BY_WORD,
+        Kind.REST,
         Kind.LINK_SILENT,
         Kind.LINK_RESET,
         Kind.LINK_SLOW,
--- a/soak/world.py
+++ b/soak/world.py
@@ -1,6 +1,7 @@
 """One run: the programs, what stands around them, and the faults."""
 
 import asyncio
+from collections.abc import Callable
 import contextlib
 import functools
 import pathlib
@@ -15,6 +16,7 @@
 from standins import web as standins_web
 
 from soak import callers
+from soak import culprit
 from soak import history as history_lib
 from soak import judge
 from soak import processes
@@ -55,6 +57,12 @@
 TIMING = platform_engine.Timing(
     load_ms=150.0, reload_ms=25.0, event_ms=25.0, work_ms=15.0
 )
+# How long a target rests, and how many requests it turns away for it.
+REST_S = 2.5
+# How long a request that ends targets goes on at least.
+CULPRIT_S = 6.0
+# A target that ended is started again after this.
+BACK_AFTER_S = 0.4
 NOT_RUN = frozenset(
     {
         platform_engine.Fault.SHED,
@@ -79,6 +87,7 @@
         """Makes one that does not listen yet."""
         super().__init__(instance, model=model, timing=TIMING)
         self._history = history
+        self.on_ended: Callable[[], None] = lambda: None
 
     def _note(self, seen: platform_engine.Seen, *, ran: bool) -> None:
         self._history.arrivals.append(
@@ -102,8 +111,24 @@
         writer: asyncio.StreamWriter,
         fault: platform_engine.Fault,
     ) -> None:
+        if seen.body == culprit.BODY:
+            fault = platform_engine.Fault.CRASH
+        elif self.rest_s:
+            fault = platform_engine.Fault.SHED
+            self._history.rests.append(
+                history_lib.Rest(
+                    seen.attempt_id,
+                    self.instance,
+                    history_lib.now_ms(),
+                    round(self.rest_s * MS_PER_S),
+                )
+            )
         self._note(seen, ran=fault not in NOT_RUN)
-        await super()._run(seen, writer, fault)
+        try:
+            await super()._run(seen, writer, fault)
+        finally:
+            if self.ended:
+                self.on_ended()
 
 
 class Place:
@@ -148,6 +173,7 @@
         ]
         self.gateways = [self._gateway(n) for n in range(size.gateways)]
         self.out_since_ms: dict[int, int] = {}
+        self.restarts: list[asyncio.Task[None]] = []
         self.routes: list[tuple[str, int]] = []
         self.version = 1
 
@@ -198,8 +224,30 @@
         model = platform_site.MODEL if place.engine else ""
         place.target = Target(name, self.history, model=model)
         await place.target.start(place.host, TARGET_PORT)
+        place.target.on_ended = functools.partial(self._ended, place)
+        if not place.link.is_open:
+            await place.link.start(place.host, LINK_PORT)
         self._register(place)
 
+    def _ended(self, place: Place) -> None:
+        """Takes that a target ended under a request."""
+        target = place.target
+        target.on_ended = lambda: None
+        # Nothing listens there until it is started again.
+        place.link.stop()
+        if not place.busy:
+            place.busy = True
+            self.restarts.append(asyncio.create_task(self._bring_back(place)))
+
+    async def _bring_back(self, place: Place) -> None:
+        target = place.target
+        self._settle(target)
+        await asyncio.sleep(BACK_AFTER_S)
+        await self._occupy(place)
+        place.busy = False
+        await asyncio.sleep(ENTRY_OUTLIVES_S)
+        self.store.delete("servers", target.instance)
+
     def _register(self, place: Place, state: str = "ready") -> None:
         service = platform_site.ENGINES if place.engine else platform_site.PLAIN
         entry = place.target.listing(
@@ -236,6 +284,17 @@
         await asyncio.sleep(FREE_S)
         await self._occupy(place)
 
+    async def _leave_by_word(self, place: Place) -> None:
+        """Has a target leave that the store never hears of."""
+        target = place.target
+        target.leaving = True
+        await asyncio.sleep(LEAVES_S)
+        await target.stop()
+        self._settle(target)
+        self.store.delete("servers", target.instance)
+        await asyncio.sleep(FREE_S)
+        await self._occupy(place)
+
     def _spoil(self, seen: platform_engine.Seen) -> platform_engine.Fault:
         del seen
         if self.random.random() > FAULT_PART:
@@ -319,6 +378,11 @@
             place.link.link.delay_ms = SLOW_MS
             await asyncio.sleep(for_s)
             place.link.link.delay_ms = 0
+        elif kind is Kind.REST:
+            target = place.target
+            target.rest_s = REST_S
+            await asyncio.sleep(for_s)
+            target.rest_s = 0.0
         elif kind is Kind.TARGET_FAULTS:
             target = place.target
             target.fault = self._spoil
@@ -329,6 +393,8 @@
             place.busy = True
             if kind is Kind.TARGET_RESTART:
                 await self._restart_target(place)
+            elif kind is Kind.LEAVE_BY_WORD:
+                await self._leave_by_word(place)
             else:
                 await self._leave(place)
             place.busy = False
@@ -363,6 +429,11 @@
                 self._announce()
             case Kind.CONFIGURATION:
                 self._configure()
+            case Kind.CULPRIT:
+                source = random.Random(self.random.random())
+                await culprit.Culprit(
+                    self.history, source, self._choose_gateway
+                ).run(for_s + CULPRIT_S)
 
     def _announce(self) -> None:
         adapter = f"a{self.random.randrange(callers.ADAPTERS)}"
@@ -437,7 +508,6 @@
         self._write_configuration()
         for place in self.places:
             await self._occupy(place)
-            await place.link.start(place.host, LINK_PORT)
             if place.engine:
                 place.sidecar = self._sidecar(place)
                 await place.sidecar.start()
@@ -488,6 +558,8 @@
             await asyncio.sleep(max(0, wait_ms) / MS_PER_S)
             striking.append(asyncio.create_task(self.strike(fault)))
         await asyncio.gather(*striking)
+        while self.restarts:
+            await self.restarts.pop()
         self.store.faults = platform_store.Faults()
         for program in self.gateways:
             await self._start(program)
--- a/tests/fleet/test_soak.py
+++ b/tests/fleet/test_soak.py
@@ -108,6 +108,58 @@
     assert _broken(large) == {"memory is bounded"}
 
 
+def _culprit(count: int, gateway: int = 1) -> history_lib.History:
+    """Makes a history in which one request ends so many targets."""
+    history = _history()
+    for number in range(count):
+        name = f"p{number}"
+        at_ms = 4_000 * number
+        history.culprits[name] = history_lib.Culprit("/book/p", gateway, at_ms)
+        history.arrivals.append(
+            history_lib.Arrival(name, f"i{number}", at_ms + 10, True)
+        )
+    return history
+
+
+def test_the_judge_finds_what_ends_targets_and_whom_it_hits() -> None:
+    """Three more may end after the third, and nobody else is refused."""
+    assert not _broken(_culprit(judge.MOST_ENDED + judge.MOST_REPEATS))
+    on_and_on = _culprit(judge.MOST_ENDED + judge.MOST_REPEATS + 1)
+    assert _broken(on_and_on) == {"what ends targets is refused"}
+    unheard = _culprit(judge.MOST_ENDED + judge.MOST_REPEATS + 1)
+    unheard.events.append(
+        history_lib.Event("gateway_pause", "gateway-1", 20_000, 24_500)
+    )
+    assert not _broken(unheard)
+    refused = _history()
+    refused.attempts[2] = dataclasses.replace(
+        refused.attempts[2], body='{"type": "request_ends_targets"}'
+    )
+    assert _broken(refused) == {"nobody else is refused"}
+
+
+def test_the_judge_finds_words_of_targets_that_do_not_count() -> None:
+    """A gateway is bound by what it passed on, unless it began anew."""
+    told = _history()
+    late_ms = judge.LEAVING_MS + 1
+    told.leavers.append(history_lib.Leaver(0, "i", -late_ms))
+    # The last request is far from it: the first two are enough.
+    assert _broken(told) == {"a target's word that it leaves counts"}
+    in_time = _history()
+    in_time.leavers.append(history_lib.Leaver(0, "other", -late_ms))
+    in_time.leavers.append(history_lib.Leaver(1, "i", -late_ms))
+    assert not _broken(in_time)
+    restarted = _history()
+    restarted.leavers.append(history_lib.Leaver(0, "i", -late_ms))
+    restarted.events.append(
+        history_lib.Event("gateway_kill", "gateway-0", -10, -5)
+    )
+    assert not _broken(restarted)
+    resting = _history()
+    resting.rests.append(history_lib.Rest("b2", "i", -600, 1_000))
+    assert _broken(resting) == {"a target that asks for rest gets it"}
+
+
 def test_a_history_is_judged_again_from_its_file() -> None:
     """Evidence that is kept must say the same later."""
     with tempfile.TemporaryDirectory() as folder:
