Failing tests: a lost clearance, and the ends of targets that leave

What callers would see: one gateway goes on refusing a request that another has seen end well, since the word was lost and what it refuses it never sees; and a slow request is refused after a release, as targets that leave cut what they still run. Found by thinking the model of the evidence through and by reading.

--- a/tests/fleet/test_crashes.py
+++ b/tests/fleet/test_crashes.py
@@ -4,6 +4,8 @@
 
 from radishd import gateway as gateway_lib
 from radishd.process import clock
+from radishstack.process import crash_evidence
+from radishstack.process import incarnation
 from standins import platform_engine
 from standins import platform_site
 
@@ -215,6 +217,71 @@
     fixtures.run(play)
 
 
+def test_a_target_that_leaves_ends_under_nobody() -> None:
+    """Targets are replaced one after the other, and cut what they still run.
+
+    A slow request that is sent on to the next one each time would stand at
+    three ends in turn, and be refused though no target ended for it.
+    """
+
+    async def play() -> None:
+        async with fixtures.running_fleet(engines=0, plain=2) as fleet:
+            gateway = fleet.gateway
+            leaver = fleet.targets["i-plain0"]
+            leaver.leaving = True
+            spec = fleet.store.objects["servers"]["i-plain1"]["spec"]
+            fleet.store.put("servers", "i-plain1", spec | {"state": "draining"})
+            await fleet.until(
+                lambda: gateway.roster.members["i-plain1"].listing.leaving,
+                "one is listed as leaving",
+            )
+            for target in fleet.targets.values():
+                target.fault = _crash_on_poison
+            answer = await fleet.call("/book/1", body=b"")
+            assert "server-leaving" in answer.headers, answer
+            for member in gateway.roster.members.values():
+                gateway.note_broke(member, "07" * 16, 0)
+            removed = gateway.roster.members["i-plain0"]
+            gateway.roster.drop("i-plain0")
+            gateway.note_broke(removed, "07" * 16, 0)
+            assert not gateway.crash_watch.is_looking
+
+    fixtures.run(play)
+
+
+def test_a_gateway_that_missed_a_clearance_is_told_again() -> None:
+    """A word is lost, and one gateway goes on refusing an innocent request.
+
+    It refuses all of them, so it would see none end well itself; what it tells
+    of the crashes shows another that it has not heard.
+    """
+
+    async def play() -> None:
+        async with fixtures.running_fleet(engines=1, plain=1) as fleet:
+            knows, missed = await _add_gateways(fleet, 2)
+            now_ms = clock.boot_ms()
+            starts = [incarnation.Start(f"i{number}", 1) for number in range(3)]
+            sightings = tuple(
+                crash_evidence.Sighting(
+                    start, now_ms - ago_ms - 300, now_ms - ago_ms
+                )
+                for start, ago_ms in zip(
+                    starts, (9_000, 6_000, 3_000), strict=True
+                )
+            )
+            case = crash_evidence.Case("07" * 16, sightings)
+            for gateway in (knows, missed):
+                gateway.crash_news.take([case], told_by="test")
+            knows.crash_news.evidence.ended_well("07" * 16, now_ms)
+            assert missed.crash_news.verdict("07" * 16) is not None
+            await fleet.until(
+                lambda: missed.crash_news.verdict("07" * 16) is None,
+                "it has been told",
+            )
+
+    fixtures.run(play)
+
+
 def test_a_site_that_restarts_whole_still_refuses_it() -> None:
     """All gateways restart at once, and the request comes again.
 
