Who tells of crashes that were cleared is told so

What callers would see: one gateway goes on refusing an innocent request for minutes, after a word was lost. Cause: what several crashes have in common is passed on, what cleared it is not, as nothing is left to pass on; and who refuses a request never sees it end well. Now whoever hears of crashes that it knows to be cleared answers with that. Why it holds: every gateway passes its several on once a second while they are news.

--- a/packages/radishd/src/radishd/process/crash_news.py
+++ b/packages/radishd/src/radishd/process/crash_news.py
@@ -77,6 +77,9 @@
         self._on_refused = on_refused
         self._waiting: list[crash_evidence.Case] = []
         self._asked_by: set[fleet_socket.Address] = set()
+        self._unheard: dict[
+            fleet_socket.Address, list[crash_evidence.Case]
+        ] = {}
         self._asks = False
         self._wake = anyio.Event()
         self._refused: dict[str, int] = {}
@@ -133,10 +136,28 @@
         now_ms = clock.boot_ms()
         told = [fleet_wire.case_of(case, now_ms) for case in news.cases]
         self.take(told, told_by=sender[0])
+        # It has not heard that these ended well, and may go on refusing what
+        # it then never sees end well.
+        unheard = [
+            known
+            for case in told
+            if case.sightings and (known := self._cleared(case)) is not None
+        ]
+        if unheard:
+            self._unheard.setdefault(sender, []).extend(unheard)
+            self._wake.set()
         if news.asks:
             self._asked_by.add(sender)
             self._wake.set()
 
+    def _cleared(self, told: crash_evidence.Case) -> crash_evidence.Case | None:
+        """Returns the clearance that who told a case has not heard, if any."""
+        known = self.evidence.case(told.fingerprint)
+        newest_ms = told.sightings[-1].ended_at_ms
+        if max(told.cleared_at_ms, newest_ms) >= known.cleared_at_ms:
+            return None
+        return crash_evidence.Case(told.fingerprint, (), known.cleared_at_ms)
+
     def take(
         self, cases: Iterable[crash_evidence.Case], *, told_by: str
     ) -> None:
@@ -169,6 +190,9 @@
                 self._asks = False
                 await self._ask()
             await self._tell(asked_by, list(self.evidence.several()))
+            unheard, self._unheard = self._unheard, {}
+            for address, cleared in unheard.items():
+                await self._tell((address,), cleared)
 
     async def pass_on(self) -> None:
         """Tells one other what several crashes have in common, now and then."""
