What a leaving target cuts off is no crash

What callers would see: a slow request is refused for minutes after a release, as each target that leaves ends by itself and cuts what it still runs. Cause: any target that could not be connected to after it broke an answer off was held to have ended under its requests. Now only one that is listed, runs and is not known to leave is. Why it holds: leaving is known from the list, from the target's own word, and from the process beside it, before it ends.

--- a/packages/radishd/src/radishd/connection/crash_watch.py
+++ b/packages/radishd/src/radishd/connection/crash_watch.py
@@ -62,6 +62,11 @@
         self._broken: dict[incarnation.Start, _Broken] = {}
         self._wake = anyio.Event()
 
+    @property
+    def is_looking(self) -> bool:
+        """Whether a broken send is yet to be looked into."""
+        return bool(self._broken)
+
     def broke(
         self, member: roster_lib.Member, fingerprint: str, began_at_ms: int
     ) -> None:
--- a/packages/radishd/src/radishd/gateway.py
+++ b/packages/radishd/src/radishd/gateway.py
@@ -255,6 +255,15 @@
         else:
             self.roster.failed(instance, now_ms)
 
+    def note_broke(
+        self, member: roster_lib.Member, fingerprint: str, began_at_ms: int
+    ) -> None:
+        """Takes that a target broke an answer off."""
+        # One that leaves ends by itself and cuts what it still runs: a slow
+        # request would be held to end each target of a release.
+        if self.roster.is_staying(member, clock.boot_ms()):
+            self.crash_watch.broke(member, fingerprint, began_at_ms)
+
     def note_failure_answer(
         self, member: roster_lib.Member, status: int
     ) -> None:
--- a/packages/radishd/src/radishd/request/forward.py
+++ b/packages/radishd/src/radishd/request/forward.py
@@ -178,9 +178,7 @@
         gateway = self.gateway
         gateway.note_outcome(member, outcome, self.request.adapter)
         if outcome in _BROKEN_OFF:
-            gateway.crash_watch.broke(
-                member, self.fingerprint(), self.sent_at_ms
-            )
+            gateway.note_broke(member, self.fingerprint(), self.sent_at_ms)
         paid = True
         if outcome is not Outcome.UNSENT:
             retries = not self.state.may_have_run and outcome in (
--- a/packages/radishd/src/radishd/request/gateway_port.py
+++ b/packages/radishd/src/radishd/request/gateway_port.py
@@ -13,7 +13,6 @@
 from radishstack.request import forwarding
 from radishstack.version import route_table
 
-from radishd.connection import crash_watch as crash_watch_lib
 from radishd.connection import http_client
 from radishd.connection import pool as pool_lib
 from radishd.platform import front
@@ -34,7 +33,6 @@
         pool: Connections to targets.
         metrics: Metrics of the process.
         random: Its random source.
-        crash_watch: Told of answers that a target broke off.
         crash_news: Which requests end the targets that run them.
         draining: Whether the process is about to end.
         waits_end_at_ms: Until when a request may wait for an adapter then.
@@ -47,7 +45,6 @@
     pool: pool_lib.Pool
     metrics: metrics_lib.Metrics
     random: random.Random
-    crash_watch: crash_watch_lib.CrashWatch
     crash_news: crash_news_lib.CrashNews
     draining: bool
     waits_end_at_ms: int
@@ -76,6 +73,11 @@
     ) -> None:
         """Takes evidence on a target from a send that came to nothing."""
 
+    def note_broke(
+        self, member: roster_lib.Member, fingerprint: str, began_at_ms: int
+    ) -> None:
+        """Takes that a target broke an answer off."""
+
     def note_failure_answer(
         self, member: roster_lib.Member, status: int
     ) -> None:
--- a/packages/radishstack/src/radishstack/process/roster.py
+++ b/packages/radishstack/src/radishstack/process/roster.py
@@ -354,11 +354,20 @@
         return [
             member
             for member in self.of_service(service)
-            if not member.listing.leaving
+            if self._stays(member, now_ms)
+        ]
+
+    def _stays(self, member: Member, now_ms: int) -> bool:
+        return (
+            not member.listing.leaving
             and not self.said_to_leave(member.listing.start)
             and not member.gone
             and not 0 < member.lapses_at_ms <= now_ms
-        ]
+        )
+
+    def is_staying(self, member: Member, now_ms: int) -> bool:
+        """Whether a member runs and is not known to leave."""
+        return self.is_current(member) and self._stays(member, now_ms)
 
     def rest_ms(self, service: str, now_ms: int) -> int:
         """Returns for how long all targets of a service want no work."""
