State machine of crashes; what clears a request is decided apart from I/O

Three gateways see one culprit, one popular request and many others: crashes, cuts of power, requests that end well; words are lost, come twice and in any order, gateways restart knowing nothing. Checked: gateways that were told all agree, nobody at one crash is refused, the popular one only after three moments without one that ended well, memory is bounded. What a teller has not heard moved into the evidence.

--- a/packages/radishd/src/radishd/process/crash_news.py
+++ b/packages/radishd/src/radishd/process/crash_news.py
@@ -136,13 +136,7 @@
         now_ms = clock.boot_ms()
         told = [fleet_wire.case_of(case, now_ms) for case in news.cases]
         self.take(told, told_by=sender[0])
-        # It has not heard that these ended well, and may go on refusing what
-        # it then never sees end well.
-        unheard = [
-            known
-            for case in told
-            if case.sightings and (known := self._cleared(case)) is not None
-        ]
+        unheard = list(filter(None, map(self.evidence.unheard_by, told)))
         if unheard:
             self._unheard.setdefault(sender, []).extend(unheard)
             self._wake.set()
@@ -150,14 +144,6 @@
             self._asked_by.add(sender)
             self._wake.set()
 
-    def _cleared(self, told: crash_evidence.Case) -> crash_evidence.Case | None:
-        """Returns the clearance that who told a case has not heard, if any."""
-        known = self.evidence.case(told.fingerprint)
-        newest_ms = told.sightings[-1].ended_at_ms
-        if max(told.cleared_at_ms, newest_ms) >= known.cleared_at_ms:
-            return None
-        return crash_evidence.Case(told.fingerprint, (), known.cleared_at_ms)
-
     def take(
         self, cases: Iterable[crash_evidence.Case], *, told_by: str
     ) -> None:
--- a/packages/radishstack/src/radishstack/process/crash_evidence.py
+++ b/packages/radishstack/src/radishstack/process/crash_evidence.py
@@ -155,6 +155,20 @@
             at.add(case.fingerprint)
         return True
 
+    def unheard_by(self, told: Case) -> Case | None:
+        """Returns what who told a case has not heard, if anything.
+
+        What cleared a request leaves nothing to pass on, and who refuses it
+        never sees it end well: a lost word would be lost for good.
+        """
+        known = self._cases.get(told.fingerprint)
+        if known is None or not told.sightings:
+            return None
+        newest_ms = max(told.sightings[-1].ended_at_ms, told.cleared_at_ms)
+        if newest_ms >= known.cleared_at_ms:
+            return None
+        return Case(told.fingerprint, (), known.cleared_at_ms)
+
     def _make_room(self) -> None:
         if len(self._cases) < MAX_CASES:
             return
--- a/proofs/soak.py
+++ b/proofs/soak.py
@@ -8,6 +8,7 @@
 import click
 from hypothesis import stateful
 
+from proofs import crashes
 from proofs import publication
 from proofs import runner
 from proofs import serving
@@ -21,6 +22,7 @@
 ] = {
     "serving": (serving.ServingMachine, 150, serving.COUNTS),
     "starts": (starts.StartsMachine, 60, starts.COUNTS),
+    "crashes": (crashes.CrashesMachine, 60, crashes.COUNTS),
     "publication": (publication.PublicationMachine, 60, publication.COUNTS),
 }
 
--- a/tests/stack/test_proofs.py
+++ b/tests/stack/test_proofs.py
@@ -1,5 +1,6 @@
 """The state machines, with fixed seeds; ``proofs.soak`` runs them longer."""
 
+from proofs import crashes
 from proofs import publication
 from proofs import runner
 from proofs import serving
@@ -20,6 +21,15 @@
     assert publication.COUNTS["accepted"] > 50
 
 
+def test_only_what_ends_targets_is_refused() -> None:
+    """Crashes, cuts of power, equal requests; words lost, twice and late."""
+    for seed in (1, 2, 3):
+        runner.run(crashes.CrashesMachine, seed=seed, examples=100, steps=60)
+    assert crashes.COUNTS["fault crash"] > 100
+    assert crashes.COUNTS["refused"] > 100
+    assert crashes.COUNTS["cleared"] > 50
+
+
 def test_nothing_of_a_former_start_is_believed() -> None:
     """Restarts under one name; entries, words and reports in any order."""
     for seed in (1, 2, 8, 9, 210):
