Failing test: a clearance that is missed once a crash came after it

What callers would see: after a restart one gateway refuses a request that others have seen end well.

--- a/tests/fleet/test_crash_evidence.py
+++ b/tests/fleet/test_crash_evidence.py
@@ -154,6 +154,30 @@
     assert other_way.verdict(OTHER, 4_100) is None
 
 
+def test_who_missed_a_clearance_is_told_whatever_came_after_it() -> None:
+    """A gateway restarts, and learns of two crashes and a third without it.
+
+    Others know that the request ended well between the second and the third.
+    The third is later than that, so they took the teller for one who knew, and
+    it went on refusing the request. Found by the state machine of crashes, with
+    two cuts of power, one that ends well, and a crash by another request.
+    """
+    knows = _evidence(_crash(0, 1_000, OTHER), _crash(1, 3_000, OTHER))
+    knows.ended_well(OTHER, 4_000)
+    knows.crashed(_crash(2, 5_000, OTHER))
+    missed = _evidence(
+        *(_crash(number, at, OTHER) for number, at in enumerate((1_000, 3_000)))
+    )
+    missed.crashed(_crash(2, 5_000, OTHER))
+    assert missed.verdict(OTHER, 5_100) is not None
+    (told,) = missed.several()
+    unheard = knows.unheard_by(told)
+    assert unheard is not None
+    missed.take(unheard)
+    assert missed.verdict(OTHER, 5_100) is None
+    assert knows.unheard_by(missed.case(OTHER)) is None
+
+
 def test_a_crash_is_told_by_its_age() -> None:
     """Each VM counts from its own start, so a time is told as an age."""
     evidence = _evidence(_crash(0, 1_000, POISON))
