A clearance is told again though a crash came after it

What callers would see: after a restart one gateway refuses a request that others have seen end well. Cause: who told of crashes was taken for one who knew of the clearance if the newest crash was later than it; what counts is whether an older one is still told.

--- a/packages/radishstack/src/radishstack/process/crash_evidence.py
+++ b/packages/radishstack/src/radishstack/process/crash_evidence.py
@@ -164,10 +164,13 @@
         known = self._cases.get(told.fingerprint)
         if known is None or not told.sightings:
             return None
-        newest_ms = max(told.sightings[-1].ended_at_ms, told.cleared_at_ms)
-        if newest_ms >= known.cleared_at_ms:
+        cleared_at_ms = known.cleared_at_ms
+        if told.cleared_at_ms >= cleared_at_ms:
             return None
-        return Case(told.fingerprint, (), known.cleared_at_ms)
+        # A later crash that it tells of says nothing of what it has heard.
+        if told.sightings[0].ended_at_ms > cleared_at_ms:
+            return None
+        return Case(told.fingerprint, (), cleared_at_ms)
 
     def _make_room(self) -> None:
         if len(self._cases) < MAX_CASES:
