--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -14,6 +14,7 @@
 SOAK = ("-m", "soak", "run", "--seconds", "15", "--jobs", "2", "--first-seed")
 FORWARD = "radishd/request/forward.py"
 GATEWAY = "radishd/gateway.py"
+EVIDENCE = "radishstack/process/crash_evidence.py"
 Kind = schedule.Kind
 
 
@@ -49,9 +50,8 @@
     mutants.Mutant(
         "a leaving target gets no work",
         "radishstack/process/roster.py",
-        "            if not member.listing.leaving\n"
-        "            and not member.gone\n",
-        "            if not member.gone\n",
+        "            not member.listing.leaving\n            and not self",
+        "            not self",
         _seeds(330, Kind.TARGET_LEAVE),
     ),
     mutants.Mutant(
@@ -85,6 +85,35 @@
         "            else:\n                known[record.name] = record",
         _seeds(370, Kind.TARGET_RESTART),
     ),
+    mutants.Mutant(
+        "what ends targets is refused",
+        GATEWAY,
+        "        self.crash_news.crashed(crash)\n",
+        "        del crash\n",
+        _seeds(390, Kind.CULPRIT),
+    ),
+    mutants.Mutant(
+        "nobody else is refused",
+        EVIDENCE,
+        "        if moments < MIN_MOMENTS + more or _in_turn(case) < "
+        "MIN_IN_TURN + more:\n",
+        "        if False:\n",
+        _seeds(400, Kind.CULPRIT, Kind.TARGET_RESTART),
+    ),
+    mutants.Mutant(
+        "a target's word that it leaves counts",
+        "radishstack/process/roster.py",
+        "            and not self.said_to_leave(member.listing.start)\n",
+        "",
+        _seeds(410, Kind.LEAVE_BY_WORD, Kind.VERSION),
+    ),
+    mutants.Mutant(
+        "a target that asks for rest gets it",
+        "radishstack/process/roster.py",
+        "            if member.health.rests_until_ms <= now_ms\n",
+        "",
+        _seeds(420, Kind.REST),
+    ),
     mutants.Mutant(
         "a graceful stop cuts nothing",
         GATEWAY,
