A cut of power in two waves has a test; mutants of innocence run

The mutant that counts each crash for itself was missed at first: the cut of power in one wave is also kept out by the sends in turn. Two waves are not.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -470,7 +470,8 @@
     Mutant(
         "nothing of a former start is kept",
         "radishstack/process/placement.py",
-        "        if incarnation.are_other_births(view.born_ms, listing.born_ms):",
+        "        if incarnation.are_other_births("
+        "view.born_ms, listing.born_ms):",
         "        if False:",
         _test("fleet.test_starts"),
     ),
@@ -591,8 +592,8 @@
     Mutant(
         "what ends targets is refused",
         "radishd/request/forward.py",
-        "        if verdict is None:\n            return None\n        return result",
-        "        if True:\n            return None\n        return result",
+        "        if verdict is None:\n            return None\n",
+        "        if True:\n            return None\n",
         _test("fleet.test_crashes"),
     ),
     Mutant(
--- a/tests/fleet/test_crash_evidence.py
+++ b/tests/fleet/test_crash_evidence.py
@@ -65,6 +65,20 @@
     assert evidence.verdict(OTHER, 5_300) is None
 
 
+def test_a_cut_of_power_in_two_waves_makes_no_request_suspect() -> None:
+    """A rack fails, and what was sent on meanwhile fails with the next one.
+
+    A popular request runs on all engines of both, and none of it ends well in
+    between. That is two moments, however many engines there are.
+    """
+    evidence = crash_evidence.CrashEvidence()
+    for wave in range(2):
+        for number in range(6):
+            at_ms = 5_000 + 1_000 * wave + 30 * number
+            evidence.crashed(_crash(10 * wave + number, at_ms, OTHER))
+    assert evidence.verdict(OTHER, 6_300) is None
+
+
 def test_a_popular_request_that_ends_well_elsewhere_is_cleared() -> None:
     """Many callers send the same body; engines end for reasons of their own.
 
