--- a/packages/radishd/src/radishd/process/fleet_socket.py
+++ b/packages/radishd/src/radishd/process/fleet_socket.py
@@ -66,8 +66,8 @@
     ) -> None:
         """Sends the same datagram to several peers, encoded once.
 
-        Encoding is most of what a send costs (0.1 ms, timed by hand): for
-        each of 68 peers three times a second it would be 2 % of a core.
+        Encoding is most of what a send costs; done for each peer, it would
+        make the cost of a word grow with the fleet.
         """
         data = fleet_wire.encode(datagram)
         size_bytes = len(data) + UDP_IP_HEADER_BYTES
--- a/packages/radishd/src/radishd/process/news.py
+++ b/packages/radishd/src/radishd/process/news.py
@@ -2,9 +2,8 @@
 
 Words of engines' processes change what is believed of residency tens of times
 a second. Had each change every waiting request choose anew, a gateway's
-processor time would grow with requests times engines: choosing took 0.7 of the
-1.75 s of a profiled gateway before 21 engines. A request is woken where its own
-adapter has come, and looks by itself now and then for all else.
+processor time would grow with requests times engines. A request is woken where
+its own adapter has come, and looks by itself now and then for all else.
 """
 
 import anyio
--- a/packages/radishd/src/radishd/process/wishes.py
+++ b/packages/radishd/src/radishd/process/wishes.py
@@ -171,9 +171,9 @@
         """Has a new start of an engine told of at once.
 
         The process beside an engine that has just started learns from this
-        word which start that is and which base model it needs. With the next
-        regular word every engine stood empty for 0.4 s longer after a power
-        cut.
+        word which start that is and which base model it needs. Left to the
+        next regular word, every engine would stand empty until then after a
+        power cut.
         """
         self._hurry(member)
 
--- a/packages/radishstack/src/radishstack/process/placement.py
+++ b/packages/radishstack/src/radishstack/process/placement.py
@@ -21,9 +21,8 @@
 REQUEST_COST_MS = 6.0
 QUEUED_COST_MS = 40.0
 # A copy elsewhere is worth its load, and the place that it takes from another
-# adapter, once some fifty requests run at the holders. In the replay of four
-# engines under a burst ("two-away", two seeds) 0.80 of worth, and 0.78 with
-# copies from thirty-five on.
+# adapter, once some fifty requests run at the holders; earlier copies push out
+# what others need.
 SPREAD_ABOVE_MS = 320.0
 # An engine this late takes no more: sixty run, or fewer and some wait. It
 # reads prompts one after the other, so what is added starts later than its
@@ -52,8 +51,7 @@
 SILENCE_WEIGHT = 2.0
 # Wait at a home, in fetches, above which a load is left to the next engine in
 # the order: a longer wait keeps adapters to fewer engines, a shorter one
-# spreads a rush. In the replay of a restart of all engines 0.746 of worth, and
-# 0.716 with a bound of four waiting loads.
+# spreads a rush.
 HOME_WAIT_FETCHES = 1.0
 # Time of a fetch while none was told, as configured engines publish it; it only
 # says when the next engine in the order is taken.
@@ -62,9 +60,8 @@
 # loaded elsewhere: three rounds of what it brings in at once.
 MAX_QUEUED_LOADS = 12
 # A load counts as in time if it is predicted to take at most this part of what
-# its caller has: the prediction errs by about a fifth, and what is in time by
-# a hair is passed over once it is late. At twice the engines' rate, in virtual
-# time, 4 of 800 requests wait in vain with 0.8, and 24 with 0.95.
+# its caller has: the prediction errs, and what is in time by a hair is passed
+# over once it is late, so that its caller would wait in vain.
 LOAD_PATIENCE_PART = 0.75
 # A load that comes late, but within this part of the time for which the
 # request may wait at all, is waited for: to come back would cost its caller
--- a/packages/radishstack/src/radishstack/target.py
+++ b/packages/radishstack/src/radishstack/target.py
@@ -2,7 +2,7 @@
 
 Events and a time go in, actions come out. Nothing here waits, reads a clock
 or writes to a socket; the same code runs in production, under Hypothesis and
-in the benchmarks.
+in virtual time.
 """
 
 import functools
