--- a/packages/radishd/src/radishd/gateway.py
+++ b/packages/radishd/src/radishd/gateway.py
@@ -38,7 +38,7 @@
 from radishd.process import crash_news as crash_news_lib
 from radishd.process import decision_log
 from radishd.process import fleet_socket
-from radishd.process import kept_cases as kept_cases_lib
+from radishd.process import kept_crashes as kept_crashes_lib
 from radishd.process import knowledge as knowledge_lib
 from radishd.process import logs
 from radishd.process import metrics as metrics_lib
@@ -132,9 +132,9 @@
             log,
             metrics,
             random_source,
-            self._keep_case,
+            self._quarantined,
         )
-        self.kept_cases = kept_cases_lib.KeptCases(
+        self.kept_crashes = kept_crashes_lib.KeptCrashes(
             self.store,
             functools.partial(self.crash_news.take, told_by="store"),
             log,
@@ -187,9 +187,9 @@
         if self.socket is not None:
             await self.socket.send_all(addresses, news)
 
-    def _keep_case(self, case: crash_evidence.Case) -> None:
+    def _quarantined(self, record: crash_evidence.Record) -> None:
         """Takes that a request is refused from now on."""
-        self.kept_cases.keep(case)
+        self.kept_crashes.keep(record)
         # Those that wait for an adapter are to be refused at once, too.
         self.news.tell_all()
 
@@ -647,6 +647,7 @@
     def status(self) -> dict[str, Any]:
         """Returns what ``/status`` answers."""
         now_ms = clock.boot_ms()
+        quarantined = self.crash_news.evidence.quarantined(now_ms)
         return {
             "name": self.settings.name,
             "role": str(self.settings.role),
@@ -659,11 +660,9 @@
             "in_flight": self.in_flight,
             "draining": self.draining,
             "refusals": self.refusals,
-            "refused_requests": {
-                fingerprint: dataclasses.asdict(verdict)
-                for fingerprint, verdict in self.crash_news.evidence.refused(
-                    now_ms
-                ).items()
+            "quarantined_requests": {
+                fingerprint: dataclasses.asdict(quarantine)
+                for fingerprint, quarantine in quarantined.items()
             },
             "targets": {
                 name: {
@@ -735,7 +734,7 @@
             "sweep": gateway.sweep,
             "crash_watch": gateway.crash_watch.run,
             "tell_crashes": gateway.crash_news.tell_others,
-            "keep_crashes": gateway.kept_cases.run,
+            "keep_crashes": gateway.kept_crashes.run,
             "pass_on_crashes": gateway.crash_news.pass_on,
             "ask_for_crashes": gateway.crash_news.ask_at_start,
             "ask_peers": gateway.knowledge.ask_peers,
--- a/packages/radishd/src/radishd/platform/wire.py
+++ b/packages/radishd/src/radishd/platform/wire.py
@@ -80,16 +80,16 @@
 _BIRTH = pydantic.TypeAdapter(_Birth)
 
 
-class _Sighting(_Checked):
+class _Observation(_Checked):
     target: _Text
     born_ms: _Birth
     began_unix_ms: int
     ended_unix_ms: int
 
 
-class _CrashCase(_Checked):
+class _CrashRecord(_Checked):
     fingerprint: Annotated[str, pydantic.Field(pattern=r"^[0-9a-f]{32}$")]
-    sightings: Annotated[list[_Sighting], pydantic.Field(max_length=64)]
+    observations: Annotated[list[_Observation], pydantic.Field(max_length=64)]
 
 
 class _Version(_Checked):
@@ -257,8 +257,8 @@
     return adapter_keeper.Want(name, entry.version)
 
 
-def crash_case_spec(
-    case: crash_evidence.Case, now_ms: int, unix_ms: int
+def crash_record_spec(
+    case: crash_evidence.Record, now_ms: int, unix_ms: int
 ) -> dict[str, Any]:
     """Encodes what is known against a request, for the store to keep.
 
@@ -267,21 +267,21 @@
         now_ms: This VM's clock.
         unix_ms: The wall clock, by which another VM can read it.
     """
-    sightings = [
+    observations = [
         {
             "target": one.start.name,
             "born_ms": one.start.born_ms,
             "began_unix_ms": one.began_at_ms - now_ms + unix_ms,
             "ended_unix_ms": one.ended_at_ms - now_ms + unix_ms,
         }
-        for one in case.sightings
+        for one in case.observations
     ]
-    return {"fingerprint": case.fingerprint, "sightings": sightings}
+    return {"fingerprint": case.fingerprint, "observations": observations}
 
 
-def crash_case(
+def crash_record(
     spec: Any, now_ms: int, unix_ms: int
-) -> result.Outcome[crash_evidence.Case]:
+) -> result.Outcome[crash_evidence.Record]:
     """Decodes what the store keeps of a request.
 
     Args:
@@ -294,18 +294,18 @@
         The case, or what could not be read.
     """
     try:
-        entry = _CrashCase.model_validate(spec)
+        entry = _CrashRecord.model_validate(spec)
     except ValueError as error:
         return _unreadable("crash", error)
-    return crash_evidence.Case(
+    return crash_evidence.Record(
         entry.fingerprint,
         tuple(
-            crash_evidence.Sighting(
+            crash_evidence.Observation(
                 incarnation.Start(one.target, one.born_ms),
                 now_ms - max(0, unix_ms - one.began_unix_ms),
                 now_ms - max(0, unix_ms - one.ended_unix_ms),
             )
-            for one in entry.sightings
+            for one in entry.observations
         ),
     )
 
--- a/packages/radishd/src/radishd/process/crash_news.py
+++ b/packages/radishd/src/radishd/process/crash_news.py
@@ -24,8 +24,8 @@
 MS_PER_S = 1_000
 # Words of a crash and of requests that ended well are gathered this long.
 GATHER_MS = 10
-# How many cases one datagram holds, so that it stays below a few kilobytes.
-MAX_CASES_A_WORD = 24
+# How many records one datagram holds, so that it stays below a few kilobytes.
+MAX_RECORDS_A_WORD = 24
 # How often one other gateway is told what several crashes have in common:
 # often while it is news, rarely afterwards.
 PASS_ON_MS = 1_000
@@ -55,7 +55,7 @@
         log: decision_log.DecisionLog,
         metrics: metrics_lib.Metrics,
         random_source: random.Random,
-        on_refused: Callable[[crash_evidence.Case], None],
+        on_refused: Callable[[crash_evidence.Record], None],
     ) -> None:
         """Starts knowing nothing.
 
@@ -75,10 +75,10 @@
         self._metrics = metrics
         self._random = random_source
         self._on_refused = on_refused
-        self._waiting: list[crash_evidence.Case] = []
+        self._waiting: list[crash_evidence.Record] = []
         self._asked_by: set[fleet_socket.Address] = set()
         self._unheard: dict[
-            fleet_socket.Address, list[crash_evidence.Case]
+            fleet_socket.Address, list[crash_evidence.Record]
         ] = {}
         self._asks = False
         self._wake = anyio.Event()
@@ -87,44 +87,44 @@
 
     def crashed(self, crash: crash_lib.Crash) -> None:
         """Takes a crash that was seen here, and tells the others."""
-        cases = self.evidence.crashed(crash)
-        self._tell_soon(cases)
-        for case in cases:
-            if self._judge(case.fingerprint, told_by=""):
-                self._on_refused(self.evidence.case(case.fingerprint))
+        records = self.evidence.crashed(crash)
+        self._tell_soon(records)
+        for record in records:
+            if self._judge(record.fingerprint, told_by=""):
+                self._on_refused(self.evidence.record(record.fingerprint))
 
     def ended_well(self, fingerprint: str) -> None:
         """Takes that a request ran and its target went on."""
-        case = self.evidence.ended_well(fingerprint, clock.boot_ms())
-        if case is not None:
+        record = self.evidence.ended_well(fingerprint, clock.boot_ms())
+        if record is not None:
             self._log.write("suspect_cleared", fingerprint=fingerprint)
-            self._tell_soon([case])
+            self._tell_soon([record])
 
-    def _tell_soon(self, cases: list[crash_evidence.Case]) -> None:
-        self._waiting.extend(cases)
+    def _tell_soon(self, records: list[crash_evidence.Record]) -> None:
+        self._waiting.extend(records)
         self._wake.set()
 
-    def verdict(self, fingerprint: str) -> crash_evidence.Verdict | None:
+    def quarantine(self, fingerprint: str) -> crash_evidence.Quarantine | None:
         """Says whether a request is to be refused now."""
-        return self.evidence.verdict(fingerprint, clock.boot_ms())
+        return self.evidence.quarantine(fingerprint, clock.boot_ms())
 
     def _judge(self, fingerprint: str, *, told_by: str) -> bool:
-        """Logs a verdict once; returns whether it is another than before."""
-        verdict = self.verdict(fingerprint)
-        moments = verdict.moments if verdict is not None else 0
+        """Logs a quarantine once; returns whether it is another than before."""
+        quarantine = self.quarantine(fingerprint)
+        moments = quarantine.moments if quarantine is not None else 0
         if self._refused.get(fingerprint, 0) == moments:
             return False
-        if verdict is None:
+        if quarantine is None:
             del self._refused[fingerprint]
-            self._log.must("request_pardoned", fingerprint=fingerprint)
+            self._log.must("quarantine_ended", fingerprint=fingerprint)
             return False
         self._refused[fingerprint] = moments
         self._log.must(
-            "request_ends_targets",
+            "request_quarantined",
             fingerprint=fingerprint,
             crashes=moments,
-            last_ago_ms=clock.boot_ms() - verdict.last_at_ms,
-            refused_for_ms=verdict.left_ms,
+            last_ago_ms=clock.boot_ms() - quarantine.last_at_ms,
+            refused_for_ms=quarantine.left_ms,
             told_by=told_by or "own",
         )
         return True
@@ -134,7 +134,7 @@
     ) -> None:
         """Takes what another gateway tells, and answers if it asks."""
         now_ms = clock.boot_ms()
-        told = [fleet_wire.case_of(case, now_ms) for case in news.cases]
+        told = [fleet_wire.record_of(record, now_ms) for record in news.records]
         self.take(told, told_by=sender[0])
         unheard = list(filter(None, map(self.evidence.unheard_by, told)))
         if unheard:
@@ -145,22 +145,22 @@
             self._wake.set()
 
     def take(
-        self, cases: Iterable[crash_evidence.Case], *, told_by: str
+        self, records: Iterable[crash_evidence.Record], *, told_by: str
     ) -> None:
         """Takes what was seen elsewhere."""
-        for case in cases:
-            if self.evidence.take(case):
-                self._judge(case.fingerprint, told_by=told_by)
+        for record in records:
+            if self.evidence.take(record):
+                self._judge(record.fingerprint, told_by=told_by)
 
     async def _tell(
         self,
         addresses: Iterable[fleet_socket.Address],
-        cases: list[crash_evidence.Case],
+        records: list[crash_evidence.Record],
     ) -> None:
         now_ms = clock.boot_ms()
-        told = [fleet_wire.told_case(case, now_ms) for case in cases]
-        for first in range(0, len(told), MAX_CASES_A_WORD):
-            batch = tuple(told[first : first + MAX_CASES_A_WORD])
+        told = [fleet_wire.told_record(record, now_ms) for record in records]
+        for first in range(0, len(told), MAX_RECORDS_A_WORD):
+            batch = tuple(told[first : first + MAX_RECORDS_A_WORD])
             await self._send(addresses, fleet_wire.CrashNews(batch))
 
     async def tell_others(self) -> None:
@@ -169,13 +169,13 @@
             await self._wake.wait()
             self._wake = anyio.Event()
             await anyio.sleep(GATHER_MS / MS_PER_S)
-            cases, self._waiting = self._waiting, []
+            records, self._waiting = self._waiting, []
             asked_by, self._asked_by = self._asked_by, set()
-            await self._tell(self._others(), cases)
+            await self._tell(self._others(), records)
             if self._asks:
                 self._asks = False
                 await self._ask()
-            await self._tell(asked_by, list(self.evidence.several()))
+            await self._tell(asked_by, list(self.evidence.recurring()))
             unheard, self._unheard = self._unheard, {}
             for address, cleared in unheard.items():
                 await self._tell((address,), cleared)
@@ -183,19 +183,19 @@
     async def pass_on(self) -> None:
         """Tells one other what several crashes have in common, now and then."""
         while True:
-            cases = list(self.evidence.several())
-            await anyio.sleep(self._pause_ms(cases) / MS_PER_S)
+            records = list(self.evidence.recurring())
+            await anyio.sleep(self._pause_ms(records) / MS_PER_S)
             others = self._others()
-            if cases and others:
-                await self._tell((self._random.choice(others),), cases)
+            if records and others:
+                await self._tell((self._random.choice(others),), records)
 
-    def _pause_ms(self, cases: list[crash_evidence.Case]) -> int:
+    def _pause_ms(self, records: list[crash_evidence.Record]) -> int:
         newest_ms = max(
-            (case.sightings[-1].ended_at_ms for case in cases),
+            (record.observations[-1].ended_at_ms for record in records),
             default=crash_evidence.NEVER_MS,
         )
         is_news = clock.boot_ms() - newest_ms < NEWS_MS
-        return PASS_ON_MS if is_news or not cases else PASS_ON_OLD_MS
+        return PASS_ON_MS if is_news or not records else PASS_ON_OLD_MS
 
     def ask_soon(self) -> None:
         """Asks for what was told while this gateway could not be reached."""
@@ -224,4 +224,4 @@
             self.evidence.forget(now_ms)
         for fingerprint in list(self._refused):
             self._judge(fingerprint, told_by="")
-        self._metrics.refused_requests.set({}, len(self._refused))
+        self._metrics.quarantined_requests.set({}, len(self._refused))
--- a/packages/radishd/src/radishd/process/kept_cases.py
+++ b/packages/radishd/src/radishd/process/kept_crashes.py
@@ -25,11 +25,11 @@
 # Cases that wait to be written; one that does not fit is told by gateways.
 MAX_WAITING = 64
 
-Take = Callable[[Iterable[crash_evidence.Case]], None]
+Take = Callable[[Iterable[crash_evidence.Record]], None]
 
 
-class KeptCases:
-    """Reads cases as the gateway starts, and writes its own."""
+class KeptCrashes:
+    """Reads records as the gateway starts, and writes its own."""
 
     def __init__(
         self, store: store_lib.Store, take: Take, log: decision_log.DecisionLog
@@ -44,17 +44,19 @@
         self._store = store
         self._take = take
         self._log = log
-        self._waiting: dict[str, crash_evidence.Case] = {}
+        self._waiting: dict[str, crash_evidence.Record] = {}
         self._wake = anyio.Event()
 
-    def keep(self, case: crash_evidence.Case) -> None:
-        """Has a case written as soon as the store takes it."""
+    def keep(self, record: crash_evidence.Record) -> None:
+        """Has a record written as soon as the store takes it."""
         if len(self._waiting) >= MAX_WAITING:
-            self._log.write("case_not_kept", fingerprint=case.fingerprint)
+            self._log.write(
+                "crash_record_not_kept", fingerprint=record.fingerprint
+            )
             return
         # Two gateways that saw the same crash write the same object.
-        name = f"{case.fingerprint}-{len(case.sightings)}"
-        self._waiting[name] = case
+        name = f"{record.fingerprint}-{len(record.observations)}"
+        self._waiting[name] = record
         self._wake.set()
 
     async def run(self) -> None:
@@ -74,39 +76,41 @@
             await anyio.sleep(pause_ms / MS_PER_S)
             pause_ms = min(2 * pause_ms, RETRY_MAX_MS)
         now_ms = clock.boot_ms()
-        cases = []
-        for record in batch.records:
-            case = wire.crash_case(record.spec, now_ms, clock.unix_ms())
-            if isinstance(case, result.Failure):
+        records = []
+        for stored in batch.records:
+            record = wire.crash_record(stored.spec, now_ms, clock.unix_ms())
+            if isinstance(record, result.Failure):
                 self._log.write(
                     "object_refused",
                     kind=wire.KIND_CRASHES,
-                    object=record.name,
-                    revision=record.revision,
-                    reason=case.message,
+                    object=stored.name,
+                    revision=stored.revision,
+                    reason=record.message,
                 )
                 continue
-            if crash_evidence.is_over(case, now_ms):
-                await self._store.delete(wire.KIND_CRASHES, record.name)
+            if crash_evidence.is_over(record, now_ms):
+                await self._store.delete(wire.KIND_CRASHES, stored.name)
                 continue
-            cases.append(case)
-        if cases:
-            self._log.must("cases_read", count=len(cases))
-        self._take(cases)
+            records.append(record)
+        if records:
+            self._log.must("crash_records_read", count=len(records))
+        self._take(records)
 
     async def _write(self) -> None:
         pause_ms = RETRY_FIRST_MS
         while self._waiting:
-            name, case = next(iter(self._waiting.items()))
-            spec = wire.crash_case_spec(case, clock.boot_ms(), clock.unix_ms())
+            name, record = next(iter(self._waiting.items()))
+            spec = wire.crash_record_spec(
+                record, clock.boot_ms(), clock.unix_ms()
+            )
             failure = await self._store.create(wire.KIND_CRASHES, name, spec)
             if failure is None:
                 del self._waiting[name]
-                self._log.must("case_kept", object=name)
+                self._log.must("crash_record_kept", object=name)
                 pause_ms = RETRY_FIRST_MS
                 continue
             self._log.write(
-                "case_not_kept", object=name, reason=failure.message
+                "crash_record_not_kept", object=name, reason=failure.message
             )
             await anyio.sleep(pause_ms / MS_PER_S)
             pause_ms = min(2 * pause_ms, RETRY_MAX_MS)
--- a/packages/radishd/src/radishd/process/metrics.py
+++ b/packages/radishd/src/radishd/process/metrics.py
@@ -76,8 +76,8 @@
             "target_breaks_total",
             "Targets that broke answers off, by whether they had ended",
         )
-        self.refused_requests = gauge(
-            "refused_requests",
+        self.quarantined_requests = gauge(
+            "quarantined_requests",
             "Requests that are refused since targets ended under them",
         )
         self.orders = counter("orders_total", "Orders to the engine by verdict")
--- a/packages/radishd/src/radishd/request/forward.py
+++ b/packages/radishd/src/radishd/request/forward.py
@@ -222,13 +222,13 @@
         crash_news = self.gateway.crash_news
         if not len(crash_news.evidence):
             return None
-        verdict = crash_news.verdict(self.fingerprint())
-        if verdict is None:
+        quarantine = crash_news.quarantine(self.fingerprint())
+        if quarantine is None:
             return None
         return result.Failure(
             result.REQUEST_ENDS_TARGETS,
-            f"targets ended at {verdict.moments} times under this request",
-            verdict.left_ms,
+            f"targets ended at {quarantine.moments} times under this request",
+            quarantine.left_ms,
         )
 
     def _note_end(self) -> None:
--- a/packages/radishstack/src/radishstack/connection/fleet.capnp
+++ b/packages/radishstack/src/radishstack/connection/fleet.capnp
@@ -77,7 +77,7 @@
   leaving @15 :Bool;
 }
 
-struct Sighting {
+struct Observation {
   # A start of a target that ended while it ran a request. Times are told as
   # ages, since every VM counts from its own start.
   target @0 :Text;
@@ -86,16 +86,16 @@
   endedAgoMs @3 :UInt64;
 }
 
-struct CrashCase {
+struct CrashRecord {
   fingerprint @0 :Data;
-  sightings @1 :List(Sighting);
+  observations @1 :List(Observation);
   # Whether an equal request has ended well, and how long ago.
   isCleared @2 :Bool;
   clearedAgoMs @3 :UInt64;
 }
 
 struct CrashNews {
-  cases @0 :List(CrashCase);
+  records @0 :List(CrashRecord);
   # Whether the reader is to tell what it knows.
   asks @1 :Bool;
 }
--- a/packages/radishstack/src/radishstack/connection/fleet_wire.py
+++ b/packages/radishstack/src/radishstack/connection/fleet_wire.py
@@ -75,7 +75,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class ToldSighting:
+class ToldObservation:
     """One crash with a request running, in a word between gateways.
 
     Attributes:
@@ -90,18 +90,18 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class ToldCase:
+class ToldRecord:
     """What is known against one request, in a word between gateways.
 
     Attributes:
         fingerprint: The request's.
-        sightings: Crashes with it running.
+        observations: Crashes with it running.
         cleared_ago_ms: How long ago an equal request ended well, None if
             none has.
     """
 
     fingerprint: str
-    sightings: tuple[ToldSighting, ...]
+    observations: tuple[ToldObservation, ...]
     cleared_ago_ms: int | None = None
 
 
@@ -110,47 +110,47 @@
     """Crashes, in the word of one gateway to others.
 
     Attributes:
-        cases: What is known against requests.
+        records: What is known against requests.
         asks: Whether the reader is to tell what it knows.
     """
 
-    cases: tuple[ToldCase, ...] = ()
+    records: tuple[ToldRecord, ...] = ()
     asks: bool = False
 
 
 Datagram = DemandDatagram | State | CrashNews
 
 
-def told_case(case: crash_evidence.Case, now_ms: int) -> ToldCase:
-    """Returns a case with ages in place of times of this VM's clock."""
-    cleared_at_ms = case.cleared_at_ms
+def told_record(record: crash_evidence.Record, now_ms: int) -> ToldRecord:
+    """Returns a record with ages in place of times of this VM's clock."""
+    cleared_at_ms = record.cleared_at_ms
     is_cleared = cleared_at_ms != crash_evidence.NEVER_MS
-    return ToldCase(
-        case.fingerprint,
+    return ToldRecord(
+        record.fingerprint,
         tuple(
-            ToldSighting(
+            ToldObservation(
                 one.start,
                 max(0, now_ms - one.began_at_ms),
                 max(0, now_ms - one.ended_at_ms),
             )
-            for one in case.sightings
+            for one in record.observations
         ),
         max(0, now_ms - cleared_at_ms) if is_cleared else None,
     )
 
 
-def case_of(told: ToldCase, now_ms: int) -> crash_evidence.Case:
-    """Returns a case with times of this VM's clock in place of ages."""
+def record_of(told: ToldRecord, now_ms: int) -> crash_evidence.Record:
+    """Returns a record with times of this VM's clock in place of ages."""
     cleared_at_ms = crash_evidence.NEVER_MS
     if told.cleared_ago_ms is not None:
         cleared_at_ms = now_ms - told.cleared_ago_ms
-    return crash_evidence.Case(
+    return crash_evidence.Record(
         told.fingerprint,
         tuple(
-            crash_evidence.Sighting(
+            crash_evidence.Observation(
                 one.start, now_ms - one.began_ago_ms, now_ms - one.ended_ago_ms
             )
-            for one in told.sightings
+            for one in told.observations
         ),
         cleared_at_ms,
     )
@@ -230,22 +230,22 @@
 @encode.register
 def _(datagram: CrashNews) -> bytes:
     body = {
-        "cases": [
+        "records": [
             {
-                "fingerprint": bytes.fromhex(case.fingerprint),
-                "sightings": [
+                "fingerprint": bytes.fromhex(record.fingerprint),
+                "observations": [
                     {
                         "target": one.start.name,
                         "bornMs": one.start.born_ms,
                         "beganAgoMs": one.began_ago_ms,
                         "endedAgoMs": one.ended_ago_ms,
                     }
-                    for one in case.sightings
+                    for one in record.observations
                 ],
-                "isCleared": case.cleared_ago_ms is not None,
-                "clearedAgoMs": case.cleared_ago_ms or 0,
+                "isCleared": record.cleared_ago_ms is not None,
+                "clearedAgoMs": record.cleared_ago_ms or 0,
             }
-            for case in datagram.cases
+            for record in datagram.records
         ],
         "asks": datagram.asks,
     }
@@ -349,19 +349,19 @@
 
 
 def _decode_crash_news(body: object) -> CrashNews:
-    cases = tuple(
-        ToldCase(
-            bytes(case.fingerprint).hex(),
+    records = tuple(
+        ToldRecord(
+            bytes(record.fingerprint).hex(),
             tuple(
-                ToldSighting(
+                ToldObservation(
                     incarnation.Start(one.target, one.bornMs),
                     one.beganAgoMs,
                     one.endedAgoMs,
                 )
-                for one in case.sightings
+                for one in record.observations
             ),
-            case.clearedAgoMs if case.isCleared else None,
+            record.clearedAgoMs if record.isCleared else None,
         )
-        for case in body.cases
+        for record in body.records
     )
-    return CrashNews(cases, body.asks)
+    return CrashNews(records, body.asks)
--- a/packages/radishstack/src/radishstack/process/crash_evidence.py
+++ b/packages/radishstack/src/radishstack/process/crash_evidence.py
@@ -25,28 +25,28 @@
 # first: a cut of power, or a rack that fails.
 SAME_MOMENT_MS = 250
 # Where another request was at the last crash and at as many before, either
-# may be the one: one crash more parts them, or both are held to end targets.
-IN_COMPANY = 1
+# may be the one: one more crash tells them apart, or both are refused.
+AMBIGUOUS_EXTRA = 1
 # Word of a crash comes some milliseconds after it, so a request that is sent
 # again at once seems to have been sent before.
 WORD_MS = 25
 # For how long it is refused: an innocent one is back after minutes, and one
 # that goes on ending targets ends three more in its first day.
-HOLD_MS = 5 * 60_000
-HOLD_GROWTH = 6
+QUARANTINE_MS = 5 * 60_000
+QUARANTINE_GROWTH = 6
 # How long after its last crash a request is under suspicion; one crash alone
 # says little, and a site has some each hour.
 SINGLE_KEPT_MS = 3_600_000
 SEVERAL_KEPT_MS = 24 * 3_600_000
-MAX_CASES = 2_048
-MAX_SIGHTINGS = 8
+MAX_RECORDS = 2_048
+MAX_OBSERVATIONS = 8
 # Before all times: clocks count from a VM's start, and a crash that is told of
 # may lie before it.
 NEVER_MS = -(2**62)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Sighting:
+class Observation:
     """One crash with one request running.
 
     Attributes:
@@ -61,23 +61,23 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Case:
+class Record:
     """What is known against one request.
 
     Attributes:
         fingerprint: The request's.
-        sightings: Crashes with it running.
+        observations: Crashes with it running.
         cleared_at_ms: When an equal request ended well last, if one has since
             it is under suspicion. Crashes until then are not counted.
     """
 
     fingerprint: str
-    sightings: tuple[Sighting, ...] = ()
+    observations: tuple[Observation, ...] = ()
     cleared_at_ms: int = NEVER_MS
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Verdict:
+class Quarantine:
     """A request that is held to end targets.
 
     Attributes:
@@ -96,199 +96,209 @@
 
     def __init__(self) -> None:
         """Starts with none."""
-        self._cases: dict[str, Case] = {}
+        self._records: dict[str, Record] = {}
         self._at: dict[incarnation.Start, set[str]] = {}
 
     def __len__(self) -> int:
         """How many requests are under suspicion."""
-        return len(self._cases)
+        return len(self._records)
 
-    def is_suspect(self, fingerprint: str) -> bool:
-        """Whether a request was running at a crash that is remembered."""
-        return fingerprint in self._cases
-
-    def case(self, fingerprint: str) -> Case:
+    def record(self, fingerprint: str) -> Record:
         """Returns what is known against a request."""
-        return self._cases.get(fingerprint, Case(fingerprint))
+        return self._records.get(fingerprint, Record(fingerprint))
 
-    def crashed(self, crash: crash_lib.Crash) -> list[Case]:
+    def crashed(self, crash: crash_lib.Crash) -> list[Record]:
         """Takes a crash that was seen here; returns what to tell others."""
-        cases = [
-            Case(
+        records = [
+            Record(
                 one.fingerprint,
-                (Sighting(crash.start, one.began_at_ms, crash.at_ms),),
+                (Observation(crash.start, one.began_at_ms, crash.at_ms),),
             )
             for one in crash.suspects
         ]
-        for case in cases:
-            self.take(case)
-        return cases
+        for record in records:
+            self.take(record)
+        return records
 
-    def ended_well(self, fingerprint: str, now_ms: int) -> Case | None:
+    def ended_well(self, fingerprint: str, now_ms: int) -> Record | None:
         """Takes that a request ran and its target went on.
 
         Returns:
             What to tell others, None if it was under no suspicion.
         """
-        known = self._cases.get(fingerprint)
-        if known is None or not known.sightings:
+        known = self._records.get(fingerprint)
+        if known is None or not known.observations:
             return None
-        case = Case(fingerprint, (), now_ms)
-        self.take(case)
-        return case
+        record = Record(fingerprint, (), now_ms)
+        self.take(record)
+        return record
 
-    def take(self, case: Case) -> bool:
+    def take(self, record: Record) -> bool:
         """Joins what is told of a request; returns whether it was news."""
-        known = self._cases.get(case.fingerprint)
+        known = self._records.get(record.fingerprint)
         if known is None:
-            if not case.sightings:
+            if not record.observations:
                 return False
             self._make_room()
-            known = Case(case.fingerprint)
-        joined = _join(known, case)
+            known = Record(record.fingerprint)
+        joined = _join(known, record)
         if joined == known:
             return False
-        self._forget_one(case.fingerprint)
-        self._cases[case.fingerprint] = joined
-        for sighting in joined.sightings:
-            at = self._at.setdefault(sighting.start, set())
-            at.add(case.fingerprint)
+        self._forget_one(record.fingerprint)
+        self._records[record.fingerprint] = joined
+        for observation in joined.observations:
+            at = self._at.setdefault(observation.start, set())
+            at.add(record.fingerprint)
         return True
 
-    def unheard_by(self, told: Case) -> Case | None:
-        """Returns what who told a case has not heard, if anything.
+    def unheard_by(self, told: Record) -> Record | None:
+        """Returns what who told a record has not heard, if anything.
 
         What cleared a request leaves nothing to pass on, and who refuses it
         never sees it end well: a lost word would be lost for good.
         """
-        known = self._cases.get(told.fingerprint)
-        if known is None or not told.sightings:
+        known = self._records.get(told.fingerprint)
+        if known is None or not told.observations:
             return None
         cleared_at_ms = known.cleared_at_ms
         if told.cleared_at_ms >= cleared_at_ms:
             return None
         # A later crash that it tells of says nothing of what it has heard.
-        if told.sightings[0].ended_at_ms > cleared_at_ms:
+        if told.observations[0].ended_at_ms > cleared_at_ms:
             return None
-        return Case(told.fingerprint, (), cleared_at_ms)
+        return Record(told.fingerprint, (), cleared_at_ms)
 
     def _make_room(self) -> None:
-        if len(self._cases) < MAX_CASES:
+        if len(self._records) < MAX_RECORDS:
             return
-        by_weight = sorted(self._cases.values(), key=_weight)
-        for case in by_weight[: MAX_CASES // 4]:
-            self._forget_one(case.fingerprint)
+        by_weight = sorted(self._records.values(), key=_weight)
+        for record in by_weight[: MAX_RECORDS // 4]:
+            self._forget_one(record.fingerprint)
 
     def _forget_one(self, fingerprint: str) -> None:
-        case = self._cases.pop(fingerprint, None)
-        if case is None:
+        record = self._records.pop(fingerprint, None)
+        if record is None:
             return
-        for sighting in case.sightings:
-            at = self._at[sighting.start]
+        for observation in record.observations:
+            at = self._at[observation.start]
             at.discard(fingerprint)
             if not at:
-                del self._at[sighting.start]
+                del self._at[observation.start]
 
-    def verdict(self, fingerprint: str, now_ms: int) -> Verdict | None:
+    def quarantine(self, fingerprint: str, now_ms: int) -> Quarantine | None:
         """Says whether a request is to be refused, None if it is not."""
-        case = self._cases.get(fingerprint)
-        if case is None or not case.sightings:
+        record = self._records.get(fingerprint)
+        if record is None or not record.observations:
             return None
-        moments = _moments(case)
-        more = IN_COMPANY if self._is_in_company(case, moments) else 0
-        if moments < MIN_MOMENTS + more or _in_turn(case) < MIN_IN_TURN + more:
+        moments = _moments(record)
+        more = AMBIGUOUS_EXTRA if self._is_ambiguous(record, moments) else 0
+        if (
+            moments < MIN_MOMENTS + more
+            or _in_turn(record) < MIN_IN_TURN + more
+        ):
             return None
-        last_at_ms = case.sightings[-1].ended_at_ms
-        hold_ms = HOLD_MS * HOLD_GROWTH ** (moments - MIN_MOMENTS - more)
-        left_ms = last_at_ms + hold_ms - now_ms
-        return Verdict(moments, last_at_ms, left_ms) if left_ms > 0 else None
+        last_at_ms = record.observations[-1].ended_at_ms
+        relapses = moments - MIN_MOMENTS - more
+        lasts_ms = QUARANTINE_MS * QUARANTINE_GROWTH**relapses
+        left_ms = last_at_ms + lasts_ms - now_ms
+        return Quarantine(moments, last_at_ms, left_ms) if left_ms > 0 else None
 
-    def _is_in_company(self, case: Case, moments: int) -> bool:
+    def _is_ambiguous(self, record: Record, moments: int) -> bool:
         """Whether another request was there as often as this one."""
-        others = self._at.get(case.sightings[-1].start, set())
+        others = self._at.get(record.observations[-1].start, set())
         return any(
-            _moments(self._cases[other]) >= moments
-            for other in others - {case.fingerprint}
+            _moments(self._records[other]) >= moments
+            for other in others - {record.fingerprint}
         )
 
-    def several(self) -> Iterator[Case]:
+    def recurring(self) -> Iterator[Record]:
         """Yields the requests that were running at more than one crash."""
-        for case in self._cases.values():
-            if len(case.sightings) > 1:
-                yield case
+        for record in self._records.values():
+            if len(record.observations) > 1:
+                yield record
 
-    def refused(self, now_ms: int) -> dict[str, Verdict]:
+    def quarantined(self, now_ms: int) -> dict[str, Quarantine]:
         """Returns the requests that are refused, by fingerprint."""
-        verdicts = {
-            case.fingerprint: self.verdict(case.fingerprint, now_ms)
-            for case in self.several()
+        quarantines = {
+            record.fingerprint: self.quarantine(record.fingerprint, now_ms)
+            for record in self.recurring()
+        }
+        return {
+            name: one for name, one in quarantines.items() if one is not None
         }
-        return {name: one for name, one in verdicts.items() if one is not None}
 
     def forget(self, now_ms: int) -> None:
         """Drops what is too old to count."""
-        for case in list(self._cases.values()):
-            if is_over(case, now_ms):
-                self._forget_one(case.fingerprint)
+        for record in list(self._records.values()):
+            if is_over(record, now_ms):
+                self._forget_one(record.fingerprint)
 
 
-def is_over(case: Case, now_ms: int) -> bool:
-    """Whether a case is too old to count."""
-    kept_ms = SEVERAL_KEPT_MS if len(case.sightings) > 1 else SINGLE_KEPT_MS
-    return now_ms - _last_ms(case) > kept_ms
+def is_over(record: Record, now_ms: int) -> bool:
+    """Whether a record is too old to count."""
+    kept_ms = (
+        SEVERAL_KEPT_MS if len(record.observations) > 1 else SINGLE_KEPT_MS
+    )
+    return now_ms - _last_ms(record) > kept_ms
 
 
-def _last_ms(case: Case) -> int:
-    last_ms = case.sightings[-1].ended_at_ms if case.sightings else NEVER_MS
-    return max(last_ms, case.cleared_at_ms)
+def _last_ms(record: Record) -> int:
+    last_ms = (
+        record.observations[-1].ended_at_ms if record.observations else NEVER_MS
+    )
+    return max(last_ms, record.cleared_at_ms)
 
 
-def _weight(case: Case) -> tuple[int, int]:
-    """Returns what a case is worth keeping for: crashes, then the last one."""
-    return len(case.sightings), _last_ms(case)
+def _weight(record: Record) -> tuple[int, int]:
+    """Orders records by what they tell: crashes, then how late the last was."""
+    return len(record.observations), _last_ms(record)
 
 
-def _join(one: Case, other: Case) -> Case:
-    by_start = {sighting.start: sighting for sighting in one.sightings}
-    for sighting in other.sightings:
-        known = by_start.get(sighting.start, sighting)
+def _join(one: Record, other: Record) -> Record:
+    by_start = {
+        observation.start: observation for observation in one.observations
+    }
+    for observation in other.observations:
+        known = by_start.get(observation.start, observation)
         # Word of it comes late, so the earliest is nearest to the truth.
-        by_start[sighting.start] = min(
-            known, sighting, key=lambda seen: seen.ended_at_ms
+        by_start[observation.start] = min(
+            known, observation, key=lambda seen: seen.ended_at_ms
         )
     cleared_at_ms = max(one.cleared_at_ms, other.cleared_at_ms)
     counted = sorted(
         (
-            sighting
-            for sighting in by_start.values()
-            if sighting.ended_at_ms > cleared_at_ms
+            observation
+            for observation in by_start.values()
+            if observation.ended_at_ms > cleared_at_ms
         ),
         key=lambda seen: (seen.ended_at_ms, seen.start.name),
     )
-    return Case(one.fingerprint, tuple(counted[-MAX_SIGHTINGS:]), cleared_at_ms)
+    return Record(
+        one.fingerprint, tuple(counted[-MAX_OBSERVATIONS:]), cleared_at_ms
+    )
 
 
-def _moments(case: Case) -> int:
-    """Counts the crashes of a case, those of one moment once.
+def _moments(record: Record) -> int:
+    """Counts the crashes of a record, those of one moment once.
 
     A request that was sent after a crash cannot be a victim of the same cut.
     """
     count = 0
     at_ms = NEVER_MS
-    for sighting in case.sightings:
-        later = sighting.ended_at_ms > at_ms + SAME_MOMENT_MS
-        if later or sighting.began_at_ms >= at_ms - WORD_MS:
+    for observation in record.observations:
+        later = observation.ended_at_ms > at_ms + SAME_MOMENT_MS
+        if later or observation.began_at_ms >= at_ms - WORD_MS:
             count += 1
-            at_ms = sighting.ended_at_ms
+            at_ms = observation.ended_at_ms
     return count
 
 
-def _in_turn(case: Case) -> int:
+def _in_turn(record: Record) -> int:
     """Counts sends that each began after the one before had crashed."""
     count = 0
     free_at_ms = NEVER_MS
-    for sighting in case.sightings:
-        if sighting.began_at_ms >= free_at_ms:
+    for observation in record.observations:
+        if observation.began_at_ms >= free_at_ms:
             count += 1
-            free_at_ms = sighting.ended_at_ms - WORD_MS
+            free_at_ms = observation.ended_at_ms - WORD_MS
     return count
--- a/proofs/crashes.py
+++ b/proofs/crashes.py
@@ -16,7 +16,7 @@
 
 COUNTS: collections.Counter[str] = collections.Counter()
 GATEWAYS = 3
-CULPRIT = "50" * 16
+POISON = "50" * 16
 POPULAR = "07" * 16
 # A target runs a request for longer than a word takes, and nobody sends the
 # next one sooner; gateways could not agree on what came first otherwise.
@@ -48,7 +48,7 @@
 
 
 class CrashesMachine(stateful.RuleBasedStateMachine):
-    """Some gateways, one culprit, one popular request, and many others."""
+    """Some gateways; one request that ends targets, a popular one, many others."""
 
     def __init__(self) -> None:
         """Starts with gateways that know nothing."""
@@ -69,9 +69,14 @@
         return incarnation.Start(f"i{self.starts}", self.starts)
 
     def _tell(
-        self, by: int, cases: list[crash_evidence.Case], only: int | None = None
+        self,
+        by: int,
+        records: list[crash_evidence.Record],
+        only: int | None = None,
     ) -> None:
-        told = tuple(fleet_wire.told_case(one, self.now_ms) for one in cases)
+        told = tuple(
+            fleet_wire.told_record(one, self.now_ms) for one in records
+        )
         data = fleet_wire.encode(fleet_wire.CrashNews(told))
         for to in range(GATEWAYS):
             if to != by and only in (None, to):
@@ -99,10 +104,10 @@
             (one, self.now_ms - 10 * number) for number, one in enumerate(fresh)
         ]
 
-    def _verdict(
+    def _quarantine(
         self, number: int, fingerprint: str
-    ) -> crash_evidence.Verdict | None:
-        return self.gateways[number].verdict(fingerprint, self.now_ms)
+    ) -> crash_evidence.Quarantine | None:
+        return self.gateways[number].quarantine(fingerprint, self.now_ms)
 
     @stateful.rule(
         number=st.integers(0, GATEWAYS - 1),
@@ -112,11 +117,11 @@
         ),
         popular_at=st.integers(-1, GATEWAYS - 1),
     )
-    def culprit_comes(
+    def poison_comes(
         self, number: int, run_ms: int, beside: list[int], popular_at: int
     ) -> None:
         """It ends its target, unless it is refused; others run there too."""
-        if self._verdict(number, CULPRIT) is not None:
+        if self._quarantine(number, POISON) is not None:
             COUNTS["refused"] += 1
             return
         self.now_ms += MIN_RUN_MS
@@ -124,8 +129,8 @@
         seen = {
             gateway: self._fresh(count) for gateway, count in enumerate(beside)
         }
-        seen[number].append((CULPRIT, began_ms))
-        if popular_at >= 0 and self._verdict(popular_at, POPULAR) is None:
+        seen[number].append((POISON, began_ms))
+        if popular_at >= 0 and self._quarantine(popular_at, POPULAR) is None:
             seen[popular_at].append((POPULAR, began_ms))
             self.popular_moments += 1
         self.now_ms += run_ms
@@ -152,12 +157,12 @@
     @stateful.rule(number=st.integers(0, GATEWAYS - 1))
     def popular_ends_well(self, number: int) -> None:
         """One of the many equal requests is answered."""
-        if self._verdict(number, POPULAR) is not None:
+        if self._quarantine(number, POPULAR) is not None:
             return
         self.now_ms += MIN_RUN_MS
-        case = self.gateways[number].ended_well(POPULAR, self.now_ms)
-        if case is not None:
-            self._tell(number, [case])
+        record = self.gateways[number].ended_well(POPULAR, self.now_ms)
+        if record is not None:
+            self._tell(number, [record])
             self.popular_moments = 0
             COUNTS["cleared"] += 1
 
@@ -173,10 +178,10 @@
     def _hear(self, word: Word) -> None:
         news = fleet_wire.decode(word.data)
         evidence = self.gateways[word.to]
-        for told in news.cases:
-            case = fleet_wire.case_of(told, word.told_at_ms + ROAD_MS)
-            evidence.take(case)
-            unheard = evidence.unheard_by(case)
+        for told in news.records:
+            record = fleet_wire.record_of(told, word.told_at_ms + ROAD_MS)
+            evidence.take(record)
+            unheard = evidence.unheard_by(record)
             if unheard is not None:
                 self._tell(word.to, [unheard], only=word.by)
 
@@ -193,7 +198,7 @@
         """It knows nothing, and asks another."""
         self.gateways[number] = crash_evidence.CrashEvidence()
         other = (number + 1) % GATEWAYS
-        self._tell(other, list(self.gateways[other].several()), only=number)
+        self._tell(other, list(self.gateways[other].recurring()), only=number)
         self.lost_any = True
         COUNTS["fault restart"] += 1
 
@@ -204,7 +209,7 @@
             while self.words:
                 self._hear(self.words.pop(0))
             for number, evidence in enumerate(self.gateways):
-                self._tell(number, list(evidence.several()))
+                self._tell(number, list(evidence.recurring()))
         while self.words:
             self._hear(self.words.pop(0))
         self.now_ms += pause_ms
@@ -213,17 +218,17 @@
     def _check_settled(self) -> None:
         """With all words told, gateways agree."""
         COUNTS["checks"] += 1
-        for fingerprint in (CULPRIT, POPULAR):
-            verdicts = {
-                self._verdict(number, fingerprint) is not None
+        for fingerprint in (POISON, POPULAR):
+            quarantines = {
+                self._quarantine(number, fingerprint) is not None
                 for number in range(GATEWAYS)
             }
-            assert len(verdicts) == 1, (fingerprint, self.gateways)
-        if self._verdict(0, POPULAR) is not None and not self.lost_any:
+            assert len(quarantines) == 1, (fingerprint, self.gateways)
+        if self._quarantine(0, POPULAR) is not None and not self.lost_any:
             assert self.popular_moments >= MOST_ENDED
         if self.ended_in_a_row > MOST_ENDED and not self.lost_any:
-            known = self.gateways[0].case(CULPRIT).sightings
-            held = self._verdict(0, CULPRIT)
+            known = self.gateways[0].record(POISON).observations
+            held = self._quarantine(0, POISON)
             assert held is not None or len(known) <= MOST_ENDED, known
 
     @stateful.invariant()
@@ -231,11 +236,11 @@
         """Who stands at one crash is never refused."""
         COUNTS["checks"] += 1
         for evidence in self.gateways:
-            refused = evidence.refused(self.now_ms)
-            assert refused.keys() <= {CULPRIT, POPULAR}, refused
+            refused = evidence.quarantined(self.now_ms)
+            assert refused.keys() <= {POISON, POPULAR}, refused
 
     @stateful.invariant()
     def memory_is_bounded(self) -> None:
         """However much is told."""
         for evidence in self.gateways:
-            assert len(evidence) <= crash_evidence.MAX_CASES
+            assert len(evidence) <= crash_evidence.MAX_RECORDS
--- a/soak/history.py
+++ b/soak/history.py
@@ -80,7 +80,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Culprit:
+class PoisonAttempt:
     """One attempt of a request that ends each target that runs it.
 
     Attributes:
@@ -141,7 +141,7 @@
         overfilled: Targets that were ordered to hold too much.
         quiet_from_ms: From when on nothing was done any more.
         memory_mib: Largest memory of each process.
-        culprits: Attempts that end each target that runs them, by name.
+        poison_attempts: Attempts that end each target that runs them, by name.
         leavers: Words of targets that leave, as callers had them.
         rests: Words of targets that want no work for a while.
     """
@@ -156,7 +156,9 @@
     overfilled: list[str] = dataclasses.field(default_factory=list)
     quiet_from_ms: int = 0
     memory_mib: dict[str, float] = dataclasses.field(default_factory=dict)
-    culprits: dict[str, Culprit] = dataclasses.field(default_factory=dict)
+    poison_attempts: dict[str, PoisonAttempt] = dataclasses.field(
+        default_factory=dict
+    )
     leavers: list[Leaver] = dataclasses.field(default_factory=list)
     rests: list[Rest] = dataclasses.field(default_factory=list)
 
@@ -171,8 +173,10 @@
     raw["attempts"] = [Attempt(**one) for one in raw["attempts"]]
     raw["arrivals"] = [Arrival(**one) for one in raw["arrivals"]]
     raw["events"] = [Event(**one) for one in raw["events"]]
-    culprits = raw.get("culprits", {})
-    raw["culprits"] = {key: Culprit(**one) for key, one in culprits.items()}
+    attempts = raw.get("poison_attempts", {})
+    raw["poison_attempts"] = {
+        key: PoisonAttempt(**one) for key, one in attempts.items()
+    }
     raw["leavers"] = [Leaver(**one) for one in raw.get("leavers", ())]
     raw["rests"] = [Rest(**one) for one in raw.get("rests", ())]
     return History(**raw)
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -263,13 +263,13 @@
             yield Violation("memory is bounded", name, f"{used_mib:.0f} MiB")
 
 
-def _culprits(evidence: Evidence) -> Iterator[Violation]:
+def _poison(evidence: Evidence) -> Iterator[Violation]:
     """A request that ended three targets reaches three more at most."""
     history = evidence.history
     runs_ms: dict[str, list[int]] = collections.defaultdict(list)
     late: collections.Counter[str] = collections.Counter()
     for arrival in sorted(history.arrivals, key=lambda one: one.at_ms):
-        attempt = history.culprits.get(arrival.attempt_id)
+        attempt = history.poison_attempts.get(arrival.attempt_id)
         if attempt is None or not arrival.ran:
             continue
         known_ms = runs_ms[attempt.path]
@@ -369,7 +369,7 @@
     _recovery,
     _graceful_stop,
     _memory,
-    _culprits,
+    _poison,
     _innocent,
     _leaving_by_word,
     _rests,
--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -90,15 +90,17 @@
         GATEWAY,
         "        self.crash_news.crashed(crash)\n",
         "        del crash\n",
-        _seeds(390, Kind.CULPRIT),
+        _seeds(390, Kind.POISON),
     ),
     mutants.Mutant(
         "nobody else is refused",
         EVIDENCE,
-        "        if moments < MIN_MOMENTS + more or _in_turn(case) < "
-        "MIN_IN_TURN + more:\n",
+        "        if (\n"
+        "            moments < MIN_MOMENTS + more\n"
+        "            or _in_turn(record) < MIN_IN_TURN + more\n"
+        "        ):\n",
         "        if False:\n",
-        _seeds(400, Kind.CULPRIT, Kind.TARGET_RESTART),
+        _seeds(400, Kind.POISON, Kind.TARGET_RESTART),
     ),
     mutants.Mutant(
         "a target's word that it leaves counts",
--- a/soak/culprit.py
+++ b/soak/poison.py
@@ -23,7 +23,7 @@
 MS_PER_S = 1_000
 
 
-class Culprit:
+class PoisonRequest:
     """One such request, for as long as it comes."""
 
     def __init__(
@@ -70,7 +70,7 @@
             return
         attempt_id = secrets.token_hex(8)
         sent_at_ms = history_lib.now_ms()
-        self._history.culprits[attempt_id] = history_lib.Culprit(
+        self._history.poison_attempts[attempt_id] = history_lib.PoisonAttempt(
             self._path, number, sent_at_ms
         )
         connection.send(
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -29,7 +29,7 @@
     VERSION = "version"
     CONFIGURATION = "configuration"
     RELOAD = "reload"
-    CULPRIT = "culprit"
+    POISON = "poison"
     LEAVE_BY_WORD = "leave_by_word"
     REST = "rest"
 
--- a/soak/world.py
+++ b/soak/world.py
@@ -16,9 +16,9 @@
 from standins import web as standins_web
 
 from soak import callers
-from soak import culprit
 from soak import history as history_lib
 from soak import judge
+from soak import poison
 from soak import processes
 from soak import relay
 from soak import schedule
@@ -60,7 +60,7 @@
 # How long a target rests, and how many requests it turns away for it.
 REST_S = 2.5
 # How long a request that ends targets goes on at least.
-CULPRIT_S = 6.0
+POISON_S = 6.0
 # A target that ended is started again after this.
 BACK_AFTER_S = 0.4
 NOT_RUN = frozenset(
@@ -111,7 +111,7 @@
         writer: asyncio.StreamWriter,
         fault: platform_engine.Fault,
     ) -> None:
-        if seen.body == culprit.BODY:
+        if seen.body == poison.BODY:
             fault = platform_engine.Fault.CRASH
         elif self.rest_s:
             fault = platform_engine.Fault.SHED
@@ -429,11 +429,11 @@
                 self._announce()
             case Kind.CONFIGURATION:
                 self._configure()
-            case Kind.CULPRIT:
+            case Kind.POISON:
                 source = random.Random(self.random.random())
-                await culprit.Culprit(
+                await poison.PoisonRequest(
                     self.history, source, self._choose_gateway
-                ).run(for_s + CULPRIT_S)
+                ).run(for_s + POISON_S)
 
     def _announce(self) -> None:
         adapter = f"a{self.random.randrange(callers.ADAPTERS)}"
--- a/tests/fleet/test_crash_evidence.py
+++ b/tests/fleet/test_crash_evidence.py
@@ -42,12 +42,12 @@
         _crash(0, 8_727, POISON, *neighbours[:7]),
         _crash(1, 9_549, POISON, *neighbours[7:11]),
     )
-    assert evidence.verdict(POISON, 9_600) is None
+    assert evidence.quarantine(POISON, 9_600) is None
     evidence.crashed(_crash(2, 9_980, POISON, *neighbours[10:20]))
-    verdict = evidence.verdict(POISON, 10_000)
-    assert verdict is not None and verdict.moments == 3
+    quarantine = evidence.quarantine(POISON, 10_000)
+    assert quarantine is not None and quarantine.moments == 3
     for fingerprint in neighbours:
-        assert evidence.verdict(fingerprint, 10_000) is None
+        assert evidence.quarantine(fingerprint, 10_000) is None
 
 
 def test_a_cut_of_power_makes_no_request_suspect() -> None:
@@ -62,7 +62,7 @@
         run_ms = 100 + 17 * number
         at_ms = 5_000 + 20 * number
         evidence.crashed(_crash(number, at_ms, OTHER, run_ms=run_ms + at_ms))
-    assert evidence.verdict(OTHER, 5_300) is None
+    assert evidence.quarantine(OTHER, 5_300) is None
 
 
 def test_a_cut_of_power_in_two_waves_makes_no_request_suspect() -> None:
@@ -76,7 +76,7 @@
         for number in range(6):
             at_ms = 5_000 + 1_000 * wave + 30 * number
             evidence.crashed(_crash(10 * wave + number, at_ms, OTHER))
-    assert evidence.verdict(OTHER, 6_300) is None
+    assert evidence.quarantine(OTHER, 6_300) is None
 
 
 def test_a_popular_request_that_ends_well_elsewhere_is_cleared() -> None:
@@ -90,13 +90,13 @@
     for number in range(5):
         at_ms = 5_000 * (number + 1)
         evidence.crashed(_crash(number, at_ms, OTHER))
-        assert evidence.verdict(OTHER, at_ms) is None
+        assert evidence.quarantine(OTHER, at_ms) is None
         assert evidence.ended_well(OTHER, at_ms + 100) is not None
         assert evidence.ended_well(OTHER, at_ms + 200) is None
-        assert evidence.verdict(OTHER, at_ms + 300) is None
+        assert evidence.quarantine(OTHER, at_ms + 300) is None
 
 
-def test_a_caller_who_repeats_beside_the_culprit_is_not_refused() -> None:
+def test_a_caller_who_repeats_beside_a_poison_request_is_not_refused() -> None:
     """A small service of three targets, all ended by one request.
 
     Another request was sent on to each of them in turn, and broke each time.
@@ -106,48 +106,48 @@
     evidence = _evidence(
         *(_crash(number, 1_000 * number, POISON, OTHER) for number in range(3))
     )
-    assert evidence.verdict(OTHER, 2_100) is None
-    assert evidence.verdict(POISON, 2_100) is None
+    assert evidence.quarantine(OTHER, 2_100) is None
+    assert evidence.quarantine(POISON, 2_100) is None
     evidence.crashed(_crash(3, 3_000, POISON))
-    assert evidence.verdict(POISON, 3_100) is not None
-    assert evidence.verdict(OTHER, 3_100) is None
+    assert evidence.quarantine(POISON, 3_100) is not None
+    assert evidence.quarantine(OTHER, 3_100) is None
 
 
 def test_two_at_once_are_counted_though_they_crash_together() -> None:
-    """The culprit comes twice at once, and ends two targets in 50 ms."""
+    """The poison request comes twice at once, and ends two targets in 50 ms."""
     evidence = crash_evidence.CrashEvidence()
     for number in range(3):
         at_ms = 3_000 * (number + 1)
         evidence.crashed(_crash(2 * number, at_ms, POISON))
         evidence.crashed(_crash(2 * number + 1, at_ms + 50, POISON))
-    assert evidence.verdict(POISON, 9_100) is not None
+    assert evidence.quarantine(POISON, 9_100) is not None
 
 
 def test_a_refusal_ends_and_the_next_one_is_longer() -> None:
-    """An innocent request is back after minutes, a culprit stays away."""
+    """An innocent request is back after minutes, one that ends targets not."""
     evidence = _evidence(
         *(_crash(number, 1_000 * number, POISON) for number in range(3))
     )
-    first = evidence.verdict(POISON, 2_000)
-    assert first.left_ms == crash_evidence.HOLD_MS
+    first = evidence.quarantine(POISON, 2_000)
+    assert first.left_ms == crash_evidence.QUARANTINE_MS
     later_ms = 2_000 + first.left_ms
-    assert evidence.verdict(POISON, later_ms) is None
+    assert evidence.quarantine(POISON, later_ms) is None
     evidence.crashed(_crash(3, later_ms + 1_000, POISON))
-    second = evidence.verdict(POISON, later_ms + 1_000)
+    second = evidence.quarantine(POISON, later_ms + 1_000)
     assert second.left_ms > first.left_ms
     evidence.forget(later_ms + 1_000 + crash_evidence.SEVERAL_KEPT_MS + 1)
     assert not len(evidence)
 
 
 def test_what_is_remembered_is_bounded_and_keeps_what_counts() -> None:
-    """A cut of power leaves thousands of suspects; the culprit stays known."""
+    """A cut of power leaves thousands of suspects; what recurs stays known."""
     evidence = _evidence(
         *(_crash(number, 1_000 * number, POISON) for number in range(3))
     )
-    for number in range(3 * crash_evidence.MAX_CASES):
+    for number in range(3 * crash_evidence.MAX_RECORDS):
         evidence.crashed(_crash(10 + number, 10_000, f"{number:032x}"))
-        assert len(evidence) <= crash_evidence.MAX_CASES
-    assert evidence.verdict(POISON, 10_100) is not None
+        assert len(evidence) <= crash_evidence.MAX_RECORDS
+    assert evidence.quarantine(POISON, 10_100) is not None
 
 
 def test_evidence_is_the_same_in_whatever_order_it_comes() -> None:
@@ -156,16 +156,16 @@
         *(_crash(number, 1_000 * number, POISON, OTHER) for number in range(4))
     )
     seen.ended_well(OTHER, 4_000)
-    cases = list(seen.several())
+    records = list(seen.recurring())
     other_way = crash_evidence.CrashEvidence()
-    for case in reversed(cases):
-        for sighting in reversed(case.sightings):
-            part = crash_evidence.Case(case.fingerprint, (sighting,))
+    for record in reversed(records):
+        for observation in reversed(record.observations):
+            part = crash_evidence.Record(record.fingerprint, (observation,))
             assert other_way.take(part)
             assert not other_way.take(part)
-    other_way.take(crash_evidence.Case(OTHER, (), 4_000))
-    assert other_way.verdict(POISON, 4_100) == seen.verdict(POISON, 4_100)
-    assert other_way.verdict(OTHER, 4_100) is None
+    other_way.take(crash_evidence.Record(OTHER, (), 4_000))
+    assert other_way.quarantine(POISON, 4_100) == seen.quarantine(POISON, 4_100)
+    assert other_way.quarantine(OTHER, 4_100) is None
 
 
 def test_who_missed_a_clearance_is_told_whatever_came_after_it() -> None:
@@ -183,27 +183,27 @@
         *(_crash(number, at, OTHER) for number, at in enumerate((1_000, 3_000)))
     )
     missed.crashed(_crash(2, 5_000, OTHER))
-    assert missed.verdict(OTHER, 5_100) is not None
-    (told,) = missed.several()
+    assert missed.quarantine(OTHER, 5_100) is not None
+    (told,) = missed.recurring()
     unheard = knows.unheard_by(told)
     assert unheard is not None
     missed.take(unheard)
-    assert missed.verdict(OTHER, 5_100) is None
-    assert knows.unheard_by(missed.case(OTHER)) is None
+    assert missed.quarantine(OTHER, 5_100) is None
+    assert knows.unheard_by(missed.record(OTHER)) is None
 
 
 def test_a_crash_is_told_by_its_age() -> None:
     """Each VM counts from its own start, so a time is told as an age."""
     evidence = _evidence(_crash(0, 1_000, POISON))
     evidence.ended_well(POISON, 1_500)
-    for case in (evidence.case(POISON), crash_evidence.Case(POISON)):
-        news = fleet_wire.CrashNews((fleet_wire.told_case(case, 2_000),))
+    for record in (evidence.record(POISON), crash_evidence.Record(POISON)):
+        news = fleet_wire.CrashNews((fleet_wire.told_record(record, 2_000),))
         read = fleet_wire.decode(fleet_wire.encode(news))
         assert read == news
-        (told,) = read.cases
-        joined = fleet_wire.case_of(told, 2_000)
-        assert joined == case
-        assert fleet_wire.case_of(told, 9_000).cleared_at_ms in (
+        (told,) = read.records
+        joined = fleet_wire.record_of(told, 2_000)
+        assert joined == record
+        assert fleet_wire.record_of(told, 9_000).cleared_at_ms in (
             8_500,
             crash_evidence.NEVER_MS,
         )
@@ -214,16 +214,18 @@
     evidence = _evidence(
         *(_crash(number, 1_000 * number, POISON) for number in range(3))
     )
-    spec = wire.crash_case_spec(evidence.case(POISON), 2_100, 1_000_000)
-    read = wire.crash_case(spec, -40_000, 1_000_500)
-    assert isinstance(read, crash_evidence.Case), read
+    spec = wire.crash_record_spec(evidence.record(POISON), 2_100, 1_000_000)
+    read = wire.crash_record(spec, -40_000, 1_000_500)
+    assert isinstance(read, crash_evidence.Record), read
     joined = crash_evidence.CrashEvidence()
     joined.take(read)
-    verdict = joined.verdict(POISON, -40_000)
-    assert verdict.left_ms == crash_evidence.HOLD_MS - 600
-    ahead = wire.crash_case(spec, 9_000, 500_000)
-    assert ahead.sightings[-1].ended_at_ms == 9_000
-    assert isinstance(wire.crash_case({"fingerprint": 7}, 0, 0), result.Failure)
+    quarantine = joined.quarantine(POISON, -40_000)
+    assert quarantine.left_ms == crash_evidence.QUARANTINE_MS - 600
+    ahead = wire.crash_record(spec, 9_000, 500_000)
+    assert ahead.observations[-1].ended_at_ms == 9_000
+    assert isinstance(
+        wire.crash_record({"fingerprint": 7}, 0, 0), result.Failure
+    )
 
 
 def test_a_fingerprint_names_what_is_asked_and_nothing_else() -> None:
--- a/tests/fleet/test_crashes.py
+++ b/tests/fleet/test_crashes.py
@@ -155,7 +155,8 @@
         await _crash_once(fleet, gateway)
         await _all_know(fleet, gateways)
         if all(
-            one.crash_news.evidence.refused(clock.boot_ms()) for one in gateways
+            one.crash_news.evidence.quarantined(clock.boot_ms())
+            for one in gateways
         ):
             return
 
@@ -174,7 +175,9 @@
             await _convict(fleet, gateways)
             (late,) = await _add_gateways(fleet, 1)
             await fleet.until(
-                lambda: bool(late.crash_news.evidence.refused(clock.boot_ms())),
+                lambda: bool(
+                    late.crash_news.evidence.quarantined(clock.boot_ms())
+                ),
                 "it has been told",
             )
             before = len(runs)
@@ -207,7 +210,7 @@
             await fleet.until(
                 lambda: (
                     not any(
-                        list(one.crash_news.evidence.several())
+                        list(one.crash_news.evidence.recurring())
                         for one in gateways
                     )
                 ),
@@ -261,21 +264,21 @@
             knows, missed = await _add_gateways(fleet, 2)
             now_ms = clock.boot_ms()
             starts = [incarnation.Start(f"i{number}", 1) for number in range(3)]
-            sightings = tuple(
-                crash_evidence.Sighting(
+            observations = tuple(
+                crash_evidence.Observation(
                     start, now_ms - ago_ms - 300, now_ms - ago_ms
                 )
                 for start, ago_ms in zip(
                     starts, (9_000, 6_000, 3_000), strict=True
                 )
             )
-            case = crash_evidence.Case("07" * 16, sightings)
+            record = crash_evidence.Record("07" * 16, observations)
             for gateway in (knows, missed):
-                gateway.crash_news.take([case], told_by="test")
+                gateway.crash_news.take([record], told_by="test")
             knows.crash_news.evidence.ended_well("07" * 16, now_ms)
-            assert missed.crash_news.verdict("07" * 16) is not None
+            assert missed.crash_news.quarantine("07" * 16) is not None
             await fleet.until(
-                lambda: missed.crash_news.verdict("07" * 16) is None,
+                lambda: missed.crash_news.quarantine("07" * 16) is None,
                 "it has been told",
             )
 
@@ -305,7 +308,9 @@
             await fleet.until(
                 lambda: (
                     not late.ready()
-                    and bool(late.crash_news.evidence.refused(clock.boot_ms()))
+                    and bool(
+                        late.crash_news.evidence.quarantined(clock.boot_ms())
+                    )
                 ),
                 "it has read what is kept",
             )
@@ -331,7 +336,7 @@
             await fleet.call("/book/1", body=POISON, gateway=gateways[0])
             await fleet.until(
                 lambda: bool(
-                    gateways[0].crash_news.evidence.refused(clock.boot_ms())
+                    gateways[0].crash_news.evidence.quarantined(clock.boot_ms())
                 ),
                 "it is refused",
             )
--- a/tests/fleet/test_soak.py
+++ b/tests/fleet/test_soak.py
@@ -108,13 +108,15 @@
     assert _broken(large) == {"memory is bounded"}
 
 
-def _culprit(count: int, gateway: int = 1) -> history_lib.History:
+def _poisoned(count: int, gateway: int = 1) -> history_lib.History:
     """Makes a history in which one request ends so many targets."""
     history = _history()
     for number in range(count):
         name = f"p{number}"
         at_ms = 4_000 * number
-        history.culprits[name] = history_lib.Culprit("/book/p", gateway, at_ms)
+        history.poison_attempts[name] = history_lib.PoisonAttempt(
+            "/book/p", gateway, at_ms
+        )
         history.arrivals.append(
             history_lib.Arrival(name, f"i{number}", at_ms + 10, True)
         )
@@ -123,10 +125,10 @@
 
 def test_the_judge_finds_what_ends_targets_and_whom_it_hits() -> None:
     """Three more may end after the third, and nobody else is refused."""
-    assert not _broken(_culprit(judge.MOST_ENDED + judge.MOST_REPEATS))
-    on_and_on = _culprit(judge.MOST_ENDED + judge.MOST_REPEATS + 1)
+    assert not _broken(_poisoned(judge.MOST_ENDED + judge.MOST_REPEATS))
+    on_and_on = _poisoned(judge.MOST_ENDED + judge.MOST_REPEATS + 1)
     assert _broken(on_and_on) == {"what ends targets is refused"}
-    unheard = _culprit(judge.MOST_ENDED + judge.MOST_REPEATS + 1)
+    unheard = _poisoned(judge.MOST_ENDED + judge.MOST_REPEATS + 1)
     unheard.events.append(
         history_lib.Event("gateway_pause", "gateway-1", 20_000, 24_500)
     )
