--- a/proofs/crashes.py
+++ b/proofs/crashes.py
@@ -48,7 +48,7 @@
 
 
 class CrashesMachine(stateful.RuleBasedStateMachine):
-    """Some gateways; one request that ends targets, a popular one, many others."""
+    """Gateways; one request that ends targets, a popular one, many others."""
 
     def __init__(self) -> None:
         """Starts with gateways that know nothing."""
