--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -51,6 +51,8 @@
         Kind.LINK_SLOW,
     }
 )
+# Whom the others strike, where that is not the store.
+OF_THE_SITE = {Kind.ALL_KILL: "all", Kind.POISON: "callers"}
 # Pause between two faults at the beginning of a series, and within one: faults
 # overlap, and the next one comes while the last is still being dealt with.
 SERIES_PAUSE_MS = (500, 3_000)
--- a/soak/world.py
+++ b/soak/world.py
@@ -60,7 +60,7 @@
 # How long a target rests, and how many requests it turns away for it.
 REST_S = 2.5
 # How long a request that ends targets goes on at least.
-POISON_S = 6.0
+POISON_S = 12.0
 # A target that ended is started again after this.
 BACK_AFTER_S = 0.4
 NOT_RUN = frozenset(
@@ -319,7 +319,7 @@
             victim = f"target-{fault.victim}"
             await self._strike_target(fault.kind, place, for_s)
         else:
-            victim = "all" if fault.kind is Kind.ALL_KILL else "store"
+            victim = schedule.OF_THE_SITE.get(fault.kind, "store")
             await self._strike_site(fault.kind, for_s)
         self.history.events.append(
             history_lib.Event(
