A quarantine ends with one request that is tried, soon where little is known

Cause: it stood beside one of them at each crash, and refused everywhere it could not end well; and when a quarantine ran out all that came were let through at once. Now one is tried at a time, at one gateway after the other in rendezvous order; after ten seconds where others that recur stood at all but one of its crashes, after minutes otherwise. Why it holds: what ends well clears it everywhere, what ends a target is one target. A trial that may have run is not sent on. Ruled out: explaining crashes by the fewest requests (the popular one explains them all).

--- a/packages/radishd/src/radishd/gateway.py
+++ b/packages/radishd/src/radishd/gateway.py
@@ -126,7 +126,9 @@
             seeds=settings.seeds,
             random_source=random_source,
         )
+        own_host, _ = settings_lib.split_address(self.own.peers)
         self.crash_news = crash_news_lib.CrashNews(
+            own_host,
             self._other_gateways,
             self._send_crash_news,
             log,
@@ -427,6 +429,8 @@
         except* Exception as group:
             await self._broke(forward, group)
         finally:
+            if forward.is_trial:
+                self.crash_news.end_trial(forward.fingerprint())
             self._log_request(forward, left=left)
 
     async def _broke(
--- a/packages/radishd/src/radishd/process/crash_news.py
+++ b/packages/radishd/src/radishd/process/crash_news.py
@@ -15,6 +15,7 @@
 from radishstack.connection import fleet_wire
 from radishstack.process import crash as crash_lib
 from radishstack.process import crash_evidence
+from radishstack.process import rendezvous
 
 from radishd.process import clock
 from radishd.process import decision_log
@@ -50,6 +51,7 @@
 
     def __init__(
         self,
+        own_host: str,
         others: Callable[[], list[fleet_socket.Address]],
         send: Send,
         log: decision_log.DecisionLog,
@@ -60,6 +62,7 @@
         """Starts knowing nothing.
 
         Args:
+            own_host: Host by which the others know this gateway.
             others: Returns where the other gateways are told.
             send: Sends a word to some of them.
             log: Where what is believed is logged.
@@ -69,6 +72,7 @@
                 a crash on that was seen here.
         """
         self.evidence = crash_evidence.CrashEvidence()
+        self._own_host = own_host
         self._others = others
         self._send = send
         self._log = log
@@ -83,6 +87,7 @@
         self._asks = False
         self._wake = anyio.Event()
         self._refused: dict[str, int] = {}
+        self._trials: set[str] = set()
         self._forgot_at_ms = clock.boot_ms()
 
     def crashed(self, crash: crash_lib.Crash) -> None:
@@ -108,6 +113,34 @@
         """Says whether a request is to be refused now."""
         return self.evidence.quarantine(fingerprint, clock.boot_ms())
 
+    @property
+    def is_trying(self) -> bool:
+        """Whether a request that is refused is being tried."""
+        return bool(self._trials)
+
+    def begin_trial(self, fingerprint: str) -> bool:
+        """Whether to send a request that is refused, to try it.
+
+        One at a time: who got it calls ``end_trial`` once it has ended.
+        """
+        if fingerprint in self._trials:
+            return False
+        if not self.evidence.may_try(
+            fingerprint, clock.boot_ms(), self._rank(fingerprint)
+        ):
+            return False
+        self._trials.add(fingerprint)
+        self._log.must("quarantine_trial", fingerprint=fingerprint)
+        return True
+
+    def end_trial(self, fingerprint: str) -> None:
+        """Takes that a request that was tried has ended, in any way."""
+        self._trials.discard(fingerprint)
+
+    def _rank(self, fingerprint: str) -> int:
+        names = [self._own_host, *(host for host, _ in self._others())]
+        return rendezvous.order(fingerprint, names).index(self._own_host)
+
     def _judge(self, fingerprint: str, *, told_by: str) -> bool:
         """Logs a quarantine once; returns whether it is another than before."""
         quarantine = self.quarantine(fingerprint)
--- a/packages/radishd/src/radishd/request/forward.py
+++ b/packages/radishd/src/radishd/request/forward.py
@@ -15,6 +15,7 @@
 import anyio
 from radishstack import invariant
 from radishstack import result
+from radishstack.process import crash_evidence
 from radishstack.process import placement as placement_lib
 from radishstack.process import roster as roster_lib
 from radishstack.request import event_stream
@@ -116,6 +117,7 @@
         self.sent = False
         self.sent_at_ms = 0
         self.known_fingerprint = ""
+        self.is_trial = False
         self._send = send
         spec = gateway.table.services.get(self.service)
         self.needs_adapter = bool(
@@ -222,13 +224,18 @@
         crash_news = self.gateway.crash_news
         if not len(crash_news.evidence):
             return None
+        if self.is_trial and not self.state.may_have_run:
+            return None
         quarantine = crash_news.quarantine(self.fingerprint())
         if quarantine is None:
             return None
+        if not self.is_trial and crash_news.begin_trial(self.fingerprint()):
+            self.is_trial = True
+            return None
         return result.Failure(
             result.REQUEST_ENDS_TARGETS,
             f"targets ended at {quarantine.moments} times under this request",
-            quarantine.left_ms,
+            max(quarantine.left_ms, crash_evidence.TRIAL_MS),
         )
 
     def _note_end(self) -> None:
--- a/packages/radishstack/src/radishstack/process/crash_evidence.py
+++ b/packages/radishstack/src/radishstack/process/crash_evidence.py
@@ -30,10 +30,15 @@
 # Word of a crash comes some milliseconds after it, so a request that is sent
 # again at once seems to have been sent before.
 WORD_MS = 25
-# For how long it is refused: an innocent one is back after minutes, and one
-# that goes on ending targets ends three more in its first day.
+# For how long it is refused before one is tried: an innocent one is back after
+# minutes, and one that goes on ending targets ends three more in its first day.
 QUARANTINE_MS = 5 * 60_000
 QUARANTINE_GROWTH = 6
+# The same where others that recur stood at the crashes, but for fewer than so
+# many: while several requests end targets, a popular one stands beside them
+# each time, and refused everywhere it cannot end well.
+TRIAL_MS = 10_000
+MIN_ALONE = 2
 # How long after its last crash a request is under suspicion; one crash alone
 # says little, and a site has some each hour.
 SINGLE_KEPT_MS = 3_600_000
@@ -83,11 +88,14 @@
     Attributes:
         moments: Moments at which targets ended under it.
         last_at_ms: The last of them.
-        left_ms: For how long it is refused.
+        until_ms: Until when all of it is refused; from then on one is to be
+            tried, see ``may_try``.
+        left_ms: How long that is from now, 0 if it is past.
     """
 
     moments: int
     last_at_ms: int
+    until_ms: int
     left_ms: int
 
 
@@ -198,10 +206,44 @@
         ):
             return None
         last_at_ms = record.observations[-1].ended_at_ms
-        relapses = moments - MIN_MOMENTS - more
-        lasts_ms = QUARANTINE_MS * QUARANTINE_GROWTH**relapses
-        left_ms = last_at_ms + lasts_ms - now_ms
-        return Quarantine(moments, last_at_ms, left_ms) if left_ms > 0 else None
+        until_ms = last_at_ms + self._lasts_ms(record, moments - more)
+        left_ms = max(0, until_ms - now_ms)
+        return Quarantine(moments, last_at_ms, until_ms, left_ms)
+
+    def _lasts_ms(self, record: Record, moments: int) -> int:
+        """Returns how long after the last crash one is to be tried."""
+        alone = [
+            observation
+            for observation in record.observations
+            if self._was_alone(record.fingerprint, observation.start)
+        ]
+        if len(alone) < MIN_ALONE:
+            return TRIAL_MS
+        return QUARANTINE_MS * QUARANTINE_GROWTH ** (moments - MIN_MOMENTS)
+
+    def may_try(self, fingerprint: str, now_ms: int, rank: int) -> bool:
+        """Whether a gateway may send a request that is refused, to try it.
+
+        Let through everywhere at once, a popular one would end a target for
+        each gateway. The gateways' turns come one after the other, in an order
+        that all of them know; the first may be gone, or never be asked.
+
+        Args:
+            fingerprint: The request's.
+            now_ms: Now.
+            rank: Place of the gateway in that order.
+        """
+        quarantine = self.quarantine(fingerprint, now_ms)
+        if quarantine is None:
+            return False
+        return now_ms >= quarantine.until_ms + rank * TRIAL_MS
+
+    def _was_alone(self, fingerprint: str, start: incarnation.Start) -> bool:
+        """Whether no other request that recurs was at a crash."""
+        others = self._at.get(start, set()) - {fingerprint}
+        return not any(
+            len(self._records[other].observations) > 1 for other in others
+        )
 
     def _is_ambiguous(self, record: Record, moments: int) -> bool:
         """Whether another request was there as often as this one."""
--- a/tests/fleet/test_crashes.py
+++ b/tests/fleet/test_crashes.py
@@ -328,6 +328,7 @@
                     tasks.start_soon(call, gateway)
             statuses = sorted(one.status for one in answers)
             assert statuses == [200, 503, 503, 503], answers
+            assert not any(one.crash_news.is_trying for one in gateways)
             await fleet.until(
                 lambda: all(
                     one.crash_news.quarantine(fingerprint) is None
