--- a/tests/fleet/test_crash_evidence.py
+++ b/tests/fleet/test_crash_evidence.py
@@ -161,6 +161,48 @@
     assert later.left_ms >= crash_evidence.QUARANTINE_MS
 
 
+def test_a_request_that_was_served_lately_is_no_poison() -> None:
+    """A popular request was refused 666 times in a storm of poison requests.
+
+    Hundreds of it had ended well in the seconds before. Both engines ended so
+    often then that none did between three crashes, and what had ended well
+    before the first of them counted for nothing. Only one gateway of two had
+    served it.
+    """
+    served = crash_evidence.CrashEvidence()
+    served.ended_well(OTHER, 1_000)
+    other = crash_evidence.CrashEvidence()
+    for number in range(crash_evidence.MIN_MOMENTS_SERVED - 1):
+        crash = _crash(number, 2_000 + 500 * number, OTHER)
+        for record in served.crashed(crash):
+            assert other.take(record)
+        assert served.quarantine(OTHER, 60_000) is None
+        assert other.quarantine(OTHER, 60_000) is None
+    # What ended well is known to one that hears of the crashes, too.
+    unaware = crash_evidence.CrashEvidence()
+    for number in range(3):
+        unaware.crashed(_crash(number, 2_000 + 500 * number, OTHER))
+    assert unaware.quarantine(OTHER, 60_000) is not None
+    (told,) = unaware.recurring()
+    unheard = served.unheard_by(told)
+    unaware.take(unheard)
+    assert unaware.quarantine(OTHER, 60_000) is None
+    assert served.unheard_by(unaware.record(OTHER)) is None
+
+
+def test_what_was_served_long_ago_may_have_become_one() -> None:
+    """A new version of an adapter, or of an engine, may change what happens."""
+    evidence = crash_evidence.CrashEvidence()
+    evidence.ended_well(OTHER, 1_000)
+    later_ms = 1_000 + crash_evidence.SERVED_LATELY_MS
+    for number in range(3):
+        evidence.crashed(_crash(number, later_ms + 1_000 * number + 1, OTHER))
+    assert evidence.quarantine(OTHER, later_ms + 3_000) is not None
+    for number in range(3 * crash_evidence.MAX_SERVED):
+        evidence.ended_well(f"{number:032x}", later_ms)
+    assert evidence.served_count <= crash_evidence.MAX_SERVED
+
+
 def test_what_is_remembered_is_bounded_and_keeps_what_counts() -> None:
     """A cut of power leaves thousands of suspects; what recurs stays known."""
     evidence = _evidence(
