--- a/tests/fleet/test_crash_evidence.py
+++ b/tests/fleet/test_crash_evidence.py
@@ -254,6 +254,9 @@
     missed.take(unheard)
     assert missed.quarantine(OTHER, 5_100) is None
     assert knows.unheard_by(missed.record(OTHER)) is None
+    # One that had heard of an earlier clearance is told of this one, too.
+    behind = crash_evidence.Record(OTHER, told.observations, 500)
+    assert knows.unheard_by(behind) == unheard
 
 
 def test_a_crash_is_told_by_its_age() -> None:
