--- a/tests/fleet/test_crash_evidence.py
+++ b/tests/fleet/test_crash_evidence.py
@@ -32,7 +32,7 @@
 def test_a_request_at_each_crash_is_refused_and_its_neighbours_are_not() -> (
     None
 ):
-    """The crashes of the users' day: 8.727, 9.549, 9.980 s, then 14.796 s.
+    """One request stood at crashes at 8.727, 9.549 and 9.980 s, and later ones.
 
     Each engine ran up to eleven others, every one of them other than at the
     crash before. All are suspects; only what stands at each is refused.
