Read as a newcomer: one way for a soak target to depart, a record named as one

A parameter that kept the name case is a record, the schema's first comment keeps its width, the two ways in which the soak's targets leave share their end. No logic changed.

--- a/packages/radishd/src/radishd/platform/wire.py
+++ b/packages/radishd/src/radishd/platform/wire.py
@@ -258,12 +258,12 @@
 
 
 def crash_record_spec(
-    case: crash_evidence.Record, now_ms: int, unix_ms: int
+    record: crash_evidence.Record, now_ms: int, unix_ms: int
 ) -> dict[str, Any]:
     """Encodes what is known against a request, for the store to keep.
 
     Args:
-        case: What is known.
+        record: What is known.
         now_ms: This VM's clock.
         unix_ms: The wall clock, by which another VM can read it.
     """
@@ -274,9 +274,9 @@
             "began_unix_ms": one.began_at_ms - now_ms + unix_ms,
             "ended_unix_ms": one.ended_at_ms - now_ms + unix_ms,
         }
-        for one in case.observations
+        for one in record.observations
     ]
-    return {"fingerprint": case.fingerprint, "observations": observations}
+    return {"fingerprint": record.fingerprint, "observations": observations}
 
 
 def crash_record(
@@ -291,7 +291,7 @@
             VM's clock is taken for one of now.
 
     Returns:
-        The case, or what could not be read.
+        The record, or what could not be read.
     """
     try:
         entry = _CrashRecord.model_validate(spec)
--- a/packages/radishstack/src/radishstack/connection/fleet.capnp
+++ b/packages/radishstack/src/radishstack/connection/fleet.capnp
@@ -1,7 +1,7 @@
 @0xd3c1a4be57f0920b;
 # Datagrams between a gateway and the process beside an engine, and between
-# gateways. Every field keeps its number; a peer one version older passes over fields it does not
-# know.
+# gateways. Every field keeps its number; a peer one version older passes over
+# fields it does not know.
 
 struct FleetDatagram {
   union {
--- a/soak/world.py
+++ b/soak/world.py
@@ -57,7 +57,7 @@
 TIMING = platform_engine.Timing(
     load_ms=150.0, reload_ms=25.0, event_ms=25.0, work_ms=15.0
 )
-# How long a target rests, and how many requests it turns away for it.
+# How long a target rests.
 REST_S = 2.5
 # How long a request that ends targets goes on at least.
 POISON_S = 12.0
@@ -277,6 +277,11 @@
         target = place.target
         self._register(place, "draining")
         self.history.leaving[target.instance] = history_lib.now_ms()
+        await self._depart(place)
+
+    async def _depart(self, place: Place) -> None:
+        """Lets a target that leaves serve on for a while, then replaces it."""
+        target = place.target
         await asyncio.sleep(LEAVES_S)
         await target.stop()
         self._settle(target)
@@ -286,14 +291,8 @@
 
     async def _leave_by_word(self, place: Place) -> None:
         """Has a target leave that the store never hears of."""
-        target = place.target
-        target.leaving = True
-        await asyncio.sleep(LEAVES_S)
-        await target.stop()
-        self._settle(target)
-        self.store.delete("servers", target.instance)
-        await asyncio.sleep(FREE_S)
-        await self._occupy(place)
+        place.target.leaving = True
+        await self._depart(place)
 
     def _spoil(self, seen: platform_engine.Seen) -> platform_engine.Fault:
         del seen
