Failing tests: targets that name a rate limit get more than it

Three gateways and a stand-in that names its limit bring it about: 120 requests, the target gets more than 29 of them in 4 s.

--- a/packages/standins/src/standins/platform_engine.py
+++ b/packages/standins/src/standins/platform_engine.py
@@ -40,12 +40,21 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Seen:
-    """One request as it arrived."""
+    """One request as it arrived.
+
+    Attributes:
+        method: HTTP method.
+        target: Path and query.
+        headers: Headers by lower-case name.
+        body: Its body.
+        at_ms: Monotonic clock when it had arrived.
+    """
 
     method: str
     target: str
     headers: dict[str, str]
     body: bytes
+    at_ms: int
 
     @property
     def attempt_id(self) -> str:
@@ -82,7 +91,10 @@
     def on_message_complete(self) -> None:
         """Takes the end of a request."""
         method = self.parser.get_method().decode()
-        seen = Seen(method, self._url.decode(), self._headers, self._body)
+        at_ms = time.monotonic_ns() // NS_PER_MS
+        seen = Seen(
+            method, self._url.decode(), self._headers, self._body, at_ms
+        )
         self.done.append(seen)
 
 
@@ -143,6 +155,7 @@
         self.ended = False
         self.leaving = False
         self.rest_s = 0.0
+        self.rate_limit: str | None = None
         self.fault: Callable[[Seen], Fault] = lambda seen: Fault.NONE
         self.swallow_orders = 0
         self._server: asyncio.Server | None = None
@@ -310,7 +323,10 @@
 
     def _news(self) -> list[str]:
         """Returns the headers of all answers that tell of this target."""
-        return ["Server-Leaving: 1"] if self.leaving else []
+        lines = ["Server-Leaving: 1"] if self.leaving else []
+        if self.rate_limit is not None:
+            lines.append(f"Server-Limit: {self.rate_limit}")
+        return lines
 
     async def _reply(
         self,
