Log changes of the rate limit that a target advertises

The logs did not show which rate limit a gateway had read from an answer, or when. Write a target_rate_limit line, with the request, when an answer advertises a different limit from the previous one. Decisions are unchanged.

--- a/packages/radishd/src/radishd/platform/front.py
+++ b/packages/radishd/src/radishd/platform/front.py
@@ -20,6 +20,7 @@
 _NOT_RUN = b"x-not-executed"
 _ENCODING = b"content-encoding"
 _LEAVING = b"server-leaving"
+_RATE_LIMIT = b"server-limit"
 _RETRY_AFTER = b"retry-after"
 _CONNECTION = b"connection"
 _HOST = b"host"
@@ -75,6 +76,7 @@
 # Callers take these as a promise that the request did not run.
 PROMISES = frozenset({408, 421, 429, 503})
 MS_PER_S = 1_000
+NO_RATE_LIMIT_PER_S = math.inf
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -277,13 +279,17 @@
         head: Status and headers.
         instance: The start of the target that the request was meant for.
     """
-    actual = head.get(_INSTANCE)
-    if actual is not None and actual.decode("latin-1") != instance:
+    if _is_other_instance(head, instance):
         # Another start at that address speaks of itself.
         return NO_SIGNALS
     return TargetSignals(is_leaving(head), _backoff_ms(head))
 
 
+def _is_other_instance(head: http_client.Head, instance: str) -> bool:
+    actual = head.get(_INSTANCE)
+    return actual is not None and actual.decode("latin-1") != instance
+
+
 def is_leaving(head: http_client.Head) -> bool:
     """Whether an answer says that its target leaves."""
     return (head.get(_LEAVING) or b"").strip() == b"1"
@@ -302,6 +308,32 @@
     return round(max(0.0, rest_s) * MS_PER_S)
 
 
+def rate_limit_per_s(head: http_client.Head, instance: str) -> float | None:
+    """Parses the rate limit that a target advertises in an answer.
+
+    Args:
+        head: Status and headers.
+        instance: The start of the target that the request was meant for.
+
+    Returns:
+        Requests per second that the target accepts from all gateways
+        together, ``NO_RATE_LIMIT_PER_S`` if the header is absent, None if the
+        answer is from another instance or the value is invalid.
+    """
+    if _is_other_instance(head, instance):
+        return None
+    value = head.get(_RATE_LIMIT)
+    if value is None:
+        return NO_RATE_LIMIT_PER_S
+    try:
+        limit_per_s = float(value)
+    except ValueError:
+        return None
+    if not math.isfinite(limit_per_s) or limit_per_s < 0:
+        return None
+    return limit_per_s
+
+
 def response_headers(head: http_client.Head) -> list[tuple[bytes, bytes]]:
     """Returns the headers of a target's answer that the caller gets."""
     return [pair for pair in head.headers if pair[0] not in _RESPONSE_DROPPED]
--- a/packages/radishd/src/radishd/request/forward.py
+++ b/packages/radishd/src/radishd/request/forward.py
@@ -466,6 +466,11 @@
                 self.gateway.evidence.apply_target_signals(
                     send.member, news, self.request.attempt_id
                 )
+            limit_per_s = front.rate_limit_per_s(head, instance)
+            if limit_per_s is not None:
+                self.gateway.evidence.record_rate_limit(
+                    send.member, limit_per_s, self.request.attempt_id
+                )
             kind = front.classify(head, self.request.attempt_id, instance)
             if kind is not front.Kind.FOREIGN:
                 return head
