Share one request exchange in Pool; move store types to process/stored

The engine and store clients each had their own code to send a request and read the complete response. Both now use Pool.exchange. Record, Batch and Expired are product types and move to process/stored. No behaviour changes.

--- a/packages/radishd/src/radishd/connection/pool.py
+++ b/packages/radishd/src/radishd/connection/pool.py
@@ -87,6 +87,30 @@
             idle_ms = min(int(keep_s * MS_PER_S * KEEP_PART), MAX_IDLE_MS)
         kept.append(_Kept(connection, now_ms, now_ms + idle_ms))
 
+    async def exchange(
+        self, address: str, connection: http_client.Connection, data: bytes
+    ) -> http_client.Answer | http_client.Lost:
+        """Sends a request and reads the complete response.
+
+        Args:
+            address: The address that the connection is open to.
+            connection: The connection. It is returned to the pool if it can be
+                reused and closed otherwise.
+            data: The encoded request.
+        """
+        try:
+            connection.send(data)
+            answer = await http_client.read_answer(connection)
+        except BaseException:
+            connection.close()
+            raise
+        if isinstance(answer, http_client.Lost):
+            connection.close()
+        elif connection.finish():
+            keep_s = http_client.keep_alive_s(answer.head)
+            self.give_back(address, connection, keep_s)
+        return answer
+
     def has_open(self, address: str) -> bool:
         """Whether a kept connection to an address has not been ended."""
         return any(
--- a/packages/radishd/src/radishd/platform/engine.py
+++ b/packages/radishd/src/radishd/platform/engine.py
@@ -116,24 +116,9 @@
         connection = await self._pool.take(self._address, fresh=True)
         if isinstance(connection, http_client.Lost):
             return connection
-        answer: http_client.Answer | http_client.Lost
-        answer = http_client.Lost(f"no answer in {timeout_ms} ms")
-        try:
-            connection.send(data)
-            with anyio.move_on_after(timeout_ms / MS_PER_S):
-                answer = await http_client.read_answer(connection)
-        except BaseException:
-            connection.close()
-            raise
-        if isinstance(answer, http_client.Lost):
-            connection.close()
-        elif connection.finish():
-            self._pool.give_back(
-                self._address,
-                connection,
-                http_client.keep_alive_s(answer.head),
-            )
-        return answer
+        with anyio.move_on_after(timeout_ms / MS_PER_S):
+            return await self._pool.exchange(self._address, connection, data)
+        return http_client.Lost(f"no answer in {timeout_ms} ms")
 
     def drop_connections(self) -> None:
         """Trusts no kept connection, as after this process stood still."""
--- a/packages/radishd/src/radishd/platform/store.py
+++ b/packages/radishd/src/radishd/platform/store.py
@@ -14,6 +14,7 @@
 from radishd.platform import wire
 from radishd.process import clock
 from radishd.process import metrics as metrics_lib
+from radishd.process import stored
 
 HTTP_SUCCESS = range(200, 300)
 HTTP_OK = 200
@@ -30,46 +31,6 @@
 MAX_PAGES = 1_000
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Record:
-    """One object.
-
-    Attributes:
-        name: Its name.
-        spec: Its content.
-        created: Revision of the store at which it was created.
-        revision: Revision of the store at which it last changed.
-        deleted: Whether it was removed.
-    """
-
-    name: str
-    spec: Any
-    created: int = 0
-    revision: int = 0
-    deleted: bool = False
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Batch:
-    """Objects, and the store's revision that they are as of.
-
-    Attributes:
-        records: The objects.
-        revision: The store's revision.
-        nameless_count: Objects that bear no name or revision of the store;
-            the others hold all the same.
-    """
-
-    records: tuple[Record, ...]
-    revision: int
-    nameless_count: int = 0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Expired:
-    """A sentinel: the history that a watch asked for is gone."""
-
-
 class Store:
     """Reads and writes objects; every call is counted, as each is paid for.
 
@@ -95,14 +56,14 @@
 
     async def list(
         self, kind: str, *, stale: bool = False
-    ) -> result.Outcome[Batch]:
+    ) -> result.Outcome[stored.Batch]:
         """Reads all objects of a kind, page by page.
 
         Args:
             kind: Kind of object.
             stale: Whether what is seconds old will do; it costs less.
         """
-        records: list[Record] = []
+        records: list[stored.Record] = []
         nameless_count = 0
         after = ""
         for _ in range(MAX_PAGES):
@@ -113,7 +74,7 @@
             body = await self._get(kind, query, CALL_TIMEOUT_MS)
             if isinstance(body, result.Failure):
                 return body
-            if isinstance(body, Expired):
+            if isinstance(body, stored.Expired):
                 return result.Failure(result.STORE_CORRUPT, f"list of {kind}")
             read = [_record(raw) for raw in _entries(body, "items")]
             page = [record for record in read if record is not None]
@@ -123,7 +84,7 @@
                 at = body.get("at")
                 if not isinstance(at, int):
                     break
-                return Batch(tuple(records), at, nameless_count)
+                return stored.Batch(tuple(records), at, nameless_count)
             after = page[-1].name
         return result.Failure(
             result.STORE_CORRUPT, f"{kind}: no end, or no revision"
@@ -131,7 +92,7 @@
 
     async def watch(
         self, kind: str, revision: int, wait_ms: int
-    ) -> result.Outcome[Batch] | Expired:
+    ) -> result.Outcome[stored.Batch] | stored.Expired:
         """Waits for changes since a revision.
 
         Args:
@@ -146,14 +107,14 @@
         body = await self._get(
             kind, query, wait_ms + CALL_TIMEOUT_MS, late_ms=wait_ms + LATE_MS
         )
-        if isinstance(body, result.Failure | Expired):
+        if isinstance(body, result.Failure | stored.Expired):
             return body
         read = [_change(raw) for raw in _entries(body, "events")]
         records = tuple(record for record in read if record is not None)
         at = body.get("at")
         if not isinstance(at, int):
             at = revision
-        return Batch(records, at, len(read) - len(records))
+        return stored.Batch(records, at, len(read) - len(records))
 
     async def create(
         self, kind: str, name: str, spec: dict[str, Any]
@@ -218,7 +179,7 @@
 
     async def _get(
         self, kind: str, query: str, timeout_ms: int, late_ms: int = LATE_MS
-    ) -> result.Outcome[dict[str, Any]] | Expired:
+    ) -> result.Outcome[dict[str, Any]] | stored.Expired:
         began_ms = clock.boot_ms()
         outcome: Any = None
         with anyio.move_on_after(timeout_ms / MS_PER_S):
@@ -243,12 +204,12 @@
 
     async def _call(
         self, path: str
-    ) -> result.Outcome[dict[str, Any]] | Expired:
+    ) -> result.Outcome[dict[str, Any]] | stored.Expired:
         answer = await self._exchange("GET", path)
         if isinstance(answer, result.Failure):
             return answer
         if answer.head.status == HTTP_GONE:
-            return Expired()
+            return stored.Expired()
         if answer.head.status != HTTP_OK:
             return result.Failure(
                 result.STORE_UNAVAILABLE, f"status {answer.head.status}"
@@ -269,23 +230,13 @@
             lines.append("Content-Type: application/json")
             lines.append(f"Content-Length: {len(body)}")
         head = "\r\n".join(lines) + "\r\n\r\n"
-        try:
-            connection.send(head.encode() + body)
-            answer = await http_client.read_answer(connection)
-        except BaseException:
-            connection.close()
-            raise
+        answer = await self._pool.exchange(
+            self._address, connection, head.encode() + body
+        )
         if isinstance(answer, http_client.Lost):
-            connection.close()
             if not answer.silent:
                 self._availability.broke_off(clock.boot_ms())
             return result.Failure(result.STORE_UNAVAILABLE, answer.reason)
-        if connection.finish():
-            self._pool.give_back(
-                self._address,
-                connection,
-                http_client.keep_alive_s(answer.head),
-            )
         return answer
 
     def drop_connections(self) -> None:
@@ -309,7 +260,7 @@
     return entries if isinstance(entries, list) else []
 
 
-def _record(raw: Any) -> Record | None:
+def _record(raw: Any) -> stored.Record | None:
     """Decodes an object, None if it bears no name or revision of the store."""
     try:
         metadata = raw["metadata"]
@@ -321,10 +272,10 @@
     if not isinstance(name, str):
         return None
     spec = wire.without_secrets(raw.get("spec"))
-    return Record(name, spec, created, revision)
+    return stored.Record(name, spec, created, revision)
 
 
-def _change(raw: Any) -> Record | None:
+def _change(raw: Any) -> stored.Record | None:
     if not isinstance(raw, dict):
         return None
     record = _record(raw.get("object"))
--- a/packages/radishd/src/radishd/process/follow.py
+++ b/packages/radishd/src/radishd/process/follow.py
@@ -14,6 +14,7 @@
 from radishd.platform import store as store_lib
 from radishd.process import clock
 from radishd.process import decision_log
+from radishd.process import stored
 
 MS_PER_S = 1_000
 # Pause after a failed call, doubled up to the maximum and spread at random:
@@ -28,10 +29,10 @@
 class Sink(typing.Protocol):
     """Receives what a follower reads."""
 
-    def whole(self, batch: store_lib.Batch) -> None:
+    def whole(self, batch: stored.Batch) -> None:
         """Receives all objects."""
 
-    def changes(self, batch: store_lib.Batch) -> None:
+    def changes(self, batch: stored.Batch) -> None:
         """Receives changed objects."""
 
 
@@ -129,11 +130,11 @@
 
     async def _take(
         self,
-        answer: result.Outcome[store_lib.Batch] | store_lib.Expired,
+        answer: result.Outcome[stored.Batch] | stored.Expired,
         *,
         listed: bool,
     ) -> None:
-        if isinstance(answer, store_lib.Expired):
+        if isinstance(answer, stored.Expired):
             self._log.must("store_history_gone", kind=self._kind)
             self.revision = 0
             return
--- a/packages/radishd/src/radishd/process/knowledge.py
+++ b/packages/radishd/src/radishd/process/knowledge.py
@@ -24,6 +24,7 @@
 from radishd.process import decision_log
 from radishd.process import follow
 from radishd.process import metrics as metrics_lib
+from radishd.process import stored
 
 MS_PER_S = 1_000
 # A watch of the targets is renewed this often, so that a store that went
@@ -118,13 +119,13 @@
         self.changes: collections.deque[table_changes.Change] = (
             collections.deque(maxlen=MAX_CHANGES)
         )
-        self._takes: dict[str, Callable[[store_lib.Record], None]] = {
+        self._takes: dict[str, Callable[[stored.Record], None]] = {
             wire.KIND_CONFIGURATION: self._take_configuration,
             wire.KIND_TARGETS: self._take_target,
             wire.KIND_VERSIONS: self._take_version,
         }
         self.followers = self._make_followers()
-        self.known: dict[str, dict[str, store_lib.Record]] = {
+        self.known: dict[str, dict[str, stored.Record]] = {
             kind: {} for kind in self.followers
         }
         self._refused: dict[tuple[str, str], int] = {}
@@ -200,7 +201,7 @@
             if name != kind:
                 follower.renew()
 
-    def _take_configuration(self, record: store_lib.Record) -> None:
+    def _take_configuration(self, record: stored.Record) -> None:
         if record.deleted or record.name != wire.CONFIGURATION_NAME:
             return
         table = wire.configuration(record.spec)
@@ -233,7 +234,7 @@
             for target in list(self.known[wire.KIND_TARGETS].values()):
                 self._take_target(target)
 
-    def _refuse(self, kind: str, record: store_lib.Record, reason: str) -> None:
+    def _refuse(self, kind: str, record: stored.Record, reason: str) -> None:
         """Records an object that cannot be used; logs each revision once."""
         key = (kind, record.name)
         if self._refused.get(key) == record.revision:
@@ -250,14 +251,14 @@
             reason=reason[:MAX_REASON_CHARS],
         )
 
-    def _refuse_target(self, record: store_lib.Record, reason: str) -> None:
+    def _refuse_target(self, record: stored.Record, reason: str) -> None:
         self._refuse(wire.KIND_TARGETS, record, reason)
         # What it said before is not true any more, and what it says now names
         # nothing that a request could be sent to.
         if self._roster.drop(record.name):
             self._log.write("target_dropped", target=record.name)
 
-    def _take_target(self, record: store_lib.Record) -> None:
+    def _take_target(self, record: stored.Record) -> None:
         if record.deleted:
             self._take_unlisted(record.name)
             return
@@ -312,7 +313,7 @@
             kept_ms=kept.lapses_at_ms - now_ms if kept else 0,
         )
 
-    def _take_version(self, record: store_lib.Record) -> None:
+    def _take_version(self, record: stored.Record) -> None:
         if record.deleted:
             return
         want = wire.announced(record.spec)
@@ -355,7 +356,7 @@
                 continue
             told_revision = int(known.get("revisions", {}).get(kind, 0))
             records = [
-                store_lib.Record(
+                stored.Record(
                     name, wire.without_secrets(spec, told_by_peer=True), *rest
                 )
                 for name, (spec, *rest) in names.items()
@@ -366,7 +367,7 @@
     def _take_told(
         self,
         kind: str,
-        records: list[store_lib.Record],
+        records: list[stored.Record],
         told_revision: int,
         *,
         fresh: bool,
@@ -424,13 +425,13 @@
         self,
         knowledge: Knowledge,
         kind: str,
-        take: Callable[[store_lib.Record], None],
+        take: Callable[[stored.Record], None],
     ) -> None:
         self._knowledge = knowledge
         self._kind = kind
         self._take = take
 
-    def whole(self, batch: store_lib.Batch) -> None:
+    def whole(self, batch: stored.Batch) -> None:
         """Replaces all objects."""
         self._knowledge.note_nameless(self._kind, batch.nameless_count)
         known = {record.name: record for record in batch.records}
@@ -441,12 +442,12 @@
         ]
         self._knowledge.known[self._kind] = known
         for name in missing:
-            self._take(store_lib.Record(name, None, deleted=True))
+            self._take(stored.Record(name, None, deleted=True))
         for record in batch.records:
             self._take(record)
         self._knowledge.notify_change()
 
-    def changes(self, batch: store_lib.Batch) -> None:
+    def changes(self, batch: stored.Batch) -> None:
         """Applies changed objects."""
         self._knowledge.note_nameless(self._kind, batch.nameless_count)
         known = self._knowledge.known[self._kind]
