Enforce targets' advertised rate limits across all gateways

Overloaded targets received several times the rate that they had advertised.

A separate limit in each gateway would have let six gateways send 96 requests in 4 s.

Change: rendezvous hashing selects as many gateways for a target as its token bucket holds requests (2 + 0.75 s of the rate). Each selected gateway has an equal part of the bucket, which refills at nine tenths of the rate. The other gateways route requests elsewhere and use the last tenth for probes. Limits start, change and end with responses, and changes are reported to all gateways. A response without a limit is ignored unless its request was sent after the last response with one. If all targets of a service are limited, requests are rejected immediately (503, code 2026). Adapters are loaded at unlimited targets while there are any.

--- a/packages/radishd/src/radishd/gateway.py
+++ b/packages/radishd/src/radishd/gateway.py
@@ -19,6 +19,7 @@
 from radishstack.process import placement as placement_lib
 from radishstack.process import roster as roster_lib
 from radishstack.process import shared_budget
+from radishstack.process import target_rate_limits
 from radishstack.process import usage_books
 from radishstack.process import usage_cap
 from radishstack.process import usage_loan
@@ -41,6 +42,7 @@
 from radishd.process import metrics as metrics_lib
 from radishd.process import notifier as notifier_lib
 from radishd.process import pause_detector
+from radishd.process import rate_limits
 from radishd.process import settings as settings_lib
 from radishd.process import signals
 from radishd.process import supervise
@@ -152,11 +154,24 @@
             metrics,
             random_source,
         )
+        self.rate_limits = rate_limits.RateLimits(
+            target_rate_limits.TargetRateLimits(
+                self.own.peers,
+                lambda: self.peers.addresses,
+                lambda: self.peers.count,
+                random_source,
+            ),
+            self._other_gateways,
+            self._send_to_gateways,
+            log,
+            metrics,
+            random_source,
+        )
         own_host, _ = settings_lib.split_address(self.own.peers)
         self.crash_gossip = crash_gossip_lib.CrashGossip(
             own_host,
             self._other_gateways,
-            self._send_crash_report,
+            self._send_to_gateways,
             log,
             metrics,
             random_source,
@@ -221,13 +236,13 @@
             _, port = settings_lib.split_address(self.own.control)
             await self.socket.send((host, port), message)
 
-    async def _send_crash_report(
+    async def _send_to_gateways(
         self,
         addresses: Iterable[fleet_socket.Address],
-        news: fleet_wire.CrashReport,
+        report: fleet_wire.CrashReport | fleet_wire.RateLimitReport,
     ) -> None:
         if self.socket is not None:
-            await self.socket.send_all(addresses, news)
+            await self.socket.send_all(addresses, report)
 
     def _quarantined(self, record: crash_evidence.Record) -> None:
         """Handles a request that is quarantined from now on."""
@@ -273,8 +288,11 @@
 
     def has_other(self, service: str, member: roster_lib.Member) -> bool:
         """Whether another target could take a request of a service."""
-        usable = self.roster.usable(service, clock.boot_ms())
-        return any(one is not member for one in usable)
+        now_ms = clock.boot_ms()
+        return any(
+            one is not member and self.rate_limits.may_send(one, now_ms)
+            for one in self.roster.usable(service, now_ms)
+        )
 
     def release(self, address: str, connection: http_client.Connection) -> None:
         """Returns a connection to the pool after a whole response."""
@@ -296,6 +314,8 @@
             _, port = settings_lib.split_address(self.own.peers)
             self.peers.heard((f"{sender[0]}:{port}",))
             self.crash_gossip.hear(datagram, sender)
+        elif isinstance(datagram, fleet_wire.RateLimitReport):
+            self.rate_limits.handle(datagram, sender)
         elif isinstance(datagram, fleet_wire.State):
             self.sidecars.handle_status(datagram, sender)
         elif isinstance(datagram, usage_loan.Message):
@@ -372,6 +392,7 @@
             "draining": self.draining,
             "refusals": self.refusals,
             "accounts": self.usage_caps.report(),
+            "rate_limits_per_s": self.rate_limits.report(),
             "quarantined_requests": {
                 fingerprint: dataclasses.asdict(quarantine)
                 for fingerprint, quarantine in quarantined.items()
@@ -431,6 +452,7 @@
             "ask_for_crashes": gateway.crash_gossip.ask_at_start,
             "ask_peers": gateway.knowledge.ask_peers,
             "usage_caps": gateway.usage_caps.run,
+            "report_rate_limits": gateway.rate_limits.run,
             "pause_detector": functools.partial(
                 pause_detector.watch, gateway.on_process_pause
             ),
--- a/packages/radishd/src/radishd/platform/front.py
+++ b/packages/radishd/src/radishd/platform/front.py
@@ -6,6 +6,7 @@
 import math
 
 from radishstack import result
+from radishstack.process import target_rate_limits
 from radishstack.version import client_account
 
 from radishd.connection import http_client
@@ -76,7 +77,6 @@
 # Callers take these as a promise that the request did not run.
 PROMISES = frozenset({408, 421, 429, 503})
 MS_PER_S = 1_000
-NO_RATE_LIMIT_PER_S = math.inf
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -317,14 +317,14 @@
 
     Returns:
         Requests per second that the target accepts from all gateways
-        together, ``NO_RATE_LIMIT_PER_S`` if the header is absent, None if the
+        together, ``UNLIMITED_PER_S`` if the header is absent, None if the
         answer is from another instance or the value is invalid.
     """
     if _is_other_instance(head, instance):
         return None
     value = head.get(_RATE_LIMIT)
     if value is None:
-        return NO_RATE_LIMIT_PER_S
+        return target_rate_limits.UNLIMITED_PER_S
     try:
         limit_per_s = float(value)
     except ValueError:
--- a/packages/radishd/src/radishd/process/metrics.py
+++ b/packages/radishd/src/radishd/process/metrics.py
@@ -86,6 +86,13 @@
         self.usage_loans = counter(
             "usage_loans_total", "Loans of usage caps, by side"
         )
+        self.rate_limited_targets = gauge(
+            "rate_limited_targets", "Targets that name a rate limit"
+        )
+        self.rate_limited = counter(
+            "rate_limited_total",
+            "Requests rejected beyond rate limits of targets, by service",
+        )
         self.orders = counter("orders_total", "Orders to the engine by verdict")
         self.pauses = counter(
             "process_pauses_total", "Times that this process stood still"
--- a/packages/radishd/src/radishd/request/forward.py
+++ b/packages/radishd/src/radishd/request/forward.py
@@ -30,6 +30,7 @@
 from radishd.platform import front
 from radishd.process import clock
 from radishd.process import load_requests as load_requests_lib
+from radishd.process import rate_limits as rate_limits_lib
 from radishd.process import web
 from radishd.request import gateway_port
 
@@ -127,6 +128,7 @@
         self.sent_at_ms = 0
         self.known_fingerprint = ""
         self.is_trial = False
+        self._rate_booking: rate_limits_lib.Booking | None = None
         self._send = send
         spec = gateway.table.services.get(self.service)
         self.needs_adapter = bool(
@@ -146,10 +148,15 @@
         return self.known_fingerprint
 
     def release(self) -> None:
-        """Gives its booking back if it was not sent at all."""
+        """Gives back the bookings of a request that was not sent."""
+        self._release_rate_booking()
         if not self.sent:
             self.gateway.usage_caps.give_back(self._booking)
 
+    def _release_rate_booking(self) -> None:
+        booking, self._rate_booking = self._rate_booking, None
+        self.gateway.rate_limits.give_back(booking)
+
     def left_ms(self) -> int:
         """Returns how long the caller still waits."""
         return self.deadline_at_ms - clock.boot_ms()
@@ -234,7 +241,7 @@
                 return refusal
             now_ms = clock.boot_ms()
             member = gateway.placement.plain(self._usable(now_ms), now_ms)
-            if member is None:
+            if member is None or not self._book_rate(member):
                 return self._no_target()
             return member, 0
         return await self._place_adapter()
@@ -276,13 +283,48 @@
         """Records that a target ran it to its end, and still runs."""
         self.gateway.crash_gossip.ended_well(self.fingerprint())
 
-    def _usable(self, now_ms: int) -> list[roster_lib.Member]:
+    def _allowed(self, now_ms: int) -> list[roster_lib.Member]:
+        """Returns the targets that may run it, regardless of rate limits."""
         return [
             member
             for member in self.gateway.roster.usable(self.service, now_ms)
             if self.state.allows(member.listing.instance)
         ]
 
+    def _usable(self, now_ms: int) -> list[roster_lib.Member]:
+        """Returns the targets that it may be sent to within rate limits."""
+        allowed = self._allowed(now_ms)
+        limits = self.gateway.rate_limits
+        limited = [one for one in allowed if limits.is_limited(one)]
+        if not limited:
+            return allowed
+        below_limit = [
+            member
+            for member in limited
+            if limits.is_booked(self._rate_booking, member)
+            or limits.may_send(member, now_ms)
+        ]
+        unlimited = [one for one in allowed if one not in limited]
+        if unlimited and self.needs_adapter:
+            # Adapters are not loaded at a limited target while there are
+            # unlimited ones.
+            adapter = self.request.adapter
+            below_limit = [
+                member
+                for member in below_limit
+                if adapter in self.gateway.placement.residents(member, now_ms)
+            ]
+        return unlimited + below_limit
+
+    def _book_rate(self, member: roster_lib.Member) -> bool:
+        """Books a send against a target's rate limit; returns success."""
+        limits = self.gateway.rate_limits
+        if limits.is_booked(self._rate_booking, member):
+            return True
+        self._release_rate_booking()
+        self._rate_booking = limits.book(member)
+        return self._rate_booking is not None
+
     async def _place_adapter(
         self,
     ) -> tuple[roster_lib.Member, int] | result.Failure:
@@ -310,9 +352,19 @@
                 choice = gateway.placement.choose(
                     adapter, usable, now_ms, waiting.patience(now_ms)
                 )
+                member = choice.send or choice.load
+                if member is not None:
+                    # Booked before the load, because a load at a limited target
+                    # only helps a request that may be sent there.
+                    self._book_rate(member)
                 await gateway.load_requests.follow(load_request, choice)
+                # A stream that has started cannot be rejected any more, so it
+                # waits for a rate-limited target.
+                any_usable = bool(usable) or (
+                    self.began and bool(self._allowed(now_ms))
+                )
                 step = waiting.decide(
-                    choice, any_usable=bool(usable), now_ms=now_ms
+                    choice, any_usable=any_usable, now_ms=now_ms
                 )
                 match step:
                     case waiting_lib.Send():
@@ -340,6 +392,9 @@
     def _no_target(self) -> result.Failure:
         if self.state.failure is not None:
             return self.state.failure
+        limited = self._allowed(clock.boot_ms())
+        if limited and not self.state.may_have_run:
+            return self.gateway.rate_limits.rejection(self.service, limited)
         code = result.NO_TARGET
         if self.state.may_have_run:
             code = result.OUTCOME_UNKNOWN
@@ -421,6 +476,7 @@
             account=self.admission.account_name,
         )
         self.sent = True
+        self._rate_booking = None
         self.sent_at_ms = clock.boot_ms()
         connection.send(data)
         return Send(member, connection, self.sent_at_ms)
@@ -466,13 +522,17 @@
                 self.gateway.evidence.apply_target_signals(
                     send.member, news, self.request.attempt_id
                 )
+            kind = front.classify(head, self.request.attempt_id, instance)
+            is_late = kind is front.Kind.FOREIGN
             limit_per_s = front.rate_limit_per_s(head, instance)
             if limit_per_s is not None:
-                self.gateway.evidence.record_rate_limit(
-                    send.member, limit_per_s, self.request.attempt_id
+                self.gateway.rate_limits.record_response(
+                    send.member,
+                    limit_per_s,
+                    sent_at_ms=0 if is_late else send.sent_at_ms,
+                    attempt_id=self.request.attempt_id,
                 )
-            kind = front.classify(head, self.request.attempt_id, instance)
-            if kind is not front.Kind.FOREIGN:
+            if not is_late:
                 return head
             # A second answer to the request before came late; ours is next.
             lost = await connection.skip()
--- a/packages/radishd/src/radishd/request/gateway_port.py
+++ b/packages/radishd/src/radishd/request/gateway_port.py
@@ -19,6 +19,7 @@
 from radishd.process import load_requests as load_requests_lib
 from radishd.process import metrics as metrics_lib
 from radishd.process import notifier as notifier_lib
+from radishd.process import rate_limits
 from radishd.process import usage_caps
 
 
@@ -36,6 +37,7 @@
         random: Its random source.
         crash_gossip: Which requests end the targets that run them.
         usage_caps: What client accounts may still use.
+        rate_limits: Rate limits that targets advertise.
         draining: Whether the process is about to end.
         waits_end_at_ms: Until when a request may wait for an adapter then.
     """
@@ -50,6 +52,7 @@
     random: random.Random
     crash_gossip: crash_gossip_lib.CrashGossip
     usage_caps: usage_caps.UsageCaps
+    rate_limits: rate_limits.RateLimits
     draining: bool
     waits_end_at_ms: int
 
--- a/packages/radishd/src/radishd/target_evidence.py
+++ b/packages/radishd/src/radishd/target_evidence.py
@@ -14,9 +14,6 @@
 from radishd.process import decision_log
 
 HTTP_SERVER_ERROR = 500
-# Bounds the memory for rate limits. The limit of the target that answered least
-# recently is evicted first, and is logged again when it is next advertised.
-MAX_TRACKED_RATE_LIMITS = 1_024
 
 Outcome = forwarding.Outcome
 
@@ -49,7 +46,6 @@
         self._crash_watch = crash_watch
         self._log = log
         self._on_leaving = on_leaving
-        self._rate_limits: dict[incarnation.Start, float] = {}
 
     def record_outcome(
         self, member: roster_lib.Member, outcome: Outcome, adapter: str
@@ -117,33 +113,6 @@
                 request=attempt_id,
             )
 
-    def record_rate_limit(
-        self, member: roster_lib.Member, limit_per_s: float, attempt_id: str
-    ) -> None:
-        """Records a target's advertised rate limit and logs changes to it.
-
-        Args:
-            member: The target.
-            limit_per_s: Requests per second, ``front.NO_RATE_LIMIT_PER_S`` if
-                the target advertises no limit.
-            attempt_id: The attempt that received the answer.
-        """
-        start = member.listing.start
-        previous_per_s = self._rate_limits.pop(start, front.NO_RATE_LIMIT_PER_S)
-        is_limited = limit_per_s != front.NO_RATE_LIMIT_PER_S
-        if is_limited:
-            if len(self._rate_limits) >= MAX_TRACKED_RATE_LIMITS:
-                del self._rate_limits[next(iter(self._rate_limits))]
-            self._rate_limits[start] = limit_per_s
-        if limit_per_s == previous_per_s:
-            return
-        self._log.write(
-            "target_rate_limit",
-            target=start.name,
-            limit_per_s=limit_per_s if is_limited else None,
-            request=attempt_id,
-        )
-
     def mark_leaving(
         self, start: incarnation.Start, *, source: str, request: str = ""
     ) -> None:
--- a/packages/radishstack/src/radishstack/connection/fleet.capnp
+++ b/packages/radishstack/src/radishstack/connection/fleet.capnp
@@ -10,6 +10,7 @@
     crashReport @2 :CrashReport;
     usageAsk @3 :UsageAsk;
     usageLoan @4 :UsageLoan;
+    rateLimitReport @5 :RateLimitReport;
   }
 }
 
@@ -118,3 +119,14 @@
   # What the lender could still lend.
   room @3 :Float64;
 }
+
+struct RateLimitReport {
+  # Reports to other gateways the rate limit in a target's response.
+  target @0 :Text;
+  bornMs @1 :UInt64;
+  # Whether the response has a limit, and the limit in requests per second.
+  isLimited @2 :Bool;
+  limitPerS @3 :Float64;
+  # How long ago the response was received.
+  agoMs @4 :UInt32;
+}
--- a/packages/radishstack/src/radishstack/connection/fleet_wire.py
+++ b/packages/radishstack/src/radishstack/connection/fleet_wire.py
@@ -18,6 +18,7 @@
 from radishstack.process import adapter_keeper
 from radishstack.process import crash_evidence
 from radishstack.process import incarnation
+from radishstack.process import target_rate_limits
 from radishstack.process import usage_loan
 
 MAX_DATAGRAM_BYTES = 32 * 1024
@@ -120,7 +121,25 @@
     asks: bool = False
 
 
-Datagram = DemandDatagram | State | CrashReport | usage_loan.Message
+@dataclasses.dataclass(frozen=True, slots=True)
+class RateLimitReport:
+    """Reports the rate limit in a target's response to other gateways.
+
+    Attributes:
+        start: The start of the target.
+        limit_per_s: Requests per second from all gateways together,
+            ``UNLIMITED_PER_S`` if the response has no limit.
+        ago_ms: How long ago the response was received.
+    """
+
+    start: incarnation.Start
+    limit_per_s: float
+    ago_ms: int
+
+
+Datagram = (
+    DemandDatagram | State | CrashReport | RateLimitReport | usage_loan.Message
+)
 
 
 def told_record(record: crash_evidence.Record, now_ms: int) -> ToldRecord:
@@ -254,6 +273,20 @@
     return _wire.FleetDatagram.new_message(crashReport=body).to_bytes_packed()
 
 
+@encode.register
+def _(datagram: RateLimitReport) -> bytes:
+    is_limited = datagram.limit_per_s != target_rate_limits.UNLIMITED_PER_S
+    body = {
+        "target": datagram.start.name,
+        "bornMs": datagram.start.born_ms,
+        "isLimited": is_limited,
+        "limitPerS": datagram.limit_per_s if is_limited else 0.0,
+        "agoMs": datagram.ago_ms,
+    }
+    message = _wire.FleetDatagram.new_message(rateLimitReport=body)
+    return message.to_bytes_packed()
+
+
 @encode.register
 def _(datagram: usage_loan.Ask) -> bytes:
     body = dataclasses.asdict(datagram)
@@ -312,6 +345,8 @@
                 return _decode_demand(message.demand)
             case "crashReport":
                 return _decode_crash_report(message.crashReport)
+            case "rateLimitReport":
+                return _decode_rate_limit_report(message.rateLimitReport)
             case "usageAsk":
                 return _decode_usage_ask(message.usageAsk)
             case "usageLoan":
@@ -385,19 +420,33 @@
     return CrashReport(records, body.asks)
 
 
+def _decode_rate_limit_report(body: object) -> RateLimitReport:
+    limit_per_s = target_rate_limits.UNLIMITED_PER_S
+    if body.isLimited:
+        limit_per_s = _finite_non_negative(body.limitPerS)
+    start = incarnation.Start(body.target, body.bornMs)
+    return RateLimitReport(start, limit_per_s, body.agoMs)
+
+
 def _decode_usage_ask(body: object) -> usage_loan.Ask:
     return usage_loan.Ask(
-        body.account, body.number, _cost(body.need), _cost(body.want)
+        body.account,
+        body.number,
+        _finite_non_negative(body.need),
+        _finite_non_negative(body.want),
     )
 
 
 def _decode_usage_loan(body: object) -> usage_loan.Loan:
     return usage_loan.Loan(
-        body.account, body.number, _cost(body.amount), _cost(body.room)
+        body.account,
+        body.number,
+        _finite_non_negative(body.amount),
+        _finite_non_negative(body.room),
     )
 
 
-def _cost(value: float) -> float:
+def _finite_non_negative(value: float) -> float:
     if not math.isfinite(value) or value < 0:
-        raise ValueError(f"a cost of {value}")
+        raise ValueError(f"{value} is not a finite non-negative number")
     return value
--- a/packages/radishstack/src/radishstack/result.py
+++ b/packages/radishstack/src/radishstack/result.py
@@ -105,6 +105,7 @@
 ROUTE_TIMEOUT_UNSENT = Code(2023, "route_timeout_unsent", 503)
 REQUEST_ENDS_TARGETS = Code(2024, "request_ends_targets", 503)
 USAGE_CAP_REACHED = Code(2025, "usage_cap_reached", 429)
+TARGETS_RATE_LIMITED = Code(2026, "targets_rate_limited", 503)
 
 OUTCOME_UNKNOWN = Code(3001, "outcome_unknown", 504, Executed.UNKNOWN)
 KEY_QUARANTINED = Code(3002, "key_quarantined", 503, Executed.UNKNOWN)
--- a/packages/standins/src/standins/platform_engine.py
+++ b/packages/standins/src/standins/platform_engine.py
@@ -46,8 +46,8 @@
         method: HTTP method.
         target: Path and query.
         headers: Headers by lower-case name.
-        body: Its body.
-        at_ms: Monotonic clock when it had arrived.
+        body: Request body.
+        at_ms: Monotonic time at which the request was complete.
     """
 
     method: str
--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -21,6 +21,7 @@
 SOAK = ("-m", "proofs.soak", "--no-shrink", "--minutes")
 SERVING = (*SOAK, "1.0", "--machine", "serving")
 PUBLICATION = (*SOAK, "0.2", "--machine", "publication")
+RATE_LIMITS = (*SOAK, "0.5", "--machine", "rate_limits")
 USAGE = (*SOAK, "0.5", "--machine", "usage")
 
 
@@ -47,7 +48,59 @@
     return ("-m", "tests", module)
 
 
+_RATE_LIMITS_PATH = "radishstack/process/target_rate_limits.py"
+_RATE_LIMITS_PROMISE = "a rate limit that a target names holds"
+
 MUTANTS = (
+    Mutant(
+        _RATE_LIMITS_PROMISE,
+        _RATE_LIMITS_PATH,
+        "    if rank >= selected_count:\n        return None\n",
+        "",
+        RATE_LIMITS,
+    ),
+    Mutant(
+        _RATE_LIMITS_PROMISE,
+        _RATE_LIMITS_PATH,
+        "            limit.level -= 1\n",
+        "            limit.level -= 0.5\n",
+        RATE_LIMITS,
+    ),
+    Mutant(
+        _RATE_LIMITS_PROMISE,
+        _RATE_LIMITS_PATH,
+        "sender_count * known_count // gateway_count",
+        "max(1, sender_count * known_count // gateway_count)",
+        _test("fleet.test_rate_limits"),
+    ),
+    Mutant(
+        _RATE_LIMITS_PROMISE,
+        _RATE_LIMITS_PATH,
+        "if known is None or as_of_ms <= known.advertised_at_ms:",
+        "if known is None:",
+        _test("fleet.test_rate_limits"),
+    ),
+    Mutant(
+        _RATE_LIMITS_PROMISE,
+        _RATE_LIMITS_PATH,
+        "        if now_ms < limit.probe_at_ms + PROBE_WINDOW_MS:\n",
+        "        if now_ms >= limit.probe_at_ms:\n",
+        _test("fleet.test_rate_limits"),
+    ),
+    Mutant(
+        _RATE_LIMITS_PROMISE,
+        "radishd/process/rate_limits.py",
+        "            self._wake.set()\n",
+        "            pass\n",
+        _test("fleet.test_rate_limits"),
+    ),
+    Mutant(
+        _RATE_LIMITS_PROMISE,
+        "radishd/request/forward.py",
+        "            or limits.may_send(member, now_ms)\n",
+        "            or True\n",
+        _test("fleet.test_rate_limits"),
+    ),
     Mutant(
         "a usage cap holds over all gateways",
         "radishstack/process/usage_books.py",
@@ -826,9 +879,8 @@
     Mutant(
         "a target's own word counts",
         "radishd/platform/front.py",
-        '    if actual is not None and actual.decode("latin-1") != instance:\n'
-        "        # Another",
-        "    if False:\n        # Another",
+        "    return actual is not None and actual.decode(",
+        "    return False and actual.decode(",
         _test("fleet.test_target_news"),
     ),
     Mutant(
--- a/proofs/soak.py
+++ b/proofs/soak.py
@@ -10,6 +10,7 @@
 
 from proofs import crashes
 from proofs import publication
+from proofs import rate_limits
 from proofs import runner
 from proofs import serving
 from proofs import starts
@@ -25,6 +26,11 @@
     "starts": (starts.StartsMachine, 60, starts.COUNTS),
     "crashes": (crashes.CrashesMachine, 60, crashes.COUNTS),
     "usage": (usage.UsageMachine, 60, usage.COUNTS),
+    "rate_limits": (
+        rate_limits.RateLimitsMachine,
+        60,
+        rate_limits.COUNTS,
+    ),
     "publication": (publication.PublicationMachine, 60, publication.COUNTS),
 }
 
--- a/tests/stack/test_proofs.py
+++ b/tests/stack/test_proofs.py
@@ -2,6 +2,7 @@
 
 from proofs import crashes
 from proofs import publication
+from proofs import rate_limits
 from proofs import runner
 from proofs import serving
 from proofs import starts
@@ -46,3 +47,13 @@
     assert usage.COUNTS["fault cut"] > 100
     assert usage.COUNTS["fault freeze"] > 100
     assert usage.COUNTS["judged at the cap"] > 100
+
+
+def test_no_window_exceeds_a_rate_limit_that_a_target_names() -> None:
+    """Guards against gateways that exceed a target's rate limit together."""
+    for seed in (1, 2, 3):
+        runner.run(
+            rate_limits.RateLimitsMachine, seed=seed, examples=60, steps=60
+        )
+    assert rate_limits.COUNTS["fault restart"] > 100
+    assert rate_limits.COUNTS["judged at the limit"] > 100
