Log the store era and whether a target entry was taken

target_listed was logged both for an entry that was dropped as older and for one that was read too late, so the logs could not tell the two apart. The event now also reports whether the entry was taken, the previously known revision and the store's era. store_restored is logged when the store's answers name a later era. The unused constant HTTP_TOO_MANY goes. Decisions are unchanged.

--- a/packages/radishd/src/radishd/platform/store.py
+++ b/packages/radishd/src/radishd/platform/store.py
@@ -21,7 +21,7 @@
 HTTP_NOT_FOUND = 404
 HTTP_CONFLICT = 409
 HTTP_GONE = 410
-HTTP_TOO_MANY = 429
+_ERA_HEADER = b"store-era"
 CALL_TIMEOUT_MS = 1_500
 CONNECT_TIMEOUT_MS = 500
 # A watch that is answered this long after its wait has ended tells of a store
@@ -37,6 +37,9 @@
     Attributes:
         on_back: Called before the first answer after an absence is returned,
             with the kind that was asked for.
+        on_restored: Called before the first answer with a later era is
+            returned; the store was then restored from an older copy.
+        era: Latest era received from the store, 0 if none.
     """
 
     def __init__(self, address: str, metrics: metrics_lib.Metrics) -> None:
@@ -53,6 +56,8 @@
         self.on_back: Callable[[str, availability.Absence], None] = (
             lambda kind, absence: None
         )
+        self.on_restored: Callable[[], None] = lambda: None
+        self.era = 0
 
     async def list(
         self, kind: str, *, stale: bool = False
@@ -237,13 +242,27 @@
             if not answer.silent:
                 self._availability.broke_off(clock.boot_ms())
             return result.Failure(result.STORE_UNAVAILABLE, answer.reason)
+        self._update_era(_era(answer.head))
         return answer
 
+    def _update_era(self, era: int) -> None:
+        if era <= self.era:
+            return
+        is_restored = bool(self.era)
+        self.era = era
+        if is_restored:
+            self.on_restored()
+
     def drop_connections(self) -> None:
         """Trusts no kept connection, as after this process stood still."""
         self._pool.drop_all()
 
 
+def _era(head: http_client.Head) -> int:
+    value = head.get(_ERA_HEADER) or b""
+    return int(value) if value.isdigit() else 0
+
+
 def _body(data: bytes) -> result.Outcome[dict[str, Any]]:
     """Decodes an answer; bytes that are no text spoil only their own field."""
     try:
--- a/packages/radishd/src/radishd/process/knowledge.py
+++ b/packages/radishd/src/radishd/process/knowledge.py
@@ -116,6 +116,7 @@
         self._on_limits = on_limits
         self._on_store_back = on_store_back
         store.on_back = self._store_back
+        store.on_restored = self._store_restored
         self.changes: collections.deque[table_changes.Change] = (
             collections.deque(maxlen=MAX_CHANGES)
         )
@@ -201,6 +202,13 @@
             if name != kind:
                 follower.renew()
 
+    def _store_restored(self) -> None:
+        self._log.must(
+            "store_restored",
+            era=self._store.era,
+            read_revision=self._seen_revision(wire.KIND_TARGETS),
+        )
+
     def _take_configuration(self, record: stored.Record) -> None:
         if record.deleted or record.name != wire.CONFIGURATION_NAME:
             return
@@ -276,7 +284,14 @@
             return
         known = self._roster.members.get(record.name)
         lapsed = known is not None and bool(known.lapses_at_ms)
-        if known is None or lapsed or known.listing.leaving != listing.leaving:
+        known_listing = known.listing if known is not None else None
+        begun = self._roster.upsert(listing)
+        if (
+            known_listing is None
+            or lapsed
+            or known_listing.leaving != listing.leaving
+        ):
+            member = self._roster.members.get(record.name)
             self._log.write(
                 "target_listed",
                 target=record.name,
@@ -285,9 +300,14 @@
                 leaving=listing.leaving,
                 created=listing.listed_at,
                 revision=listing.changed_at,
+                era=self._store.era,
+                known_revision=known_listing.changed_at if known_listing else 0,
+                taken=(
+                    member is not None
+                    and member.listing.changed_at == listing.changed_at
+                ),
                 lapsed=lapsed,
             )
-        begun = self._roster.upsert(listing)
         if begun is None:
             return
         if known is not None:
