--- a/packages/standins/src/standins/platform_store.py
+++ b/packages/standins/src/standins/platform_store.py
@@ -1,6 +1,7 @@
 """The users' platform's store of objects: lists, watches, outages."""
 
 import collections
+import copy
 import dataclasses
 import time
 from typing import Any
@@ -33,8 +34,20 @@
     holds: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Snapshot:
+    """A copy of the store's objects as of a revision."""
+
+    objects: dict[str, dict[str, dict[str, Any]]]
+    revision: int
+
+
 class PlatformStore:
-    """Objects by kind and name, with one revision counter."""
+    """Objects by kind and name, with one revision counter.
+
+    Attributes:
+        era: Rises by one each time the store is restored from a snapshot.
+    """
 
     def __init__(self) -> None:
         """Starts empty."""
@@ -42,6 +55,7 @@
         self.history: list[tuple[int, str, dict[str, Any]]] = []
         self.oldest = 0
         self.revision = 0
+        self.era = 1
         self.calls: collections.Counter[str] = collections.Counter()
         self.faults = Faults()
         self._changed = anyio.Event()
@@ -94,8 +108,37 @@
         self.history.clear()
         self.oldest = self.revision
 
+    def snapshot(self) -> Snapshot:
+        """Returns a copy of all objects."""
+        return Snapshot(copy.deepcopy(self.objects), self.revision)
+
+    def restore(self, snapshot: Snapshot) -> None:
+        """Loses what was written since a snapshot, and begins an era.
+
+        Revisions go back and are given out again. The history is lost, so
+        watches from another era are refused until their revision is passed.
+        """
+        self.objects = copy.deepcopy(snapshot.objects)
+        self.revision = snapshot.revision
+        self.history = [
+            event for event in self.history if event[0] <= snapshot.revision
+        ]
+        self.oldest = min(self.oldest, snapshot.revision)
+        self.era += 1
+        self._wake()
+
     async def handle(self, request: web.Request) -> None:
-        """Answers one call."""
+        """Answers one call, and names the era in the answer."""
+        era = (b"store-era", str(self.era).encode())
+
+        async def send(message: dict[str, Any]) -> None:
+            if message["type"] == "http.response.start":
+                message = message | {"headers": [*message["headers"], era]}
+            await request.send(message)
+
+        await self._handle(dataclasses.replace(request, send=send))
+
+    async def _handle(self, request: web.Request) -> None:
         kind, _, name = request.path.removeprefix(PREFIX).partition("/")
         self.calls[kind] += 1
         if self.faults.silent:
@@ -154,7 +197,7 @@
             if self.faults.refuses:
                 await request.reply({}, status=503)
                 return
-            if since < self.oldest:
+            if not self.oldest <= since <= self.revision:
                 await request.reply({}, status=410)
                 return
             events = [
