Order entries of a restored store by era and revision

Callers have seen no effect so far. Requests reached an engine 2,027 and 2,367 ms after it announced that it was leaving (the limit is 2,000 ms), seconds before it was gone.

Cause: the store had been restored from an older copy and reused revisions. An entry with revision 72 was treated as older than the known 83 or 84 and was dropped. The class of fault: a number that orders statements within one history is compared across two histories.

Evidence: all six gateways logged target_listed leaving=true revision=72 within 0.65 s of the store's answer, and no request was sent after revision 89.

Change: a position is the pair (era, revision), compared in one type. It is used for target entries, for what followers have read, for what gateways tell each other and for refused objects. A later era in any answer of the store makes gateways read new lists, starts the grace for missing entries and rewrites the records of quarantined requests. An answer of a former era is rejected, and so is a list that spans two eras.

Knowledge that the copy cannot contain is kept: a target that announced that it is leaving stays leaving, a removed target is not used, and an entry of another start is not applied. This holds until it is contradicted by an entry with a revision beyond the known one, or by an entry that still stands after the grace.

One fault was found during development, before any run showed it: an entry of a former start in the copy would have marked the present start as over, and its later entries would have been ignored permanently.

--- a/packages/radishd/src/radishd/gateway.py
+++ b/packages/radishd/src/radishd/gateway.py
@@ -196,6 +196,7 @@
             on_change=self.notifier.notify_all,
             on_limits=self._take_limits,
             on_store_back=self.crash_gossip.ask_soon,
+            on_store_restored=self._rewrite_crash_records,
         )
 
     @property
@@ -250,6 +251,11 @@
         # Those that wait for an adapter are to be refused at once, too.
         self.notifier.notify_all()
 
+    def _rewrite_crash_records(self) -> None:
+        """Queues crash records that a restored store may have lost."""
+        for lost_record in self.crash_gossip.records_to_rewrite():
+            self.kept_crashes.keep(lost_record)
+
     def _take_limits(self, limits: route_table.Limits) -> None:
         if self.server is not None:
             web.set_idle_timeout(self.server, limits.idle_timeout_ms)
@@ -339,6 +345,8 @@
             self.placement.forget(now_ms, FORGET_VIEWS_MS)
             for name in self.roster.drop_lapsed(now_ms):
                 self.log.write("target_lapsed", target=name)
+            for member in self.roster.release_restored(now_ms):
+                self._start_known(member)
             addresses = {
                 member.listing.address
                 for member in self.roster.members.values()
--- a/packages/radishd/src/radishd/platform/front.py
+++ b/packages/radishd/src/radishd/platform/front.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import enum
-import json
 import math
 
 from radishstack import result
@@ -11,6 +10,7 @@
 
 from radishd.connection import http_client
 from radishd.process import web
+from radishd.request import error_body
 
 _ATTEMPT = b"x-attempt-id"
 _DEADLINE = b"x-deadline-ms"
@@ -351,13 +351,7 @@
     Returns:
         Status, headers and body.
     """
-    error = {
-        "code": reason.code.number,
-        "type": reason.code.name,
-        "message": reason.message,
-        "executed": str(reason.executed),
-    }
-    body = json.dumps({"error": error}).encode()
+    body = error_body.encode(reason)
     headers = [
         (b"content-type", b"application/json"),
         (b"content-length", b"%d" % len(body)),
--- a/packages/radishd/src/radishd/platform/store.py
+++ b/packages/radishd/src/radishd/platform/store.py
@@ -37,8 +37,8 @@
     Attributes:
         on_back: Called before the first answer after an absence is returned,
             with the kind that was asked for.
-        on_restored: Called before the first answer with a later era is
-            returned; the store was then restored from an older copy.
+        on_restored: Called when the store answers with a later era, before
+            that answer is returned.
         era: Latest era received from the store, 0 if none.
     """
 
@@ -71,6 +71,7 @@
         records: list[stored.Record] = []
         nameless_count = 0
         after = ""
+        era: int | None = None
         for _ in range(MAX_PAGES):
             fields = ["staleOk=1"] if stale else []
             if after:
@@ -81,15 +82,21 @@
                 return body
             if isinstance(body, stored.Expired):
                 return result.Failure(result.STORE_CORRUPT, f"list of {kind}")
-            read = [_record(raw) for raw in _entries(body, "items")]
+            era = body.era if era is None else era
+            if body.era != era:
+                return result.Failure(
+                    result.STORE_UNAVAILABLE,
+                    f"store restored while listing {kind}",
+                )
+            read = [_record(raw, era) for raw in body.entries("items")]
             page = [record for record in read if record is not None]
             nameless_count += len(read) - len(page)
             records.extend(page)
-            if not body.get("hasMore") or not page:
-                at = body.get("at")
+            if not body.fields.get("hasMore") or not page:
+                at = body.fields.get("at")
                 if not isinstance(at, int):
                     break
-                return stored.Batch(tuple(records), at, nameless_count)
+                return stored.Batch(tuple(records), at, nameless_count, era)
             after = page[-1].name
         return result.Failure(
             result.STORE_CORRUPT, f"{kind}: no end, or no revision"
@@ -114,12 +121,12 @@
         )
         if isinstance(body, result.Failure | stored.Expired):
             return body
-        read = [_change(raw) for raw in _entries(body, "events")]
+        read = [_change(raw, body.era) for raw in body.entries("events")]
         records = tuple(record for record in read if record is not None)
-        at = body.get("at")
+        at = body.fields.get("at")
         if not isinstance(at, int):
             at = revision
-        return stored.Batch(records, at, len(read) - len(records))
+        return stored.Batch(records, at, len(read) - len(records), body.era)
 
     async def create(
         self, kind: str, name: str, spec: dict[str, Any]
@@ -184,7 +191,7 @@
 
     async def _get(
         self, kind: str, query: str, timeout_ms: int, late_ms: int = LATE_MS
-    ) -> result.Outcome[dict[str, Any]] | stored.Expired:
+    ) -> result.Outcome[stored.Answer] | stored.Expired:
         began_ms = clock.boot_ms()
         outcome: Any = None
         with anyio.move_on_after(timeout_ms / MS_PER_S):
@@ -209,7 +216,7 @@
 
     async def _call(
         self, path: str
-    ) -> result.Outcome[dict[str, Any]] | stored.Expired:
+    ) -> result.Outcome[stored.Answer] | stored.Expired:
         answer = await self._exchange("GET", path)
         if isinstance(answer, result.Failure):
             return answer
@@ -219,7 +226,10 @@
             return result.Failure(
                 result.STORE_UNAVAILABLE, f"status {answer.head.status}"
             )
-        return _body(answer.body)
+        fields = _fields(answer.body)
+        if isinstance(fields, result.Failure):
+            return fields
+        return stored.Answer(fields, _era(answer.head) or self.era)
 
     async def _exchange(
         self, method: str, path: str, body: bytes = b""
@@ -242,16 +252,18 @@
             if not answer.silent:
                 self._availability.broke_off(clock.boot_ms())
             return result.Failure(result.STORE_UNAVAILABLE, answer.reason)
-        self._update_era(_era(answer.head))
-        return answer
-
-    def _update_era(self, era: int) -> None:
-        if era <= self.era:
-            return
-        is_restored = bool(self.era)
+        era = _era(answer.head) or self.era
+        if era < self.era:
+            # Delayed answer from before the store was restored.
+            return result.Failure(
+                result.STORE_UNAVAILABLE,
+                f"answer has era {era}, latest is {self.era}",
+            )
+        is_restored = 0 < self.era < era
         self.era = era
         if is_restored:
             self.on_restored()
+        return answer
 
     def drop_connections(self) -> None:
         """Trusts no kept connection, as after this process stood still."""
@@ -263,7 +275,7 @@
     return int(value) if value.isdigit() else 0
 
 
-def _body(data: bytes) -> result.Outcome[dict[str, Any]]:
+def _fields(data: bytes) -> result.Outcome[dict[str, Any]]:
     """Decodes an answer; bytes that are no text spoil only their own field."""
     try:
         body = json.loads(data.decode("utf-8", "replace"), strict=False)
@@ -274,12 +286,7 @@
     return body
 
 
-def _entries(body: dict[str, Any], field: str) -> list[Any]:
-    entries = body.get(field)
-    return entries if isinstance(entries, list) else []
-
-
-def _record(raw: Any) -> stored.Record | None:
+def _record(raw: Any, era: int) -> stored.Record | None:
     """Decodes an object, None if it bears no name or revision of the store."""
     try:
         metadata = raw["metadata"]
@@ -291,13 +298,13 @@
     if not isinstance(name, str):
         return None
     spec = wire.without_secrets(raw.get("spec"))
-    return stored.Record(name, spec, created, revision)
+    return stored.Record(name, spec, created, revision, era=era)
 
 
-def _change(raw: Any) -> stored.Record | None:
+def _change(raw: Any, era: int) -> stored.Record | None:
     if not isinstance(raw, dict):
         return None
-    record = _record(raw.get("object"))
+    record = _record(raw.get("object"), era)
     if record is None or not raw.get("deleted"):
         return record
     return dataclasses.replace(record, deleted=True)
--- a/packages/radishd/src/radishd/platform/wire.py
+++ b/packages/radishd/src/radishd/platform/wire.py
@@ -273,7 +273,7 @@
 
 
 def target(
-    name: str, spec: Fields, created: int, revision: int = 0
+    name: str, spec: Fields, created: int, revision: int = 0, era: int = 0
 ) -> result.Outcome[roster.Listing]:
     """Decodes a registered target.
 
@@ -282,6 +282,7 @@
         spec: The object's content.
         created: Revision at which it was entered.
         revision: Revision at which it last changed.
+        era: Store era of the revisions.
 
     Returns:
         The target, or what could not be read.
@@ -300,6 +301,7 @@
         slot_count=entry.slots,
         listed_at=created,
         changed_at=revision,
+        era=era,
         born_ms=entry.born,
         residents=residents,
     )
--- a/packages/radishd/src/radishd/process/crash_gossip.py
+++ b/packages/radishd/src/radishd/process/crash_gossip.py
@@ -35,6 +35,8 @@
 # When a gateway that has started asks: it knows few others at first.
 ASK_AFTER_MS = (0, 1_000, 3_000)
 MAX_ASKED = 3
+# Number of gateways that rewrite each record after the store was restored.
+REWRITER_COUNT = 2
 FORGET_EVERY_MS = 10_000
 
 Send = Callable[
@@ -141,6 +143,14 @@
         names = [self._own_host, *(host for host, _ in self._others())]
         return rendezvous.order(fingerprint, names).index(self._own_host)
 
+    def records_to_rewrite(self) -> list[crash_evidence.Record]:
+        """Returns records that this gateway rewrites to a restored store."""
+        return [
+            self.evidence.record(fingerprint)
+            for fingerprint in self._refused
+            if self._rank(fingerprint) < REWRITER_COUNT
+        ]
+
     def _judge(self, fingerprint: str, *, source: str) -> bool:
         """Logs a quarantine once; returns whether it is another than before."""
         quarantine = self.quarantine(fingerprint)
--- a/packages/radishd/src/radishd/process/follow.py
+++ b/packages/radishd/src/radishd/process/follow.py
@@ -10,6 +10,7 @@
 
 import anyio
 from radishstack import result
+from radishstack.process import store_position
 
 from radishd.platform import store as store_lib
 from radishd.process import clock
@@ -42,7 +43,9 @@
     Attributes:
         failing_since_ms: Since when the store does not answer, 0 if it does.
         revision: Revision read last, 0 before a list.
-        read_revision: The same, kept while a list is read anew.
+        era: Store era of that revision.
+        read_position: Newest position read; unlike ``revision``, not reset
+            before a new list.
     """
 
     def __init__(
@@ -80,7 +83,8 @@
         self._restart: anyio.CancelScope | None = None
         self.failing_since_ms = 0
         self.revision = 0
-        self.read_revision = 0
+        self.era = 0
+        self.read_position = store_position.StorePosition()
         self._doubted = False
         self._asks_briefly = False
 
@@ -141,7 +145,11 @@
         if isinstance(answer, result.Failure):
             await self._failed(answer)
             return
-        self._answered(answer.revision)
+        if not listed and answer.era != self.era:
+            # The store was restored during the watch; read a new list.
+            self.revision = 0
+            return
+        self._answered(answer)
         if listed:
             self._sink.whole(answer)
         elif answer.records:
@@ -159,9 +167,10 @@
         self._retry_ms = min(self._retry_ms * 2, RETRY_MAX_MS)
         await anyio.sleep(pause_ms / MS_PER_S)
 
-    def _answered(self, revision: int) -> None:
-        self.revision = max(self.revision, revision)
-        self.read_revision = max(self.read_revision, revision)
+    def _answered(self, answer: stored.Batch) -> None:
+        self.revision = max(self.revision, answer.revision)
+        self.era = answer.era
+        self.read_position = max(self.read_position, answer.position)
         self._doubted = False
         self._retry_ms = RETRY_FIRST_MS
         if not self.failing_since_ms:
--- a/packages/radishd/src/radishd/process/knowledge.py
+++ b/packages/radishd/src/radishd/process/knowledge.py
@@ -14,6 +14,7 @@
 from radishstack.process import availability
 from radishstack.process import placement as placement_lib
 from radishstack.process import roster as roster_lib
+from radishstack.process import store_position
 from radishstack.version import route_table
 from radishstack.version import table_changes
 
@@ -63,8 +64,8 @@
     Attributes:
         followers: Of each kind of object.
         known: Objects by kind and name, for gateways that ask.
-        told_revisions: By kind, up to which revision another gateway has
-            told all that it knows.
+        told_positions: By kind, the newest store position up to which
+            another gateway has told all that it knows.
         changes: Of the configuration, the newest last.
     """
 
@@ -84,6 +85,7 @@
         on_change: Callable[[], None],
         on_limits: Callable[[route_table.Limits], None],
         on_store_back: Callable[[], None],
+        on_store_restored: Callable[[], None],
     ) -> None:
         """Starts knowing nothing.
 
@@ -101,6 +103,8 @@
             on_change: Told that something has changed.
             on_limits: Told the limits of a new configuration.
             on_store_back: Told that the store answers after an absence.
+            on_store_restored: Told that the store was restored from an older
+                copy and lost later writes.
         """
         self._store = store
         self._peers = peers
@@ -115,6 +119,8 @@
         self._on_change = on_change
         self._on_limits = on_limits
         self._on_store_back = on_store_back
+        self._on_store_restored = on_store_restored
+        self._era = 0
         store.on_back = self._store_back
         store.on_restored = self._store_restored
         self.changes: collections.deque[table_changes.Change] = (
@@ -129,8 +135,10 @@
         self.known: dict[str, dict[str, stored.Record]] = {
             kind: {} for kind in self.followers
         }
-        self._refused: dict[tuple[str, str], int] = {}
-        self.told_revisions = dict.fromkeys(self.followers, 0)
+        self._refused: dict[tuple[str, str], store_position.StorePosition] = {}
+        self.told_positions = dict.fromkeys(
+            self.followers, store_position.StorePosition()
+        )
 
     def note_nameless(self, kind: str, count: int) -> None:
         """Counts and logs objects that have no name."""
@@ -192,7 +200,8 @@
             kind=kind,
             away_ms=absence.away_ms,
             failed=absence.failed,
-            read_revision=self._seen_revision(wire.KIND_TARGETS),
+            read_revision=self._seen_position(wire.KIND_TARGETS).revision,
+            era=self._store.era,
             may_have_lapsed=doubted,
         )
         self._on_store_back()
@@ -203,11 +212,28 @@
                 follower.renew()
 
     def _store_restored(self) -> None:
+        """Reads new lists of all kinds.
+
+        A restored store reuses revisions, so a watch from a revision of the
+        former era may succeed and miss changes.
+        """
+        self._note_era(self._store.era, told_by="store")
+        for follower in self.followers.values():
+            follower.restart()
+
+    def _note_era(self, era: int, *, told_by: str) -> None:
+        if era <= self._era:
+            return
+        self._era = era
         self._log.must(
             "store_restored",
-            era=self._store.era,
-            read_revision=self._seen_revision(wire.KIND_TARGETS),
+            era=era,
+            told_by=told_by,
+            read_revision=self._seen_position(wire.KIND_TARGETS).revision,
         )
+        # Entries written after the copy are missing until they are renewed.
+        self._roster.begin_grace(clock.boot_ms())
+        self._on_store_restored()
 
     def _take_configuration(self, record: stored.Record) -> None:
         if record.deleted or record.name != wire.CONFIGURATION_NAME:
@@ -245,11 +271,11 @@
     def _refuse(self, kind: str, record: stored.Record, reason: str) -> None:
         """Records an object that cannot be used; logs each revision once."""
         key = (kind, record.name)
-        if self._refused.get(key) == record.revision:
+        if self._refused.get(key) == record.position:
             return
         if len(self._refused) >= MAX_REFUSED:
             self._refused.clear()
-        self._refused[key] = record.revision
+        self._refused[key] = record.position
         self._metrics.unreadable.inc({"kind": kind})
         self._log.write(
             "object_refused",
@@ -271,7 +297,11 @@
             self._take_unlisted(record.name)
             return
         listing = wire.target(
-            record.name, record.spec, record.created, record.revision
+            record.name,
+            record.spec,
+            record.created,
+            record.revision,
+            record.era,
         )
         if isinstance(listing, result.Failure):
             self._refuse_target(record, listing.message)
@@ -300,11 +330,13 @@
                 leaving=listing.leaving,
                 created=listing.listed_at,
                 revision=listing.changed_at,
-                era=self._store.era,
+                era=listing.era,
                 known_revision=known_listing.changed_at if known_listing else 0,
+                known_era=known_listing.era if known_listing else 0,
                 taken=(
                     member is not None
-                    and member.listing.changed_at == listing.changed_at
+                    and member.listing.changed_position
+                    == listing.changed_position
                 ),
                 lapsed=lapsed,
             )
@@ -374,21 +406,27 @@
             follower = self.followers.get(kind)
             if follower is None or not follower.failing_since_ms:
                 continue
-            told_revision = int(known.get("revisions", {}).get(kind, 0))
+            told_position = store_position.StorePosition(
+                int(known.get("eras", {}).get(kind, 0)),
+                int(known.get("revisions", {}).get(kind, 0)),
+            )
             records = [
                 stored.Record(
-                    name, wire.without_secrets(spec, told_by_peer=True), *rest
+                    name,
+                    wire.without_secrets(spec, told_by_peer=True),
+                    *rest,
+                    era=told_position.era,
                 )
                 for name, (spec, *rest) in names.items()
             ]
             fresh = bool(known.get("fresh"))
-            self._take_told(kind, records, told_revision, fresh=fresh)
+            self._take_told(kind, records, told_position, fresh=fresh)
 
     def _take_told(
         self,
         kind: str,
         records: list[stored.Record],
-        told_revision: int,
+        told_position: store_position.StorePosition,
         *,
         fresh: bool,
     ) -> None:
@@ -397,19 +435,21 @@
         Otherwise a peer whose view is older would bring back targets that
         are known to leave, and no watch would take them away again.
         """
-        seen_revision = self._seen_revision(kind)
-        if fresh and told_revision > seen_revision:
-            self.told_revisions[kind] = told_revision
+        seen_position = self._seen_position(kind)
+        if 0 < seen_position.era < told_position.era:
+            self._note_era(told_position.era, told_by="peer")
+        if fresh and told_position > seen_position:
+            self.told_positions[kind] = told_position
             if kind == wire.KIND_TARGETS:
                 self._drop_unlisted({record.name for record in records})
         for record in records:
-            if record.revision > seen_revision:
+            if record.position > seen_position:
                 self.known[kind][record.name] = record
                 self._takes[kind](record)
 
-    def _seen_revision(self, kind: str) -> int:
-        read_revision = self.followers[kind].read_revision
-        return max(read_revision, self.told_revisions[kind])
+    def _seen_position(self, kind: str) -> store_position.StorePosition:
+        read_position = self.followers[kind].read_position
+        return max(read_position, self.told_positions[kind])
 
     def _drop_unlisted(self, names: set[str]) -> None:
         for name in list(self._roster.members):
@@ -427,15 +467,27 @@
             and not follower.failing_since_ms
             and not self._roster.is_in_doubt(clock.boot_ms())
         )
+        positions = {kind: self._seen_position(kind) for kind in self.known}
+        # The message has one era per kind: a revision of a former era would
+        # be read as one of the current era.
         objects = {
             kind: {
                 name: (record.spec, record.created, record.revision)
                 for name, record in records.items()
+                if record.era == positions[kind].era
             }
             for kind, records in self.known.items()
         }
-        revisions = {kind: self._seen_revision(kind) for kind in self.known}
-        return {"objects": objects, "revisions": revisions, "fresh": fresh}
+        return {
+            "objects": objects,
+            "revisions": {
+                kind: position.revision for kind, position in positions.items()
+            },
+            "eras": {
+                kind: position.era for kind, position in positions.items()
+            },
+            "fresh": fresh,
+        }
 
 
 class _Sink:
--- a/packages/radishd/src/radishd/process/stored.py
+++ b/packages/radishd/src/radishd/process/stored.py
@@ -3,6 +3,26 @@
 import dataclasses
 from typing import Any
 
+from radishstack.process import store_position
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """A JSON object that the store returned, with the store's era.
+
+    Attributes:
+        fields: Members of the JSON object.
+        era: Store era at the time of the answer.
+    """
+
+    fields: dict[str, Any]
+    era: int
+
+    def entries(self, field: str) -> list[Any]:
+        """Returns the list in a field, or an empty one if it holds none."""
+        entries = self.fields.get(field)
+        return entries if isinstance(entries, list) else []
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Record:
@@ -14,6 +34,7 @@
         created: Store revision at which the object was created.
         revision: Store revision at which the object last changed.
         deleted: Whether the object was deleted.
+        era: Store era of the revisions.
     """
 
     name: str
@@ -21,6 +42,12 @@
     created: int = 0
     revision: int = 0
     deleted: bool = False
+    era: int = 0
+
+    @property
+    def position(self) -> store_position.StorePosition:
+        """Position at which the object last changed."""
+        return store_position.StorePosition(self.era, self.revision)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -32,11 +59,18 @@
         revision: Store revision of the read.
         nameless_count: Number of objects that were skipped because they lack
             a name or a store revision.
+        era: Store era of the revision.
     """
 
     records: tuple[Record, ...]
     revision: int
     nameless_count: int = 0
+    era: int = 0
+
+    @property
+    def position(self) -> store_position.StorePosition:
+        """Position of the read."""
+        return store_position.StorePosition(self.era, self.revision)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/radishstack/src/radishstack/process/roster.py
+++ b/packages/radishstack/src/radishstack/process/roster.py
@@ -9,6 +9,7 @@
 import dataclasses
 
 from radishstack.process import incarnation
+from radishstack.process import store_position
 
 # Failure estimate: weight of the newest outcome. With 0.25, three failures in
 # a row pass ``SICK_ABOVE`` and five good answers bring it back under.
@@ -34,6 +35,9 @@
 # Starts that said that they leave, of which that is remembered: their entries
 # lapse and come back, with a state that was written before.
 MAX_LEAVERS = 1_024
+# How long a removed target is remembered: a list restored from an older copy
+# may still hold its entry.
+REMOVED_RETENTION_MS = 30_000
 # The longest rest that a target is given. Garbage in its place would take the
 # target from this process until it starts again.
 MAX_REST_MS = 600_000
@@ -54,6 +58,7 @@
         changed_at: Revision of the list at which it last changed.
         born_ms: Birth of this start of it, 0 where it told none.
         residents: Versions of what it held, by adapter.
+        era: Store era of the revisions.
     """
 
     instance: str
@@ -66,6 +71,25 @@
     changed_at: int = 0
     residents: Mapping[str, int] = dataclasses.field(default_factory=dict)
     born_ms: int = 0
+    era: int = 0
+
+    @property
+    def listed_position(self) -> store_position.StorePosition:
+        """Position of the list at which it was entered."""
+        return store_position.StorePosition(self.era, self.listed_at)
+
+    @property
+    def changed_position(self) -> store_position.StorePosition:
+        """Position of the list at which it last changed."""
+        return store_position.StorePosition(self.era, self.changed_at)
+
+    def may_predate(self, known: "Listing") -> bool:
+        """Whether it may be a restored entry older than a known one.
+
+        A restored list reuses revisions, so an entry of a later era is
+        certainly newer only if its revision is greater as well.
+        """
+        return self.era > known.era and self.changed_at <= known.changed_at
 
     @property
     def start(self) -> incarnation.Start:
@@ -112,6 +136,21 @@
         return now_ms - next(iter(self.unanswered.values()))
 
 
+@dataclasses.dataclass(slots=True)
+class _RemovedTarget:
+    """A target that was removed from the list.
+
+    Attributes:
+        listing: Its last known entry.
+        expires_at_ms: When the removal is forgotten.
+        withheld: Restored entry that may predate the removal.
+    """
+
+    listing: Listing
+    expires_at_ms: int
+    withheld: Listing | None = None
+
+
 @dataclasses.dataclass(slots=True)
 class Member:
     """A target with what is believed of it.
@@ -121,19 +160,21 @@
         health: What was seen here.
         lapses_at_ms: When it is given up since the list lost it, 0 if not.
         gone: Whether it was seen to have ended.
-        began_at: Revision of the list at which this start was first seen; of
+        began_at: Position of the list at which this start was first seen; of
             two targets at one address, the later one runs.
         former: Births of starts of it that are proven to be over.
         listed: Whether the list told this start.
+        withheld: Restored entry of another start that may predate this one.
     """
 
     listing: Listing
     health: Health
     lapses_at_ms: int = 0
     gone: bool = False
-    began_at: int = 0
+    began_at: store_position.StorePosition = store_position.StorePosition()
     former: tuple[int, ...] = ()
     listed: bool = True
+    withheld: Listing | None = None
 
 
 class Roster:
@@ -153,7 +194,8 @@
         self._lapse_grace_ms = lapse_grace_ms
         self._outlived_ms = OUTLIVED_HEARTBEATS * heartbeat_ms
         self._grace_end_ms = 0
-        self._outage_revision = 0
+        self._outage_position = store_position.StorePosition()
+        self._removed: dict[str, _RemovedTarget] = {}
         self._leavers: dict[str, incarnation.Start] = {}
 
     def _index(self) -> None:
@@ -178,13 +220,24 @@
         """
         if away_ms < self._outlived_ms:
             return False
+        self.begin_grace(now_ms)
+        return True
+
+    def begin_grace(self, now_ms: int) -> None:
+        """Starts the grace in which known targets outlive missing entries.
+
+        Args:
+            now_ms: When the list could be read again.
+        """
         self._grace_end_ms = now_ms + self._lapse_grace_ms
         # All that is known now was written before, whoever told it.
-        self._outage_revision = max(
-            (member.listing.changed_at for member in self.members.values()),
-            default=0,
+        self._outage_position = max(
+            (
+                member.listing.changed_position
+                for member in self.members.values()
+            ),
+            default=store_position.StorePosition(),
         )
-        return True
 
     def is_in_doubt(self, now_ms: int) -> bool:
         """Whether an entry may be missing only because it has lapsed."""
@@ -194,7 +247,7 @@
         # An entry that was written since the outage is renewed like any
         # other: missing again, its target has left, and work sent to it
         # would reach a process that is about to end.
-        written_since = listing.changed_at > self._outage_revision
+        written_since = listing.changed_position > self._outage_position
         return (
             self.is_in_doubt(now_ms)
             and not listing.leaving
@@ -209,18 +262,30 @@
         """
         member = self.members.get(listing.instance)
         if member is None:
-            return self._begin(listing, listing.listed_at)
+            if self._withhold_if_removed(listing):
+                return None
+            return self._begin(listing, listing.listed_position)
         known = member.listing
-        older = listing.changed_at < known.changed_at
+        older = listing.changed_position < known.changed_position
         if older or listing.born_ms in member.former:
             return None
-        if listing.start.is_other(known.start):
+        is_other = listing.start.is_other(known.start)
+        if is_other and listing.may_predate(known):
+            member.withheld = listing
+            return None
+        member.withheld = None
+        if is_other:
             # A start that only the process beside it told may be the later
             # one: counted as over, it would stay so when the list tells it.
             ended = (known.born_ms,) if member.listed else ()
-            return self._begin(listing, listing.changed_at, ended)
+            return self._begin(listing, listing.changed_position, ended)
         born_ms = listing.born_ms or known.born_ms
-        member.listing = dataclasses.replace(listing, born_ms=born_ms)
+        leaving = listing.leaving or (
+            known.leaving and listing.may_predate(known)
+        )
+        member.listing = dataclasses.replace(
+            listing, born_ms=born_ms, leaving=leaving
+        )
         member.lapses_at_ms = 0
         member.listed = True
         if (listing.service, listing.address) != (known.service, known.address):
@@ -228,8 +293,58 @@
             self._claim_address(member)
         return None
 
+    def _withhold_if_removed(self, listing: Listing) -> bool:
+        """Withholds an entry that may predate the removal of its target.
+
+        Returns:
+            Whether the entry is withheld.
+        """
+        removed = self._removed.get(listing.instance)
+        if removed is None:
+            return False
+        known = removed.listing
+        if listing.start.is_other(known.start) or not listing.may_predate(
+            known
+        ):
+            del self._removed[listing.instance]
+            return False
+        removed.withheld = listing
+        return True
+
+    def release_restored(self, now_ms: int) -> list[Member]:
+        """Applies withheld entries that no later entry has contradicted.
+
+        Args:
+            now_ms: Now.
+
+        Returns:
+            Members of the starts that were not known.
+        """
+        begun = []
+        for member in list(self.members.values()):
+            listing = member.withheld
+            if listing is not None and not self.is_in_doubt(now_ms):
+                # The known start is not proven to be over, so it does not
+                # become a former one.
+                begun.append(self._begin(listing, listing.changed_position))
+        expired = [
+            name
+            for name, removed in self._removed.items()
+            if now_ms >= removed.expires_at_ms
+        ]
+        withheld = [self._removed.pop(name).withheld for name in expired]
+        begun += [
+            self._begin(listing, listing.listed_position)
+            for listing in withheld
+            if listing is not None
+        ]
+        return begun
+
     def _begin(
-        self, listing: Listing, began_at: int, ended: tuple[int, ...] = ()
+        self,
+        listing: Listing,
+        began_at: store_position.StorePosition,
+        ended: tuple[int, ...] = (),
     ) -> Member:
         """Replaces what is known of a name, with all that was seen of it."""
         before = self.members.get(listing.instance)
@@ -300,10 +415,17 @@
         """
         member = self.members.get(instance)
         if member is None:
+            if instance in self._removed:
+                self._removed[instance].withheld = None
             return False
         if self._may_have_lapsed(member.listing, now_ms):
             member.lapses_at_ms = self._grace_end_ms
             return False
+        self._removed.pop(instance, None)
+        while len(self._removed) >= MAX_LEAVERS:
+            del self._removed[next(iter(self._removed))]
+        expires_at_ms = now_ms + REMOVED_RETENTION_MS
+        self._removed[instance] = _RemovedTarget(member.listing, expires_at_ms)
         return self.drop(instance)
 
     def drop_lapsed(self, now_ms: int) -> list[str]:
--- a/packages/standins/src/standins/platform_store.py
+++ b/packages/standins/src/standins/platform_store.py
@@ -36,7 +36,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Snapshot:
-    """A copy of the store's objects as of a revision."""
+    """A copy of the store's objects at a revision."""
 
     objects: dict[str, dict[str, dict[str, Any]]]
     revision: int
@@ -46,7 +46,7 @@
     """Objects by kind and name, with one revision counter.
 
     Attributes:
-        era: Rises by one each time the store is restored from a snapshot.
+        era: Number of the store's history; each restore increments it.
     """
 
     def __init__(self) -> None:
@@ -113,10 +113,10 @@
         return Snapshot(copy.deepcopy(self.objects), self.revision)
 
     def restore(self, snapshot: Snapshot) -> None:
-        """Loses what was written since a snapshot, and begins an era.
+        """Replaces the objects with a snapshot's and begins a new era.
 
-        Revisions go back and are given out again. The history is lost, so
-        watches from another era are refused until their revision is passed.
+        Revisions continue from the snapshot's, and so are reused. A watch
+        from a later revision is refused until that revision is reached again.
         """
         self.objects = copy.deepcopy(snapshot.objects)
         self.revision = snapshot.revision
@@ -128,7 +128,7 @@
         self._wake()
 
     async def handle(self, request: web.Request) -> None:
-        """Answers one call, and names the era in the answer."""
+        """Answers one call, with the era in a header."""
         era = (b"store-era", str(self.era).encode())
 
         async def send(message: dict[str, Any]) -> None:
--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -51,7 +51,66 @@
 _RATE_LIMITS_PATH = "radishstack/process/target_rate_limits.py"
 _RATE_LIMITS_PROMISE = "a rate limit that a target names holds"
 
+_ROSTER_PATH = "radishstack/process/roster.py"
+_RESTORED_PROMISE = "a restored store revives no outdated entries"
+
 MUTANTS = (
+    Mutant(
+        _RESTORED_PROMISE,
+        _ROSTER_PATH,
+        "        older = listing.changed_position < known.changed_position\n",
+        "        older = listing.changed_at < known.changed_at\n",
+        _test("fleet.test_store_restored"),
+    ),
+    Mutant(
+        _RESTORED_PROMISE,
+        _ROSTER_PATH,
+        "            known.leaving and listing.may_predate(known)\n",
+        "            False\n",
+        _test("fleet.test_store_restored"),
+    ),
+    Mutant(
+        _RESTORED_PROMISE,
+        _ROSTER_PATH,
+        "            if self._withhold_if_removed(listing):\n",
+        "            if False:\n",
+        _test("fleet.test_store_restored"),
+    ),
+    Mutant(
+        _RESTORED_PROMISE,
+        "radishd/process/knowledge.py",
+        "        self._roster.begin_grace(clock.boot_ms())\n",
+        "",
+        _test("fleet.test_store_restored"),
+    ),
+    Mutant(
+        _RESTORED_PROMISE,
+        "radishd/process/knowledge.py",
+        "                    era=told_position.era,\n",
+        "",
+        _test("fleet.test_store_restored"),
+    ),
+    Mutant(
+        _RESTORED_PROMISE,
+        "radishd/platform/store.py",
+        "        is_restored = 0 < self.era < era\n",
+        "        is_restored = False\n",
+        _test("fleet.test_store_restored"),
+    ),
+    Mutant(
+        _RESTORED_PROMISE,
+        "radishd/platform/store.py",
+        "        if era < self.era:\n",
+        "        if False:\n",
+        _test("fleet.test_store_restored"),
+    ),
+    Mutant(
+        _RESTORED_PROMISE,
+        "radishd/process/crash_gossip.py",
+        "            if self._rank(fingerprint) < REWRITER_COUNT\n",
+        "            if False\n",
+        _test("fleet.test_store_restored"),
+    ),
     Mutant(
         _RATE_LIMITS_PROMISE,
         _RATE_LIMITS_PATH,
@@ -554,7 +613,7 @@
     Mutant(
         "old news never wins",
         "radishd/process/knowledge.py",
-        "            if record.revision > seen_revision:",
+        "            if record.position > seen_position:",
         "            if True:",
         _test("fleet.test_store_outage"),
     ),
@@ -568,8 +627,8 @@
     Mutant(
         "old news never wins",
         "radishstack/process/roster.py",
-        "        older = listing.changed_at < known.changed_at",
-        "        older = False",
+        "        older = listing.changed_position < known.changed_position\n",
+        "        older = False\n",
         _test("fleet.test_starts"),
     ),
     Mutant(
@@ -582,8 +641,8 @@
     Mutant(
         "no start is gone for good",
         "radishstack/process/roster.py",
-        "        if listing.start.is_other(known.start):",
-        "        if False:",
+        "        if is_other:\n",
+        "        if False:\n",
         _test("fleet.test_starts"),
     ),
     Mutant(
--- a/proofs/starts.py
+++ b/proofs/starts.py
@@ -15,6 +15,7 @@
 from radishstack.process import incarnation
 from radishstack.process import placement as placement_lib
 from radishstack.process import roster as roster_lib
+from radishstack.process import store_position
 
 COUNTS: collections.Counter[str] = collections.Counter()
 NAME = "i1"
@@ -49,8 +50,9 @@
         self.births = [500_000]
         self.entries: list[roster_lib.Listing] = []
         self.words: list[Word] = []
+        self.era = 1
         self.revision = 0
-        self.read_revision = 0
+        self.read_position = store_position.StorePosition()
         self.keeper = adapter_keeper.Keeper()
         self.former_born_ms = 0
         self.roster = roster_lib.Roster(2_500)
@@ -83,11 +85,12 @@
                 changed_at=self.revision,
                 residents=_held(born_ms),
                 born_ms=born_ms,
+                era=self.era,
             )
         )
 
     def _read(self, entry: roster_lib.Listing) -> None:
-        self.read_revision = max(self.read_revision, entry.changed_at)
+        self.read_position = max(self.read_position, entry.changed_position)
         self.roster.upsert(entry)
 
     def _report(self) -> None:
@@ -126,7 +129,8 @@
     @stateful.rule()
     def write_lands_late(self) -> None:
         """A write of a start that is over takes effect after its end."""
-        if len(self.births) < 2 or self.read_revision < self.revision:
+        position = store_position.StorePosition(self.era, self.revision)
+        if len(self.births) < 2 or self.read_position < position:
             return
         if self.member.listing.born_ms != self.born_ms:
             return
@@ -136,6 +140,21 @@
         self._register(self.births[-2])
         COUNTS["fault late write"] += 1
 
+    @stateful.rule(pick=st.integers(0, 10**6))
+    def restore(self, pick: int) -> None:
+        """The list is restored from an older copy and reuses revisions."""
+        current = [entry for entry in self.entries if entry.era == self.era]
+        entry = current[pick % len(current)]
+        self.era += 1
+        self.revision = entry.changed_at
+        self.entries.append(dataclasses.replace(entry, era=self.era))
+        COUNTS["fault restore"] += 1
+
+    @stateful.rule()
+    def settle(self) -> None:
+        """The roster applies entries that it has withheld."""
+        self.roster.release_restored(NOW_MS)
+
     @stateful.rule()
     def read_newest(self) -> None:
         """The gateway's watch brings what the list says now."""
@@ -188,8 +207,10 @@
         """Once the newest entry was read, the start that runs gets work."""
         newest = self.entries[-1]
         told = newest.born_ms == self.born_ms
-        if not told or self.read_revision < newest.changed_at:
+        if not told or self.read_position < newest.changed_position:
             return
+        if self.member.withheld is not None:
+            self.roster.release_restored(NOW_MS)
         COUNTS["checks"] += 1
         assert self.member.listing.born_ms == self.born_ms
         assert self.roster.usable(SERVICE, NOW_MS) == [self.member]
--- a/tests/fleet/test_store_restored.py
+++ b/tests/fleet/test_store_restored.py
@@ -1,4 +1,4 @@
-"""What is believed once the platform's store was restored from an old copy."""
+"""What gateways know after the platform's store is restored from a copy."""
 
 from typing import Any
 
@@ -8,6 +8,7 @@
 from radishstack import result
 from radishstack.process import crash_evidence
 from radishstack.process import incarnation
+from radishstack.process import roster as roster_lib
 from standins import platform_site
 from standins import platform_store
 
@@ -15,10 +16,10 @@
 
 TARGETS = "servers"
 CONFIGURATION = "config"
-# Writes in the time that the store loses.
+# Rounds of writes after the snapshot, which the restore discards.
 LOST_WRITES = 20
-# An address that no test sends to.
-MARK = "127.0.0.1:9"
+# Address of an entry that only marks a position in the list.
+MARKER_ADDRESS = "127.0.0.1:9"
 
 
 def _usable(gateway: gateway_lib.Gateway) -> set[str]:
@@ -34,8 +35,10 @@
 async def _has_read_all(
     fleet: fixtures.Fleet, gateway: gateway_lib.Gateway
 ) -> None:
-    """Waits until a gateway has seen the newest entry of the targets."""
-    fleet.store.put(TARGETS, "i-marker", _spec(fleet, "i-plain0", address=MARK))
+    """Writes a marker entry and waits until a gateway has read it."""
+    fleet.store.put(
+        TARGETS, "i-marker", _spec(fleet, "i-plain0", address=MARKER_ADDRESS)
+    )
     revision = fleet.store.revision
     await fleet.until(
         lambda: (
@@ -47,8 +50,8 @@
     )
 
 
-def _write_lost(fleet: fixtures.Fleet) -> None:
-    """Has targets and the operator write what the store is to lose."""
+def _write_discarded(fleet: fixtures.Fleet) -> None:
+    """Writes targets and a configuration that the restore discards."""
     for number in range(LOST_WRITES):
         for name in list(fleet.store.objects[TARGETS]):
             spec = _spec(fleet, name, sequence=number)
@@ -62,7 +65,7 @@
     snapshot: platform_store.Snapshot,
     *gateways: gateway_lib.Gateway,
 ) -> None:
-    """Takes the store away for a moment and restores it from a copy."""
+    """Restores the store from a snapshot during an outage."""
     fleet.store.faults.refuses = True
     for gateway in gateways:
         followers = gateway.knowledge.followers.values()
@@ -79,13 +82,13 @@
 
 
 def test_a_leaving_target_gets_no_work_after_the_store_was_restored() -> None:
-    """Guards against entries that pass for old since revisions went back."""
+    """Guards against ignoring new entries whose revision is reused."""
 
     async def play() -> None:
         async with fixtures.running_fleet(engines=0, plain=2) as fleet:
             gateway = fleet.gateway
             snapshot = fleet.store.snapshot()
-            _write_lost(fleet)
+            _write_discarded(fleet)
             await _has_read_all(fleet, gateway)
             await _restore(fleet, snapshot, gateway)
             await _has_read_all(fleet, gateway)
@@ -99,7 +102,7 @@
 
 
 def test_a_restored_entry_does_not_bring_a_leaving_target_back() -> None:
-    """Guards against a copy from before the target said that it leaves."""
+    """Guards against a snapshot taken before the target began to leave."""
 
     async def play() -> None:
         async with fixtures.running_fleet(engines=0, plain=2) as fleet:
@@ -117,7 +120,7 @@
 
 
 def test_a_restored_entry_does_not_bring_a_removed_target_back() -> None:
-    """Guards against a copy from before the target was removed."""
+    """Guards against a snapshot taken before the target was removed."""
 
     async def play() -> None:
         async with fixtures.running_fleet(engines=0, plain=2) as fleet:
@@ -134,7 +137,7 @@
 
 
 def test_a_target_of_the_lost_time_is_kept_until_it_registers_again() -> None:
-    """Guards against a missing entry that passes for a target that ended."""
+    """Guards against dropping a running target whose entry was discarded."""
 
     async def play() -> None:
         async with fixtures.running_fleet(engines=0, plain=1) as fleet:
@@ -154,7 +157,7 @@
 
 
 def test_a_store_restored_between_two_calls_is_noticed() -> None:
-    """Guards against a restored copy that no outage announces."""
+    """Guards against missing a restore that no failed call precedes."""
 
     async def play() -> None:
         async with fixtures.running_fleet(engines=0, plain=1) as fleet:
@@ -171,7 +174,7 @@
 
 
 def test_a_watch_over_a_restored_store_misses_nothing() -> None:
-    """Guards against a revision that was given out again before the watch."""
+    """Guards against resuming a watch from a revision that was reused."""
 
     async def play() -> None:
         async with fixtures.running_fleet(engines=0, plain=2) as fleet:
@@ -191,7 +194,7 @@
 
 
 def test_a_peer_tells_of_a_restored_store() -> None:
-    """Guards against a gateway without the store that takes news for old."""
+    """Guards against ignoring a peer's entries of a later era."""
 
     async def play() -> None:
         async with fixtures.running_fleet(engines=0, plain=2) as fleet:
@@ -199,7 +202,7 @@
             cut_off = await fleet.add_gateway(store_host=fleet.store_road)
             await fleet.until(lambda: not cut_off.ready(), "it is up")
             snapshot = fleet.store.snapshot()
-            _write_lost(fleet)
+            _write_discarded(fleet)
             await _has_read_all(fleet, fleet.gateway)
             await _has_read_all(fleet, cut_off)
             faults.refuses = True
@@ -222,7 +225,7 @@
 
 
 def test_what_is_kept_of_crashes_is_written_again() -> None:
-    """Guards against a quarantine that is lost with the store and a restart."""
+    """Guards against losing a quarantine with the store's records."""
 
     async def play() -> None:
         async with fixtures.running_fleet(engines=0, plain=2) as fleet:
@@ -252,8 +255,94 @@
     fixtures.run(play)
 
 
-def test_a_late_answer_of_the_store_before_is_not_taken() -> None:
-    """Guards against entries of a former era that are read after its end."""
+def _listing(**fields: Any) -> roster_lib.Listing:
+    defaults = {
+        "instance": "i-1",
+        "service": platform_site.PLAIN,
+        "address": "10.0.0.1:80",
+        "failure_domain": "north",
+        "leaving": False,
+        "slot_count": 8,
+        "listed_at": 10,
+        "changed_at": 60,
+        "born_ms": 1,
+        "era": 1,
+    }
+    return roster_lib.Listing(**(defaults | fields))
+
+
+def test_restored_twice_the_newest_era_counts() -> None:
+    """Guards against handling only the first restore."""
+    roster = roster_lib.Roster(2_500)
+    roster.upsert(_listing(changed_at=84))
+    roster.upsert(_listing(changed_at=72, leaving=True, era=2))
+    roster.upsert(_listing(changed_at=80, era=1))
+    assert roster.members["i-1"].listing.leaving
+    # The second copy predates the entry that marks the target as leaving.
+    roster.upsert(_listing(changed_at=65, era=3))
+    assert roster.members["i-1"].listing.leaving
+    roster.upsert(_listing(changed_at=90, leaving=True, era=3))
+    assert roster.members["i-1"].listing.changed_position.era == 3
+
+
+def test_a_restored_target_is_used_if_the_list_goes_on_naming_it() -> None:
+    """Guards against withholding a listed target indefinitely."""
+    roster = roster_lib.Roster(2_500)
+    roster.upsert(_listing())
+    assert roster.remove("i-1", 1_000)
+    assert roster.upsert(_listing(era=2)) is None
+    assert not roster.release_restored(1_001)
+    later_ms = 1_000 + roster_lib.REMOVED_RETENTION_MS
+    (member,) = roster.release_restored(later_ms)
+    assert roster.usable(platform_site.PLAIN, later_ms) == [member]
+
+
+def test_a_target_that_registers_again_is_used_at_once() -> None:
+    """Guards against withholding an entry newer than the removal."""
+    roster = roster_lib.Roster(2_500)
+    roster.upsert(_listing())
+    assert roster.remove("i-1", 1_000)
+    assert roster.upsert(_listing(era=2, changed_at=61)) is not None
+
+
+def test_a_new_start_is_used_whatever_the_copy_says() -> None:
+    """Guards against applying a removal to another start of a target."""
+    roster = roster_lib.Roster(2_500)
+    roster.upsert(_listing())
+    assert roster.remove("i-1", 1_000)
+    assert roster.upsert(_listing(era=2, changed_at=50, born_ms=2)) is not None
+
+
+def test_a_restored_entry_of_a_former_start_does_not_end_the_present_one() -> (
+    None
+):
+    """Guards against marking the running start as over, and ignoring it."""
+    roster = roster_lib.Roster(2_500)
+    roster.upsert(_listing(changed_at=84, born_ms=2))
+    roster.begin_grace(1_000)
+    roster.upsert(_listing(era=2, born_ms=1))
+    assert not roster.release_restored(1_001)
+    assert roster.members["i-1"].listing.born_ms == 2
+    roster.upsert(_listing(era=2, changed_at=61, born_ms=2, leaving=True))
+    assert not roster.release_restored(5_000)
+    assert not roster.usable(platform_site.PLAIN, 5_000)
+
+
+def test_a_start_that_registers_at_a_reused_revision_is_used() -> None:
+    """Guards against withholding a new start indefinitely."""
+    roster = roster_lib.Roster(2_500)
+    roster.upsert(_listing(changed_at=84))
+    roster.begin_grace(1_000)
+    roster.upsert(_listing(era=2, changed_at=61, born_ms=3))
+    (member,) = roster.release_restored(5_000)
+    assert member.listing.born_ms == 3
+    # The previous start is not marked as over and may register again.
+    roster.upsert(_listing(era=2, changed_at=70, born_ms=1))
+    assert roster.members["i-1"].listing.born_ms == 1
+
+
+def test_a_late_answer_of_a_former_era_is_rejected() -> None:
+    """Guards against applying a delayed answer from before a restore."""
 
     async def play() -> None:
         async with fixtures.running_fleet(engines=0, plain=1) as fleet:
--- a/tests/stack/test_proofs.py
+++ b/tests/stack/test_proofs.py
@@ -38,6 +38,7 @@
         runner.run(starts.StartsMachine, seed=seed, examples=100, steps=60)
     assert starts.COUNTS["fault restart"] > 100
     assert starts.COUNTS["fault late write"] > 20
+    assert starts.COUNTS["fault restore"] > 100
 
 
 def test_no_window_exceeds_a_usage_cap() -> None:
