State machine of starts: three more seeds

Found by a run of two test modules alone: 'fault late write' was counted 19 times, more than 20 are wanted; 31 with no other module, 62 with the soak's tests, on the same five seeds. Hypothesis draws constants from the modules that are imported, so a seed does not fix the runs by itself. Eight seeds keep the bound as it is; the machine's rules are unchanged.

--- a/tests/stack/test_proofs.py
+++ b/tests/stack/test_proofs.py
@@ -34,7 +34,7 @@
 
 def test_nothing_of_a_former_start_is_believed() -> None:
     """Restarts under one name; entries, words and reports in any order."""
-    for seed in (1, 2, 8, 9, 210):
+    for seed in (1, 2, 3, 4, 5, 8, 9, 210):
         runner.run(starts.StartsMachine, seed=seed, examples=100, steps=60)
     assert starts.COUNTS["fault restart"] > 100
     assert starts.COUNTS["fault late write"] > 20
