Soak: add targets that advertise a rate limit

The rate_limit fault makes a target advertise a limit of 2 requests a second for at least 6 s. The judge counts the requests that reach the target in windows of 4 s, starting 3 s after the limit began. It counts only requests from gateways that had passed the limit on at least half a second before and had not been restarted or paused since.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -107,20 +107,20 @@
         if leaves:
             wait_s = self._random.uniform(*LEAVE_S)
         pieces: list[bytes] = []
-        status, whole, ended, leaver = 0, False, False, ""
+        whole, ended, head = False, False, None
         try:
             async with asyncio.timeout(wait_s):
-                status, whole, leaver = await _read(connection, pieces)
+                head, whole = await _read(connection, pieces)
                 ended = True
         except TimeoutError:
             pass
         if not (whole and connection.finish()):
             connection.close()
             self._connection = None
-        if leaver:
-            self._history.leavers.append(
-                history_lib.Leaver(self._gateway, leaver, history_lib.now_ms())
-            )
+        status = 0
+        if head is not None:
+            status = head.status
+            self._record_target_state(head)
         self._history.attempts.append(
             history_lib.Attempt(
                 attempt_id=attempt_id,
@@ -137,27 +137,37 @@
             )
         )
 
+    def _record_target_state(self, head: http_client.Head) -> None:
+        """Records whether the target is leaving or advertises a rate limit."""
+        signature = head.get(b"x-server-signature") or b""
+        target = signature.decode().partition(".")[2]
+        now_ms = history_lib.now_ms()
+        if head.get(b"server-leaving"):
+            self._history.leavers.append(
+                history_lib.Leaver(self._gateway, target, now_ms)
+            )
+        if head.get(b"server-limit"):
+            self._history.limited_responses.append(
+                history_lib.LimitedResponse(self._gateway, target, now_ms)
+            )
+
 
 async def _read(
     connection: http_client.Connection, pieces: list[bytes]
-) -> tuple[int, bool, str]:
+) -> tuple[http_client.Head | None, bool]:
     """Reads an answer.
 
     Returns:
-        Its status, whether it ended whole, and the target's name if it says
-        that the target leaves.
+        The response head, or None if the connection was lost before it, and
+        whether the response is complete.
     """
     head = await connection.head()
     if isinstance(head, http_client.Lost):
-        return 0, False, ""
-    leaver = ""
-    if head.get(b"server-leaving"):
-        signature = head.get(b"x-server-signature") or b""
-        leaver = signature.decode().partition(".")[2]
+        return None, False
     while True:
         piece = await connection.chunk()
         if isinstance(piece, http_client.Lost):
-            return head.status, False, leaver
+            return head, False
         if not piece:
-            return head.status, True, leaver
+            return head, True
         pieces.append(piece)
--- a/soak/history.py
+++ b/soak/history.py
@@ -134,6 +134,38 @@
     rest_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RateLimit:
+    """A period in which a target advertised a rate limit.
+
+    Attributes:
+        target: Name of the target instance.
+        limit_per_s: The limit, in requests per second.
+        from_ms: When the period began.
+        until_ms: When the period ended.
+    """
+
+    target: str
+    limit_per_s: float
+    from_ms: int
+    until_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LimitedResponse:
+    """A response with an advertised rate limit that a gateway passed on.
+
+    Attributes:
+        gateway: Number of the gateway.
+        target: Name of the target instance.
+        at_ms: When the caller received the response.
+    """
+
+    gateway: int
+    target: str
+    at_ms: int
+
+
 @dataclasses.dataclass(slots=True)
 class History:
     """All of one run.
@@ -152,6 +184,8 @@
         poison_attempts: Attempts that end each target that runs them, by name.
         leavers: Words of targets that leave, as callers had them.
         rests: Words of targets that want no work for a while.
+        rate_limits: Periods in which targets advertised a rate limit.
+        limited_responses: Responses that callers received with a rate limit.
         keys_added_ms: When each key that changes was added.
         keys_removed_ms: When each of them was taken away.
     """
@@ -171,6 +205,10 @@
     )
     leavers: list[Leaver] = dataclasses.field(default_factory=list)
     rests: list[Rest] = dataclasses.field(default_factory=list)
+    rate_limits: list[RateLimit] = dataclasses.field(default_factory=list)
+    limited_responses: list[LimitedResponse] = dataclasses.field(
+        default_factory=list
+    )
     keys_added_ms: dict[str, int] = dataclasses.field(default_factory=dict)
     keys_removed_ms: dict[str, int] = dataclasses.field(default_factory=dict)
 
@@ -191,4 +229,10 @@
     }
     raw["leavers"] = [Leaver(**one) for one in raw.get("leavers", ())]
     raw["rests"] = [Rest(**one) for one in raw.get("rests", ())]
+    raw["rate_limits"] = [
+        RateLimit(**one) for one in raw.get("rate_limits", ())
+    ]
+    raw["limited_responses"] = [
+        LimitedResponse(**one) for one in raw.get("limited_responses", ())
+    ]
     return History(**raw)
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -36,6 +36,16 @@
 REST_SLACK_MS = 500
 # What a gateway calls the refusal of a request that ends targets.
 ENDS_TARGETS = "request_ends_targets"
+MS_PER_S = 1_000
+# Once a rate limit has been advertised for the settling time, its target may
+# receive the limit times the factor, plus the tolerance, in any window. A
+# gateway's requests count only after the grace period that follows its first
+# response with a rate limit from the target.
+RATE_LIMIT_WINDOW_MS = 4_000
+RATE_LIMIT_FACTOR = 1.5
+RATE_LIMIT_TOLERANCE = 5
+RATE_LIMIT_SETTLING_MS = 3_000
+RATE_LIMIT_GRACE_MS = 500
 SUCCESS = 200
 NOT_FOUND = 404
 UNAUTHORIZED = 401
@@ -436,6 +446,47 @@
             return
 
 
+def _limited_arrivals_ms(
+    evidence: Evidence, limit: history_lib.RateLimit
+) -> Iterator[int]:
+    """Yields when requests of gateways that had to comply arrived."""
+    first_response_ms: dict[int, int] = {}
+    for response in evidence.history.limited_responses:
+        if response.target == limit.target and response.at_ms >= limit.from_ms:
+            first_response_ms.setdefault(response.gateway, response.at_ms)
+    for arrival in evidence.history.arrivals:
+        if arrival.target != limit.target:
+            continue
+        if not limit.from_ms <= arrival.at_ms <= limit.until_ms:
+            continue
+        gateway = evidence.gateway_of(arrival.attempt_id)
+        since_ms = first_response_ms.get(gateway, limit.until_ms)
+        if arrival.at_ms < since_ms + RATE_LIMIT_GRACE_MS:
+            continue
+        if not _was_touched(evidence, gateway, since_ms, arrival.at_ms):
+            yield arrival.at_ms
+
+
+def _rate_limits(evidence: Evidence) -> Iterator[Violation]:
+    for limit in evidence.history.rate_limits:
+        window_s = RATE_LIMIT_WINDOW_MS / MS_PER_S
+        allowed = RATE_LIMIT_FACTOR * limit.limit_per_s * window_s
+        allowed += RATE_LIMIT_TOLERANCE
+        settled_ms = limit.from_ms + RATE_LIMIT_SETTLING_MS
+        window: collections.deque[int] = collections.deque()
+        for at_ms in _limited_arrivals_ms(evidence, limit):
+            window.append(at_ms)
+            while window[0] <= at_ms - RATE_LIMIT_WINDOW_MS:
+                window.popleft()
+            if at_ms >= settled_ms and len(window) > allowed:
+                yield Violation(
+                    "a target's rate limit holds over all gateways",
+                    limit.target,
+                    f"{len(window)} in a window, {allowed:.0f} allowed",
+                )
+                break
+
+
 CHECKS: tuple[Callable[[Evidence], Iterator[Violation]], ...] = (
     _at_most_once,
     _not_run_is_true,
@@ -455,6 +506,7 @@
     _named_accounts,
     _keys,
     _usage_cap,
+    _rate_limits,
 )
 
 
--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -116,6 +116,13 @@
         "",
         _seeds(420, Kind.REST),
     ),
+    mutants.Mutant(
+        "a target's rate limit holds over all gateways",
+        "radishstack/process/target_rate_limits.py",
+        "        return limit.level >= 1\n",
+        "        return True\n",
+        _seeds(460, Kind.RATE_LIMIT),
+    ),
     mutants.Mutant(
         "only a known key is served",
         "radishstack/request/admission.py",
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -34,6 +34,7 @@
     REST = "rest"
     KEYS = "keys"
     RUSH = "rush"
+    RATE_LIMIT = "rate_limit"
 
 
 # Where a kind strikes; the others have the store or the whole site.
@@ -48,6 +49,7 @@
         Kind.TARGET_FAULTS,
         Kind.LEAVE_BY_WORD,
         Kind.REST,
+        Kind.RATE_LIMIT,
         Kind.LINK_SILENT,
         Kind.LINK_RESET,
         Kind.LINK_SLOW,
--- a/soak/world.py
+++ b/soak/world.py
@@ -38,6 +38,9 @@
 # From the start of the programs to the first request, for the slowest machine.
 START_LIMIT_S = 60.0
 POLL_S = 0.05
+# The rate limit that a target advertises, and for how long at least.
+RATE_LIMIT_PER_S = 2.0
+MIN_RATE_LIMIT_S = 6.0
 # How long a target serves on after it said that it leaves, and how long an
 # address stays free before another target has it.
 LEAVES_S = 4.0
@@ -393,6 +396,8 @@
             target.rest_s = REST_S
             await asyncio.sleep(for_s)
             target.rest_s = 0.0
+        elif kind is Kind.RATE_LIMIT:
+            await self._advertise_rate_limit(place.target, for_s)
         elif kind is Kind.TARGET_FAULTS:
             target = place.target
             target.fault = self._spoil
@@ -409,6 +414,20 @@
                 await self._leave(place)
             place.busy = False
 
+    async def _advertise_rate_limit(self, target: Target, for_s: float) -> None:
+        """Has a target advertise a rate limit long enough for it to settle."""
+        if target.rate_limit is not None:
+            return
+        from_ms = history_lib.now_ms()
+        target.rate_limit = f"{RATE_LIMIT_PER_S:g}"
+        await asyncio.sleep(for_s + MIN_RATE_LIMIT_S)
+        target.rate_limit = None
+        self.history.rate_limits.append(
+            history_lib.RateLimit(
+                target.instance, RATE_LIMIT_PER_S, from_ms, history_lib.now_ms()
+            )
+        )
+
     async def _strike_site(self, kind: Kind, for_s: float) -> None:
         faults = self.store.faults
         match kind:
--- a/tests/fleet/test_soak.py
+++ b/tests/fleet/test_soak.py
@@ -249,6 +249,35 @@
     assert _broken(resting) == {"a target that asks for rest gets it"}
 
 
+def test_the_judge_finds_a_rate_limit_that_is_exceeded() -> None:
+    """Guards against a judge that counts no request beyond a limit."""
+    limited = _history()
+    from_ms = 100_000
+    limited.rate_limits.append(
+        history_lib.RateLimit("i", 1.0, from_ms, from_ms + 9_000)
+    )
+    for number in range(20):
+        name = f"l{number}"
+        at_ms = from_ms + 4_000 + number
+        attempt = dataclasses.replace(
+            limited.attempts[1], attempt_id=name, status=500, sent_at_ms=at_ms
+        )
+        limited.attempts.append(attempt)
+        limited.arrivals.append(history_lib.Arrival(name, "i", at_ms, True))
+    promise = "a target's rate limit holds over all gateways"
+    assert promise not in _broken(limited)
+    limited.limited_responses.append(
+        history_lib.LimitedResponse(0, "i", from_ms + 100)
+    )
+    assert promise in _broken(limited)
+    limited.events.append(
+        history_lib.Event(
+            "gateway_kill", "gateway-0", from_ms + 200, from_ms + 300
+        )
+    )
+    assert promise not in _broken(limited)
+
+
 def test_a_history_is_judged_again_from_its_file() -> None:
     """Evidence that is kept must say the same later."""
     with tempfile.TemporaryDirectory() as folder:
