Soak: add a store that is restored from an older copy

What the operator and targets wrote in between is written again within 2 s. The stand-in's delete now ignores objects that the restored store does not have.

--- a/packages/standins/src/standins/platform_store.py
+++ b/packages/standins/src/standins/platform_store.py
@@ -80,9 +80,11 @@
         self._note(kind, {"object": kinds[name], "deleted": False})
 
     def delete(self, kind: str, name: str) -> None:
-        """Removes an object."""
+        """Removes an object if it exists."""
+        gone = self.objects.get(kind, {}).pop(name, None)
+        if gone is None:
+            return
         self.revision += 1
-        gone = self.objects[kind].pop(name)
         self._note(kind, {"object": gone, "deleted": True})
 
     def _note(self, kind: str, event: dict[str, Any]) -> None:
--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -116,6 +116,13 @@
         "",
         _seeds(420, Kind.REST),
     ),
+    mutants.Mutant(
+        "a leaving target gets no work",
+        "radishstack/process/roster.py",
+        "        older = listing.changed_position < known.changed_position\n",
+        "        older = listing.changed_at < known.changed_at\n",
+        _seeds(470, Kind.STORE_RESTORED, Kind.TARGET_LEAVE, Kind.VERSION),
+    ),
     mutants.Mutant(
         "a target's rate limit holds over all gateways",
         "radishstack/process/target_rate_limits.py",
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -35,6 +35,7 @@
     KEYS = "keys"
     RUSH = "rush"
     RATE_LIMIT = "rate_limit"
+    STORE_RESTORED = "store_restored"
 
 
 # Where a kind strikes; the others have the store or the whole site.
--- a/soak/world.py
+++ b/soak/world.py
@@ -38,6 +38,12 @@
 # From the start of the programs to the first request, for the slowest machine.
 START_LIMIT_S = 60.0
 POLL_S = 0.05
+# How long the store refuses calls before it is restored, and the maximum delay
+# before lost objects are written again.
+RESTORE_OUTAGE_S = 0.3
+MAX_REWRITE_DELAY_S = 2.0
+# Kinds of objects that the operator and targets write.
+REWRITTEN_KINDS = frozenset({"servers", "config", "versions"})
 # The rate limit that a target advertises, and for how long at least.
 RATE_LIMIT_PER_S = 2.0
 MIN_RATE_LIMIT_S = 6.0
@@ -454,6 +460,8 @@
                 self.store.cut_watches()
             case Kind.STORE_FORGETS:
                 self.store.compact()
+            case Kind.STORE_RESTORED:
+                await self._restore_store(for_s)
             case Kind.VERSION:
                 self._announce()
             case Kind.CONFIGURATION:
@@ -471,6 +479,38 @@
                     self.history, source, self._choose_gateway
                 ).run(for_s + POISON_S)
 
+    async def _restore_store(self, for_s: float) -> None:
+        """Restores the store from an older copy, then rewrites lost objects."""
+        snapshot = self.store.snapshot()
+        await asyncio.sleep(for_s)
+        self.store.faults.refuses = True
+        await asyncio.sleep(RESTORE_OUTAGE_S)
+        latest = self.store.snapshot()
+        self.store.restore(snapshot)
+        self.store.faults.refuses = False
+        await asyncio.sleep(self.random.uniform(0, MAX_REWRITE_DELAY_S))
+        for kind, objects in latest.objects.items():
+            if kind in REWRITTEN_KINDS:
+                self._rewrite_objects(kind, objects, snapshot)
+
+    def _rewrite_objects(
+        self,
+        kind: str,
+        latest: dict[str, dict[str, Any]],
+        snapshot: platform_store.Snapshot,
+    ) -> None:
+        """Repeats the writes and deletions that a restore has undone."""
+        restored = snapshot.objects.get(kind, {})
+        for name in restored.keys() | latest.keys():
+            current = self.store.objects.get(kind, {}).get(name)
+            if current != restored.get(name):
+                # The object has changed since the restore.
+                continue
+            if name not in latest:
+                self.store.delete(kind, name)
+            elif latest[name] != restored.get(name):
+                self.store.put(kind, name, latest[name]["spec"])
+
     def _announce(self) -> None:
         adapter = f"a{self.random.randrange(callers.ADAPTERS)}"
         self.version += 1
