Exclude process pauses from load time estimates

Cause: both sidecars were paused, for 2.1 s and 2.6 s, with loads in progress, and took the pause for the duration of a load (30 ms there). Gateways then refused all requests that needed a load, so no further load corrected the estimate.

Evidence: process_paused with late_ms 2050 and 2631 in the sidecars' logs, the same 1496 ms in every refusal that was looked at, and no order in the last 12 s.

Change: loads in progress across a pause are no longer measured, and neither is the time without orders. The new test failed before the change (fetch_ms) and passes with it: 24 passed, 1 failed before, 25 passed after.

Open: an engine whose loads really were slow for a while is not asked for a load until a request with more patience arrives.

--- a/packages/radishstack/src/radishstack/process/adapter_keeper.py
+++ b/packages/radishstack/src/radishstack/process/adapter_keeper.py
@@ -267,6 +267,12 @@
         """Gives no orders for a while, as after standing still."""
         self.report = None
         self._hold_until_ms = until_ms
+        # Discards measurements that span the pause. They would inflate the
+        # load time estimates, gateways would reject requests that need a load
+        # here, and without further loads the estimates would stay too high.
+        self._fetched_since_ms.clear()
+        self._turn_at_ms = max(self._turn_at_ms, until_ms)
+        self._late_turn_at_ms = max(self._late_turn_at_ms, until_ms)
 
     def hear(self, demand: Demand, now_ms: int) -> bool:
         """Applies a gateway's demand.
--- a/tests/fleet/test_keeper.py
+++ b/tests/fleet/test_keeper.py
@@ -72,6 +72,27 @@
     assert order.operation is Operation.UNLOAD and order.adapter == "base/a2"
 
 
+def test_a_pause_of_the_process_is_not_learned_as_load_time() -> None:
+    """Guards against rejecting all loads after the process was paused."""
+    keeper = adapter_keeper.Keeper()
+    names = [f"base/b{number}" for number in range(3)]
+    keeper.hear(_demand(*names), 1_000)
+    for number, name in enumerate(names[:2]):
+        # The first load takes 30 ms; the second is in progress at the pause.
+        keeper.observe(_report(dict.fromkeys(names[:number], 1)))
+        order = keeper.decide(1_000 + 30 * number)
+        assert order.adapter == name
+        keeper.settled(order, 1_000 + 30 * number, refused=False)
+    fetch_ms_before_pause = keeper.load_wait(1_040).fetch_ms
+    keeper.hold(4_000)
+    keeper.hear(_demand(*names), 4_000)
+    keeper.observe(_report(dict.fromkeys(names[:2], 1)))
+    keeper.decide(4_000)
+    wait = keeper.load_wait(4_001)
+    assert wait.fetch_ms == fetch_ms_before_pause == 30
+    assert wait.gap_ms < 100
+
+
 def test_a_gateway_that_is_gone_holds_no_adapter() -> None:
     """Its uses lapse; the engine itself protects what still runs."""
     keeper = adapter_keeper.Keeper()
