Remove an unused method of the rate limits

TargetRateLimits.limit_per_s has no caller; what is shown of limits comes from report(). Behaviour is unchanged.

--- a/packages/radishstack/src/radishstack/process/target_rate_limits.py
+++ b/packages/radishstack/src/radishstack/process/target_rate_limits.py
@@ -150,11 +150,6 @@
         """Returns the number of rate-limited targets."""
         return len(self._limits)
 
-    def limit_per_s(self, start: incarnation.Start) -> float:
-        """Returns a target's rate limit, ``UNLIMITED_PER_S`` if none."""
-        limit = self._find(start)
-        return UNLIMITED_PER_S if limit is None else limit.per_s
-
     def is_limited(self, start: incarnation.Start) -> bool:
         """Whether a target has a rate limit."""
         return self._find(start) is not None
