--- a/packages/radishd/src/radishd/request/callers_port.py
+++ b/packages/radishd/src/radishd/request/callers_port.py
@@ -20,6 +20,8 @@
 from radishd.process import web
 from radishd.request import forward as forward_lib
 from radishd.request import gateway_interface
+from radishd.request import pending_request
+from radishd.request import target_selection
 
 
 class CallersPortGateway(gateway_interface.GatewayInterface, Protocol):
@@ -99,10 +101,20 @@
                 reservation, request.attempt_id, send, admitted.account_name
             )
             return
-        forward = forward_lib.Forward(
-            gateway, request, admitted, body, send, arrived_at_ms, reservation
+        service = gateway.pick_service(admitted.route)
+        spec = gateway.table.services.get(service)
+        pending = pending_request.PendingRequest(
+            request,
+            admitted,
+            service,
+            body,
+            arrived_at_ms,
+            needs_adapter=bool(
+                spec is not None and spec.adapter_limit and request.adapter
+            ),
         )
-        gateway.budget(forward.service).earn(arrived_at_ms)
+        forward = forward_lib.Forward(gateway, pending, send, reservation)
+        gateway.budget(service).earn(arrived_at_ms)
         await self._run(forward, receive)
 
     def _admit(
@@ -112,7 +124,7 @@
             self._gateway.table,
             admission.Head(request.host, request.path, request.key_digest),
             retry_after_ms=self._gateway.random_delay_ms(
-                forward_lib.NO_TARGET_RETRY_MS
+                target_selection.NO_TARGET_RETRY_MS
             ),
         )
 
@@ -163,8 +175,8 @@
             await self._handle_exception(forward, group)
         finally:
             forward.release()
-            if forward.is_trial:
-                gateway.crash_gossip.end_trial(forward.fingerprint())
+            if forward.pending.is_trial:
+                gateway.crash_gossip.end_trial(forward.pending.fingerprint())
             self._log_request(forward, left=left)
 
     async def _handle_exception(
@@ -175,12 +187,14 @@
         for error in group.exceptions:
             if isinstance(error, invariant.InvariantBrokenError):
                 code = error.code
-        logs.exception("request_broke", request=forward.request.attempt_id)
+        logs.exception(
+            "request_broke", request=forward.pending.request.attempt_id
+        )
         self._gateway.metrics.broken.inc({"code": str(code.number)})
         forward.failure = result.Failure(code, repr(group.exceptions[0]))
-        if forward.response_started:
+        if forward.pending.response_started:
             raise forward_lib.ResponseAbortedError
-        forward.state.may_have_run = forward.sent
+        forward.pending.sends.may_have_run = forward.sent
         failure = result.Failure(
             result.INTERNAL,
             "this gateway broke off the request",
@@ -204,23 +218,23 @@
         fields: dict[str, Any] = {}
         if failure is not None:
             fields["reason"] = failure.message
-        if forward.admission.account is not None:
-            fields["account"] = forward.admission.account_name
-        if forward.needs_adapter:
-            fields["adapter"] = forward.request.adapter
-        if failure is not None and forward.cached_fingerprint:
-            fields["fingerprint"] = forward.cached_fingerprint
+        if forward.pending.admission.account is not None:
+            fields["account"] = forward.pending.admission.account_name
+        if forward.pending.needs_adapter:
+            fields["adapter"] = forward.pending.request.adapter
+        if failure is not None and forward.pending.cached_fingerprint:
+            fields["fingerprint"] = forward.pending.cached_fingerprint
         self._gateway.log.write(
             "request",
-            request=forward.request.attempt_id,
-            route=forward.route.name,
-            service=forward.service,
+            request=forward.pending.request.attempt_id,
+            route=forward.pending.route.name,
+            service=forward.pending.service,
             config=self._gateway.table.version,
             status=forward.status,
             code=failure.code.number if failure is not None else 0,
             sends=forward.send_history,
-            took_ms=now_ms - forward.arrived_at_ms,
-            left_ms=forward.deadline_at_ms - now_ms,
+            took_ms=now_ms - forward.pending.arrived_at_ms,
+            left_ms=forward.pending.deadline_at_ms - now_ms,
             **fields,
         )
 
--- /dev/null
+++ b/packages/radishd/src/radishd/request/pending_request.py
@@ -0,0 +1,83 @@
+"""The state of one request while its gateway forwards it."""
+
+from radishstack.request import admission as admission_lib
+from radishstack.request import event_stream
+from radishstack.request import fingerprint as fingerprint_lib
+from radishstack.request import forwarding
+
+from radishd.platform import front
+from radishd.process import clock
+
+
+class PendingRequest:
+    """A request whose body was read and whose response is not complete.
+
+    Attributes:
+        request: Head of the request.
+        admission: Its route and client account.
+        route: Its route.
+        service: The service that serves it.
+        needs_adapter: Whether its target must hold an adapter.
+        body: Its body.
+        arrived_at_ms: When it arrived.
+        deadline_at_ms: When its caller stops waiting.
+        sends: The sends to targets.
+        events: The events of a stream that the caller received.
+        response_started: Whether the caller received a part of the response.
+        is_trial: Whether it is the trial of a quarantined request.
+        cached_fingerprint: Its fingerprint, empty until first used.
+    """
+
+    def __init__(
+        self,
+        request: front.Request,
+        admission: admission_lib.Admission,
+        service: str,
+        body: bytes,
+        arrived_at_ms: int,
+        *,
+        needs_adapter: bool,
+    ) -> None:
+        """Starts without a send.
+
+        Args:
+            request: Head of the request.
+            admission: Its route and client account.
+            service: The service that serves it.
+            body: Its body.
+            arrived_at_ms: When it arrived.
+            needs_adapter: Whether its target must hold an adapter.
+        """
+        self.request = request
+        self.admission = admission
+        self.route = route = admission.route
+        self.service = service
+        self.needs_adapter = needs_adapter
+        self.body = body
+        self.arrived_at_ms = arrived_at_ms
+        self.deadline_at_ms = arrived_at_ms + route.timeout_ms
+        if request.left_ms:
+            caller_ms = arrived_at_ms + request.left_ms
+            self.deadline_at_ms = min(self.deadline_at_ms, caller_ms)
+        self.sends = forwarding.Forwarding(route)
+        self.events = event_stream.EventStream()
+        self.events.last_id = request.last_event_id
+        self.response_started = False
+        self.is_trial = False
+        self.cached_fingerprint = ""
+
+    def fingerprint(self) -> str:
+        """Returns the fingerprint of the request, computed on first use."""
+        if not self.cached_fingerprint:
+            self.cached_fingerprint = fingerprint_lib.of_request(
+                self.request.method,
+                self.request.host,
+                self.request.target,
+                self.body,
+                self.admission.account_name,
+            )
+        return self.cached_fingerprint
+
+    def left_ms(self) -> int:
+        """Returns how long the caller still waits."""
+        return self.deadline_at_ms - clock.boot_ms()
--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -51,6 +51,7 @@
 _RATE_LIMITS_PATH = "radishstack/process/target_rate_limits.py"
 _RATE_LIMITS_PROMISE = "a rate limit that a target names holds"
 
+_SELECTION_PATH = "radishd/request/target_selection.py"
 _ROSTER_PATH = "radishstack/process/roster.py"
 _RESTORED_PROMISE = "a restored store revives no outdated entries"
 
@@ -155,7 +156,7 @@
     ),
     Mutant(
         _RATE_LIMITS_PROMISE,
-        "radishd/request/forward.py",
+        _SELECTION_PATH,
         "            or limits.may_send(member, now_ms)\n",
         "            or True\n",
         _test("fleet.test_rate_limits"),
@@ -232,7 +233,7 @@
     ),
     Mutant(
         "only a known key is served",
-        "radishd/request/forward.py",
+        _SELECTION_PATH,
         "            if failure is not None:\n"
         "                return failure\n"
         "        return self._quarantined()",
@@ -799,7 +800,7 @@
     ),
     Mutant(
         "what ends targets is refused",
-        "radishd/request/forward.py",
+        _SELECTION_PATH,
         "        if quarantine is None:\n            return None\n",
         "        if True:\n            return None\n",
         _test("fleet.test_crashes"),
@@ -912,7 +913,8 @@
     Mutant(
         "a quarantine ends with one that is tried",
         "radishd/request/callers_port.py",
-        "                gateway.crash_gossip.end_trial(forward.fingerprint())",
+        "                gateway.crash_gossip.end_trial("
+        "forward.pending.fingerprint())",
         "                pass",
         _test("fleet.test_crashes"),
     ),
