Log which software versions write the events of a stream

The logs of the incident name no software version of a target, and no line says that an attempt resumes another one, so a retry in one response, a caller's next attempt and an outdated list entry look alike. The version in the list is now decoded (unknown after a restart that only the sidecar has reported), the request line has stream_targets, resumes and after_event, target_listed has software_version, streams_continued_total counts by who resumed, and radishctl explain prints all attempts at a stream. Nothing else reads the version.

--- a/packages/radishctl/src/radishctl/explain.py
+++ b/packages/radishctl/src/radishctl/explain.py
@@ -64,12 +64,14 @@
         request_id: The request.
 
     Returns:
-        The lines of the request itself, and those on its adapter and its
-        targets from shortly before it began until shortly after it ended.
+        The lines of the request itself and of the other attempts at the same
+        stream, and those on its adapter and its targets from shortly before it
+        began until shortly after it ended.
     """
     own = [one for one in lines if one.fields.get("request") == request_id]
     if not own:
         return []
+    attempts = _stream_lines(lines, own, request_id)
     ends_ms = max(one.at_ms for one in own)
     took_ms = max(int(one.fields.get("took_ms", 0)) for one in own)
     adapters = {one.fields["adapter"] for one in own if "adapter" in one.fields}
@@ -85,7 +87,25 @@
         and one.event != "request"
         and _is_related(one, adapters, targets)
     ]
-    return sorted(own + picked, key=lambda one: one.at_ms)
+    return sorted(own + attempts + picked, key=lambda one: one.at_ms)
+
+
+def _stream_lines(
+    lines: list[Line], own: list[Line], request_id: str
+) -> list[Line]:
+    """Returns the lines of the other attempts at a request's stream."""
+    began_as = {one.fields.get("resumes") for one in own} - {None}
+    began_as = began_as or {request_id}
+    return [
+        one
+        for one in lines
+        if one.fields.get("request") != request_id
+        and one.event == "request"
+        and (
+            one.fields.get("request") in began_as
+            or one.fields.get("resumes") in began_as
+        )
+    ]
 
 
 def _is_related(line: Line, adapters: set[str], targets: set[str]) -> bool:
--- a/packages/radishd/src/radishd/platform/front.py
+++ b/packages/radishd/src/radishd/platform/front.py
@@ -16,6 +16,7 @@
 _DEADLINE = b"x-deadline-ms"
 _MODEL = b"x-model"
 _LAST_EVENT = b"last-event-id"
+_RESUMES = b"resumes"
 _INSTANCE = b"x-instance-id"
 _SIGNATURE = b"x-server-signature"
 _NOT_EXECUTED = b"x-not-executed"
@@ -91,6 +92,7 @@
         left_ms: Time until the caller's deadline, 0 if not stated.
         adapter: ``model/name``, or a base model, empty for a plain service.
         last_event_id: Event after which a stream resumes.
+        resumed_attempt_id: The attempt that began the stream, empty if none.
         headers: Headers that are forwarded to the target.
         key_digest: Digest of the API key, ``client_account.NO_KEY`` if there
             is no single well-formed one. The key itself is not forwarded.
@@ -105,6 +107,7 @@
     left_ms: int
     adapter: str
     last_event_id: bytes
+    resumed_attempt_id: str
     headers: http_client.Headers
     key_digest: bytes = dataclasses.field(repr=False)
     token_count: int | None
@@ -139,6 +142,7 @@
         left_ms=int(deadline) if deadline.isdigit() else 0,
         adapter=first.get(_MODEL, b"").decode("latin-1").strip(),
         last_event_id=first.get(_LAST_EVENT, b"").strip(),
+        resumed_attempt_id=first.get(_RESUMES, b"").decode("latin-1").strip(),
         headers=tuple(pair for pair in raw if pair[0] not in dropped),
         key_digest=_key_digest(raw),
         token_count=_token_count(first.get(_TOKEN_COUNT)),
--- a/packages/radishd/src/radishd/platform/wire.py
+++ b/packages/radishd/src/radishd/platform/wire.py
@@ -303,6 +303,7 @@
         changed_at=revision,
         era=era,
         born_ms=entry.born,
+        software_version=entry.version,
         residents=residents,
     )
 
--- a/packages/radishd/src/radishd/process/discovery.py
+++ b/packages/radishd/src/radishd/process/discovery.py
@@ -340,6 +340,7 @@
                 address=listing.address,
                 service=listing.service,
                 leaving=listing.leaving,
+                software_version=listing.software_version,
                 created=listing.listed_at,
                 revision=listing.changed_at,
                 era=listing.era,
--- a/packages/radishd/src/radishd/process/metrics.py
+++ b/packages/radishd/src/radishd/process/metrics.py
@@ -72,6 +72,11 @@
             "control_lost_total", "Datagrams that could not be sent"
         )
         self.sends = counter("sends_total", "Sends to targets by outcome")
+        self.continued_streams = counter(
+            "streams_continued_total",
+            "Streams continued by a later send, by who resumed them and by "
+            "whether it has the software version that began them",
+        )
         self.crashes = counter(
             "target_breaks_total",
             "Targets that broke answers off, by whether they had ended",
--- a/packages/radishd/src/radishd/request/callers_port.py
+++ b/packages/radishd/src/radishd/request/callers_port.py
@@ -222,6 +222,16 @@
             fields["account"] = forward.pending.admission.account_name
         if forward.pending.needs_adapter:
             fields["adapter"] = forward.pending.request.adapter
+        if forward.pending.request.resumed_attempt_id:
+            fields["resumes"] = forward.pending.request.resumed_attempt_id
+        if forward.pending.request.last_event_id:
+            event_id = forward.pending.request.last_event_id
+            fields["after_event"] = event_id.decode("latin-1")
+        if forward.pending.stream_targets:
+            fields["stream_targets"] = [
+                f"{one.instance}@{one.software_version}"
+                for one in forward.pending.stream_targets
+            ]
         if failure is not None and forward.pending.cached_fingerprint:
             fields["fingerprint"] = forward.pending.cached_fingerprint
         self._gateway.log.write(
--- a/packages/radishd/src/radishd/request/forward.py
+++ b/packages/radishd/src/radishd/request/forward.py
@@ -495,6 +495,7 @@
             if not success_recorded:
                 success_recorded = True
                 self._record_success(send)
+                self._record_stream_target(send)
             await self._send_stream_head(head)
             await self._send(
                 {
@@ -504,6 +505,21 @@
                 }
             )
 
+    def _record_stream_target(self, send: Send) -> None:
+        """Records which software version writes the next events."""
+        pending = self.pending
+        listing = send.member.listing
+        resumed_by = "gateway" if pending.stream_targets else "caller"
+        if pending.stream_targets or pending.request.last_event_id:
+            match = "unknown"
+            if pending.stream_targets:
+                began = pending.stream_targets[0].software_version
+                match = "same" if listing.software_version == began else "other"
+            self._gateway.metrics.continued_streams.inc(
+                {"resumed_by": resumed_by, "software_version": match}
+            )
+        pending.stream_targets.append(listing)
+
     async def _send_stream_head(self, head: http_client.Head) -> None:
         if self.pending.response_started:
             return
--- a/packages/radishd/src/radishd/request/pending_request.py
+++ b/packages/radishd/src/radishd/request/pending_request.py
@@ -1,5 +1,6 @@
 """The state of one request while its gateway forwards it."""
 
+from radishstack.process import roster as roster_lib
 from radishstack.request import admission as admission_lib
 from radishstack.request import event_stream
 from radishstack.request import fingerprint as fingerprint_lib
@@ -23,6 +24,8 @@
         deadline_at_ms: When its caller stops waiting.
         sends: The sends to targets.
         events: The events of a stream that the caller received.
+        stream_targets: Listings of the targets that wrote the events of the
+            stream that the caller received, in order.
         response_started: Whether the caller received a part of the response.
         is_trial: Whether it is the trial of a quarantined request.
         cached_fingerprint: Its fingerprint, empty until first used.
@@ -62,6 +65,7 @@
         self.sends = forwarding.Forwarding(route)
         self.events = event_stream.EventStream()
         self.events.last_id = request.last_event_id
+        self.stream_targets: list[roster_lib.Listing] = []
         self.response_started = False
         self.is_trial = False
         self.cached_fingerprint = ""
--- a/packages/radishstack/src/radishstack/process/roster.py
+++ b/packages/radishstack/src/radishstack/process/roster.py
@@ -64,6 +64,8 @@
         born_ms: Start time of this incarnation, 0 if unknown.
         residents: Versions of the resident adapters, by adapter.
         era: Store era of the revisions.
+        software_version: Version of the software that this incarnation runs,
+            empty if unknown. It is not a version of weights and has no order.
     """
 
     instance: str
@@ -77,6 +79,7 @@
     residents: Mapping[str, int] = dataclasses.field(default_factory=dict)
     born_ms: int = 0
     era: int = 0
+    software_version: str = ""
 
     @property
     def listed_position(self) -> store_position.StorePosition:
@@ -409,7 +412,11 @@
         if incarnation_id.born_ms in (0, former_born_ms, *member.former):
             return None
         listing = dataclasses.replace(
-            member.listing, born_ms=incarnation_id.born_ms, residents={}
+            member.listing,
+            born_ms=incarnation_id.born_ms,
+            residents={},
+            # A restart may install other software.
+            software_version="",
         )
         renewed = self._replace_member(
             listing, member.began_at, (former_born_ms,)
--- a/tests/operators/test_explain.py
+++ b/tests/operators/test_explain.py
@@ -47,3 +47,34 @@
     """The exit code is not 0, so that scripts detect the failure."""
     run = testing.CliRunner().invoke(cli.main, ["explain", "r9"], input="")
     assert run.exit_code != 0
+
+
+def test_explain_shows_all_attempts_at_a_stream() -> None:
+    """An on-call engineer sees which software version began a stream.
+
+    A caller resumes a stream at another gateway, whose request has another id.
+    """
+    lines = [
+        _line(
+            1_000,
+            "edge-1",
+            "request",
+            request="r1",
+            stream_targets=["i1@v1"],
+        ),
+        _line(
+            1_500,
+            "edge-2",
+            "request",
+            request="r2",
+            resumes="r1",
+            stream_targets=["i2@v2"],
+        ),
+        _line(1_600, "edge-2", "request", request="r3", resumes="r0"),
+    ]
+    for request_id in ("r1", "r2"):
+        run = testing.CliRunner().invoke(
+            cli.main, ["explain", request_id], input="\n".join(lines)
+        )
+        assert "i1@v1" in run.output and "i2@v2" in run.output, run.output
+        assert "r3" not in run.output
