--- a/packages/standins/src/standins/platform_engine.py
+++ b/packages/standins/src/standins/platform_engine.py
@@ -133,6 +133,7 @@
         adapter_slots: int = 4,
         event_count: int = 4,
         timing: Timing | None = None,
+        software_version: str = "v1",
     ) -> None:
         """Creates a target that does not listen yet.
 
@@ -142,6 +143,7 @@
             adapter_slots: Number of adapter slots.
             event_count: Number of events in each stream.
             timing: Durations of its operations.
+            software_version: Version of its software.
         """
         self.instance = instance
         self.born_ms = time.time_ns() // NS_PER_MS
@@ -149,6 +151,7 @@
         self.adapter_slots = adapter_slots
         self.event_count = event_count
         self.timing = timing or Timing()
+        self.software_version = software_version
         self.adapters: dict[str, int] = {}
         self.newest: dict[str, int] = {}
         self.in_transit: dict[str, int] = {}
@@ -204,7 +207,7 @@
             "service": service,
             "address": address,
             "zone": zone,
-            "version": "v1",
+            "version": self.software_version,
             "slots": 8,
             "state": "ready",
             "coldRemainingMs": 0,
