Continue streams only at the software version that began them

What callers saw: a stream that a crash had cut went on at an engine with other software, in the same response or when its caller resumed it, and the text was made of two.

Cause: a stream that goes on could be sent to any target of its service. The software version of targets was not read, and the gateway that gets a caller's next attempt did not know which target had written the first events.

Change: the target that writes a stream's first event binds the stream to its software version; a later send chooses only among targets of that version, before it looks at their health, and an invariant (9015) holds it. The gateway reports the origin of each resumable stream to two others, chosen by rendezvous hashing of the attempt id, before the first event leaves. A gateway that gets an attempt with Resumes or Last-Event-Id looks in its own records, then asks six, and rejects the attempt at once (2027) if nobody knows; without a record it goes on only if the service has had one version for longer than a stream lives, as seen by gateways whose list is current. A target of the version that is missing is 2028. A start time in the list is compared with the engine's own report before a resumable send, since a request cannot name the incarnation. New streams prefer versions that several targets run.

--- a/packages/radishd/src/radishd/gateway.py
+++ b/packages/radishd/src/radishd/gateway.py
@@ -38,6 +38,7 @@
 from radishd.process import decision_log
 from radishd.process import discovery as discovery_lib
 from radishd.process import fleet_socket
+from radishd.process import incarnation_check
 from radishd.process import kept_crashes as kept_crashes_lib
 from radishd.process import metrics as metrics_lib
 from radishd.process import notifier as notifier_lib
@@ -45,6 +46,7 @@
 from radishd.process import rate_limits
 from radishd.process import settings as settings_lib
 from radishd.process import signals
+from radishd.process import stream_origin_exchange
 from radishd.process import supervise
 from radishd.process import usage_caps
 from radishd.process import web
@@ -167,6 +169,12 @@
             metrics,
             random_source,
         )
+        self.stream_origins = stream_origin_exchange.StreamOriginExchange(
+            self._other_gateways, self._send_to_gateways, log, metrics
+        )
+        self.incarnation_check = incarnation_check.IncarnationCheck(
+            settings.name
+        )
         own_host, _ = settings_lib.split_address(self.own.peers)
         self.crash_gossip = crash_gossip_lib.CrashGossip(
             own_host,
@@ -240,7 +248,9 @@
     async def _send_to_gateways(
         self,
         addresses: Iterable[fleet_socket.Address],
-        report: fleet_wire.CrashReport | fleet_wire.RateLimitReport,
+        report: fleet_wire.CrashReport
+        | fleet_wire.RateLimitReport
+        | fleet_wire.StreamMessage,
     ) -> None:
         if self.socket is not None:
             await self.socket.send_all(addresses, report)
@@ -292,14 +302,6 @@
         budget.part = part
         return budget
 
-    def has_other_target(self, service: str, member: roster_lib.Member) -> bool:
-        """Whether another target of a service could accept a request."""
-        now_ms = clock.boot_ms()
-        return any(
-            one is not member and self.rate_limits.may_send(one, now_ms)
-            for one in self.roster.usable(service, now_ms)
-        )
-
     def release(self, address: str, connection: http_client.Connection) -> None:
         """Returns a connection to the pool after a whole response."""
         keep_s = connection.announced_keep_alive_s()
@@ -323,6 +325,8 @@
             self.crash_gossip.handle_report(datagram, sender)
         elif isinstance(datagram, fleet_wire.RateLimitReport):
             self.rate_limits.handle(datagram, sender)
+        elif isinstance(datagram, fleet_wire.StreamMessage):
+            self.stream_origins.handle(datagram, sender)
         elif isinstance(datagram, fleet_wire.StatusUpdate):
             self.sidecars.handle_status(datagram, sender)
         elif isinstance(datagram, usage_loan.Message):
@@ -343,6 +347,10 @@
             self.log.flush()
             self.crash_gossip.sweep()
             self.usage_caps.sweep()
+            self.stream_origins.observe(
+                (member.listing for member in self.roster.members.values()),
+                is_current=self.discovery.has_current_targets,
+            )
             self.placement.forget(now_ms, VIEW_TTL_MS)
             for name in self.roster.drop_expired(now_ms):
                 self.log.write("target_lapsed", target=name)
@@ -353,6 +361,7 @@
                 for member in self.roster.members.values()
             }
             self.load_requests.forget(addresses)
+            self.incarnation_check.forget(addresses)
 
     def on_process_pause(self, late_ms: int) -> None:
         """Discards state that a pause of this process made unreliable."""
@@ -363,6 +372,8 @@
         self.placement.views.clear()
         self.roster.clear_ejections()
         self.crash_gossip.request_reports_soon()
+        self.stream_origins.on_process_pause()
+        self.incarnation_check.drop_connections()
         for follower in self.discovery.followers.values():
             follower.restart()
 
@@ -462,6 +473,7 @@
             "ask_peers": gateway.discovery.ask_peers,
             "usage_caps": gateway.usage_caps.run,
             "report_rate_limits": gateway.rate_limits.run,
+            "answer_stream_queries": gateway.stream_origins.answer_queries,
             "pause_detector": functools.partial(
                 pause_detector.watch, gateway.on_process_pause
             ),
--- a/packages/radishd/src/radishd/process/discovery.py
+++ b/packages/radishd/src/radishd/process/discovery.py
@@ -231,6 +231,12 @@
         for follower in self.followers.values():
             follower.restart()
 
+    @property
+    def has_current_targets(self) -> bool:
+        """Whether the list of targets is read from the store without errors."""
+        follower = self.followers[wire.KIND_TARGETS]
+        return bool(follower.revision) and not follower.failing_since_ms
+
     def _enter_era(self, era: int, *, told_by: str) -> None:
         if era <= self._era:
             return
@@ -474,14 +480,11 @@
 
     def export_objects(self) -> dict[str, Any]:
         """Returns the known objects, for another gateway to apply."""
-        follower = self.followers[wire.KIND_TARGETS]
         # In the grace period, expired entries are missing here although their
         # targets are still in use. A gateway that took this list as complete
         # would have no target left.
-        fresh = (
-            bool(follower.revision)
-            and not follower.failing_since_ms
-            and not self._roster.in_grace_period(clock.boot_ms())
+        fresh = self.has_current_targets and not self._roster.in_grace_period(
+            clock.boot_ms()
         )
         positions = {kind: self._known_position(kind) for kind in self.known}
         # The message has one era per kind: the receiver would read a revision
--- a/packages/radishd/src/radishd/process/metrics.py
+++ b/packages/radishd/src/radishd/process/metrics.py
@@ -77,6 +77,17 @@
             "Streams continued by a later send, by who resumed them and by "
             "whether it has the software version that began them",
         )
+        self.stream_lookups = counter(
+            "stream_lookups_total",
+            "Lookups of the software version that began a stream, by source",
+        )
+        self.stream_records = gauge(
+            "stream_records", "Streams whose software version is recorded here"
+        )
+        self.stream_records_dropped = counter(
+            "stream_records_dropped_total",
+            "Records of streams that were dropped because there were too many",
+        )
         self.crashes = counter(
             "target_breaks_total",
             "Targets that broke answers off, by whether they had ended",
--- /dev/null
+++ b/packages/radishd/src/radishd/process/stream_origin_exchange.py
@@ -0,0 +1,244 @@
+"""Exchange of the origins of streams between gateways.
+
+Which gateways hold a record, and at which software version a stream continues,
+is decided in ``radishstack.process.stream_origins``.
+"""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Iterable
+
+import anyio
+from radishstack import result
+from radishstack.connection import fleet_wire
+from radishstack.process import roster as roster_lib
+from radishstack.process import stream_origins
+
+from radishd.process import clock
+from radishd.process import decision_log
+from radishd.process import fleet_socket
+from radishd.process import metrics as metrics_lib
+
+MS_PER_S = 1_000
+# Queries are repeated once, since datagrams can be lost. An answer takes one
+# round trip between regions at most.
+QUERY_TIMEOUT_MS = 100
+QUERY_ATTEMPTS = 2
+# Maximum number of queries that wait for an answer; further ones are dropped
+# and repeated by their senders.
+MAX_PENDING_QUERIES = 256
+
+Send = Callable[
+    [Iterable[fleet_socket.Address], fleet_wire.StreamMessage], Awaitable[None]
+]
+
+
+class StreamOriginExchange:
+    """Origins of streams, as one gateway knows them."""
+
+    def __init__(
+        self,
+        others: Callable[[], list[fleet_socket.Address]],
+        send: Send,
+        log: decision_log.DecisionLog,
+        metrics: metrics_lib.Metrics,
+    ) -> None:
+        """Starts without records.
+
+        Args:
+            others: Returns the datagram addresses of the other gateways.
+            send: Sends a message to the given addresses.
+            log: Where lookups are logged.
+            metrics: Where lookups and records are counted.
+        """
+        self._others = others
+        self._send = send
+        self._log = log
+        self._metrics = metrics
+        self._records = stream_origins.StreamRecords()
+        self._history = stream_origins.VersionHistory()
+        self._lookups: dict[int, list[_PendingLookup]] = {}
+        self._queries: list[
+            tuple[fleet_socket.Address, fleet_wire.StreamQuery]
+        ] = []
+        self._wake = anyio.Event()
+
+    async def report(
+        self, attempt_id: str, software_version: str, retention_ms: int
+    ) -> None:
+        """Records the origin of a stream here and at its holders.
+
+        Args:
+            attempt_id: The attempt that begins the stream.
+            software_version: The software version of its target.
+            retention_ms: How long the stream may be resumed.
+        """
+        stream_id = stream_origins.stream_id_of(attempt_id)
+        self._record(stream_id, software_version, retention_ms)
+        record = fleet_wire.StreamRecord(
+            stream_id, software_version, retention_ms
+        )
+        await self._send(
+            self._select(stream_origins.holders, stream_id), record
+        )
+
+    def _record(
+        self, stream_id: int, software_version: str, retention_ms: int
+    ) -> None:
+        until_ms = clock.boot_ms() + min(
+            retention_ms, stream_origins.MAX_RETENTION_MS
+        )
+        if not self._records.record(stream_id, software_version, until_ms):
+            self._metrics.stream_records_dropped.inc({})
+            self._log.write("stream_records_full", records=len(self._records))
+
+    def _select(
+        self,
+        select: Callable[[int, Iterable[str]], list[str]],
+        stream_id: int,
+    ) -> list[fleet_socket.Address]:
+        by_host = {address[0]: address for address in self._others()}
+        return [by_host[host] for host in select(stream_id, by_host)]
+
+    async def find(
+        self,
+        attempt_id: str,
+        service: str,
+        lifetime_ms: int,
+        *,
+        request: str,
+    ) -> str | result.Failure:
+        """Finds the software version at which a stream may continue.
+
+        Args:
+            attempt_id: The attempt that began the stream, empty if not stated.
+            service: The service that serves it.
+            lifetime_ms: Longest lifetime of the service's streams.
+            request: The attempt that resumes it, for the log.
+
+        Returns:
+            The software version, or why the stream cannot continue.
+        """
+        began_ms = clock.boot_ms()
+        stream_id = stream_origins.stream_id_of(attempt_id)
+        software_version = ""
+        lookup = stream_origins.Lookup(())
+        source = "own"
+        if attempt_id:
+            software_version = self._records.find(stream_id, began_ms)
+        if not software_version:
+            lookup = await self._query(stream_id, service, lifetime_ms)
+            own_view = self._history.view(service, lifetime_ms, clock.boot_ms())
+            software_version = lookup.resolve(own_view, lifetime_ms)
+            source = "gateway" if lookup.found() else "sole_version"
+            if not software_version:
+                source = "unknown"
+        if lookup.found():
+            self._record(stream_id, software_version, lifetime_ms)
+        self._metrics.stream_lookups.inc({"source": source})
+        self._log.write(
+            "stream_origin",
+            request=request,
+            resumes=attempt_id,
+            software_version=software_version,
+            source=source,
+            answered=len(lookup.answers),
+            unanswered=len(lookup.unanswered),
+            took_ms=clock.boot_ms() - began_ms,
+        )
+        if software_version:
+            return software_version
+        return result.Failure(
+            result.STREAM_ORIGIN_UNKNOWN,
+            "the software version that began the stream is unknown; it can be "
+            "requested anew from its beginning",
+        )
+
+    async def _query(
+        self, stream_id: int, service: str, lifetime_ms: int
+    ) -> stream_origins.Lookup:
+        addresses = self._select(stream_origins.candidates, stream_id)
+        lookup = stream_origins.Lookup(host for host, _ in addresses)
+        pending = _PendingLookup(lookup)
+        self._lookups.setdefault(stream_id, []).append(pending)
+        query = fleet_wire.StreamQuery(stream_id, service, lifetime_ms)
+        try:
+            for _ in range(QUERY_ATTEMPTS):
+                if lookup.is_complete:
+                    break
+                waiting_for = [
+                    address
+                    for address in addresses
+                    if address[0] in lookup.unanswered
+                ]
+                await self._send(waiting_for, query)
+                with anyio.move_on_after(QUERY_TIMEOUT_MS / MS_PER_S):
+                    await pending.completed.wait()
+        finally:
+            self._lookups[stream_id].remove(pending)
+            if not self._lookups[stream_id]:
+                del self._lookups[stream_id]
+        return lookup
+
+    def handle(
+        self, message: fleet_wire.StreamMessage, sender: fleet_socket.Address
+    ) -> None:
+        """Handles a message of another gateway."""
+        match message:
+            case fleet_wire.StreamRecord():
+                self._record(
+                    message.stream_id,
+                    message.software_version,
+                    message.retention_ms,
+                )
+            case fleet_wire.StreamQuery():
+                if len(self._queries) < MAX_PENDING_QUERIES:
+                    self._queries.append((sender, message))
+                    self._wake.set()
+            case stream_origins.Answer():
+                for pending in self._lookups.get(message.stream_id, ()):
+                    pending.record(sender[0], message)
+
+    async def answer_queries(self) -> None:
+        """Answers the queries of other gateways until cancelled."""
+        while True:
+            await self._wake.wait()
+            self._wake = anyio.Event()
+            queries, self._queries = self._queries, []
+            for sender, query in queries:
+                await self._send((sender,), self._answer(query))
+
+    def _answer(self, query: fleet_wire.StreamQuery) -> stream_origins.Answer:
+        now_ms = clock.boot_ms()
+        return stream_origins.Answer(
+            query.stream_id,
+            self._records.find(query.stream_id, now_ms),
+            self._history.view(query.service, query.lifetime_ms, now_ms),
+        )
+
+    def observe(
+        self, listings: Iterable[roster_lib.Listing], *, is_current: bool
+    ) -> None:
+        """Records the listed software versions, and expires old state."""
+        now_ms = clock.boot_ms()
+        self._history.observe(listings, now_ms, is_current=is_current)
+        self._history.expire(now_ms)
+        self._records.expire(now_ms)
+        self._metrics.stream_records.set({}, len(self._records))
+
+    def on_process_pause(self) -> None:
+        """Handles a pause, in which versions may have come and gone."""
+        self._history.restart()
+
+
+class _PendingLookup:
+    """A lookup that a request waits for."""
+
+    def __init__(self, lookup: stream_origins.Lookup) -> None:
+        self._lookup = lookup
+        self.completed = anyio.Event()
+
+    def record(self, gateway: str, answer: stream_origins.Answer) -> None:
+        self._lookup.record(gateway, answer)
+        if self._lookup.is_complete:
+            self.completed.set()
--- a/packages/radishd/src/radishd/request/callers_port.py
+++ b/packages/radishd/src/radishd/request/callers_port.py
@@ -228,10 +228,7 @@
             event_id = forward.pending.request.last_event_id
             fields["after_event"] = event_id.decode("latin-1")
         if forward.pending.stream_targets:
-            fields["stream_targets"] = [
-                f"{one.instance}@{one.software_version}"
-                for one in forward.pending.stream_targets
-            ]
+            fields["stream_targets"] = forward.pending.stream_targets
         if failure is not None and forward.pending.cached_fingerprint:
             fields["fingerprint"] = forward.pending.cached_fingerprint
         self._gateway.log.write(
--- a/packages/radishd/src/radishd/request/forward.py
+++ b/packages/radishd/src/radishd/request/forward.py
@@ -63,9 +63,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Send:
-    """One send to one incarnation of a target."""
+    """One send to one incarnation of a target.
+
+    Attributes:
+        member: The target.
+        software_version: Version of its software, empty if unknown.
+        connection: The connection that carries the request.
+        sent_at_ms: When it was sent.
+    """
 
     member: roster_lib.Member
+    software_version: str
     connection: http_client.Connection
     sent_at_ms: int
 
@@ -206,7 +214,10 @@
             )
             if isinstance(connection, http_client.Lost):
                 return Outcome.UNSENT
-            send = self._write_request(selection, connection)
+            software_version = await self._confirm_software_version(member)
+            if not self._may_send_to(software_version):
+                return Outcome.UNSENT
+            send = self._write_request(selection, connection, software_version)
             member.health.unanswered[self] = send.sent_at_ms
             return await self._handle_response(send)
         except anyio.get_cancelled_exc_class():
@@ -224,6 +235,27 @@
             if isinstance(connection, http_client.Connection):
                 gateway.discard(connection)
 
+    async def _confirm_software_version(self, member: roster_lib.Member) -> str:
+        """Returns the software version that a target runs now.
+
+        The list may still describe a former incarnation.
+
+        Returns:
+            The version; empty if unknown or not needed.
+        """
+        if not (self.pending.route.resumable or self.pending.resumes_stream):
+            return ""
+        if not await self._gateway.incarnation_check.confirm(member.listing):
+            return ""
+        if not self._gateway.roster.is_current(member):
+            return ""
+        return member.listing.software_version
+
+    def _may_send_to(self, software_version: str) -> bool:
+        """Whether a target with a software version may continue the stream."""
+        began_at = self.pending.software_version
+        return began_at is None or began_at == software_version != ""
+
     def _record_if_unanswered(self, member: roster_lib.Member) -> None:
         """Records a send that got no response head after a long wait."""
         sent_at_ms = member.health.unanswered.pop(self, None)
@@ -236,9 +268,16 @@
         self,
         selection: target_selection.Selection,
         connection: http_client.Connection,
+        software_version: str,
     ) -> Send:
         listing = selection.member.listing
         left_ms = self.pending.left_ms()
+        invariant.require(
+            self._may_send_to(software_version),
+            result.OTHER_SOFTWARE_VERSION,
+            f"{software_version!r} instead of "
+            f"{self.pending.software_version!r}",
+        )
         invariant.require(
             not self.pending.request.left_ms
             or left_ms <= self.pending.request.left_ms,
@@ -265,7 +304,9 @@
         self._targets.use_reservation()
         self._sent_at_ms = clock.boot_ms()
         connection.send(data)
-        return Send(selection.member, connection, self._sent_at_ms)
+        return Send(
+            selection.member, software_version, connection, self._sent_at_ms
+        )
 
     async def _handle_response(self, send: Send) -> Outcome | None:
         head = await self._read_head(send)
@@ -351,9 +392,7 @@
         can_reroute = (
             self.pending.route.repeatable
             and self.pending.sends.may_use_another
-            and self._gateway.has_other_target(
-                self.pending.service, send.member
-            )
+            and self._targets.has_other(send.member)
         )
         if self.pending.response_started and self.pending.needs_adapter:
             # The target may resume after a short pause, so a stall alone is no
@@ -399,9 +438,7 @@
             and self.pending.sends.may_use_another
             and self.pending.sends.sends < forwarding.MAX_SENDS
             and self.pending.left_ms() > forwarding.MIN_REMAINING_MS
-            and self._gateway.has_other_target(
-                self.pending.service, send.member
-            )
+            and self._targets.has_other(send.member)
         )
         if may_retry and self._gateway.budget(self.pending.service).can_spend(
             clock.boot_ms()
@@ -495,7 +532,7 @@
             if not success_recorded:
                 success_recorded = True
                 self._record_success(send)
-                self._record_stream_target(send)
+                await self._record_stream_target(send)
             await self._send_stream_head(head)
             await self._send(
                 {
@@ -505,20 +542,33 @@
                 }
             )
 
-    def _record_stream_target(self, send: Send) -> None:
-        """Records which software version writes the next events."""
+    async def _record_stream_target(self, send: Send) -> None:
+        """Records which target writes the next events of the stream.
+
+        The origin of a new stream is reported before its first event is sent,
+        since this process may end at any time after that.
+        """
         pending = self.pending
-        listing = send.member.listing
-        resumed_by = "gateway" if pending.stream_targets else "caller"
-        if pending.stream_targets or pending.request.last_event_id:
-            match = "unknown"
-            if pending.stream_targets:
-                began = pending.stream_targets[0].software_version
-                match = "same" if listing.software_version == began else "other"
+        instance = send.member.listing.instance
+        if pending.stream_targets or pending.resumes_stream:
+            is_same = pending.software_version == send.software_version
             self._gateway.metrics.continued_streams.inc(
-                {"resumed_by": resumed_by, "software_version": match}
+                {
+                    "resumed_by": (
+                        "gateway" if pending.stream_targets else "caller"
+                    ),
+                    "software_version": "same" if is_same else "other",
+                }
+            )
+        elif send.software_version:
+            await self._gateway.stream_origins.report(
+                pending.request.attempt_id,
+                send.software_version,
+                pending.retention_ms,
             )
-        pending.stream_targets.append(listing)
+        if pending.software_version is None:
+            pending.software_version = send.software_version
+        pending.stream_targets.append(f"{instance}@{send.software_version}")
 
     async def _send_stream_head(self, head: http_client.Head) -> None:
         if self.pending.response_started:
--- a/packages/radishd/src/radishd/request/gateway_interface.py
+++ b/packages/radishd/src/radishd/request/gateway_interface.py
@@ -16,10 +16,12 @@
 from radishd.connection import http_client
 from radishd.connection import pool as pool_lib
 from radishd.process import crash_gossip as crash_gossip_lib
+from radishd.process import incarnation_check
 from radishd.process import load_requests as load_requests_lib
 from radishd.process import metrics as metrics_lib
 from radishd.process import notifier as notifier_lib
 from radishd.process import rate_limits
+from radishd.process import stream_origin_exchange
 from radishd.process import usage_caps
 
 
@@ -38,6 +40,8 @@
         crash_gossip: Which requests crash the targets that run them.
         usage_caps: Usage caps of client accounts.
         rate_limits: Rate limits that targets advertise.
+        stream_origins: Which software versions began streams.
+        incarnation_check: Checks which incarnation runs at an address.
         draining: Whether the process is shutting down.
         waits_end_at_ms: Until when a request may wait for an adapter while
             the process drains.
@@ -54,6 +58,8 @@
     crash_gossip: crash_gossip_lib.CrashGossip
     usage_caps: usage_caps.UsageCaps
     rate_limits: rate_limits.RateLimits
+    stream_origins: stream_origin_exchange.StreamOriginExchange
+    incarnation_check: incarnation_check.IncarnationCheck
     draining: bool
     waits_end_at_ms: int
 
@@ -70,9 +76,6 @@
     def budget(self, service: str) -> shared_budget.SharedBudget:
         """Returns this gateway's share of a service's retry budget."""
 
-    def has_other_target(self, service: str, member: roster_lib.Member) -> bool:
-        """Whether another target of a service could accept a request."""
-
     def release(self, address: str, connection: http_client.Connection) -> None:
         """Returns a connection to the pool after a complete response."""
 
--- a/packages/radishd/src/radishd/request/pending_request.py
+++ b/packages/radishd/src/radishd/request/pending_request.py
@@ -1,6 +1,6 @@
 """The state of one request while its gateway forwards it."""
 
-from radishstack.process import roster as roster_lib
+from radishstack.process import stream_origins
 from radishstack.request import admission as admission_lib
 from radishstack.request import event_stream
 from radishstack.request import fingerprint as fingerprint_lib
@@ -24,8 +24,10 @@
         deadline_at_ms: When its caller stops waiting.
         sends: The sends to targets.
         events: The events of a stream that the caller received.
-        stream_targets: Listings of the targets that wrote the events of the
-            stream that the caller received, in order.
+        software_version: The software version of the target that began the
+            stream, empty if it is unknown, None if no stream has begun.
+        stream_targets: The targets that wrote the events that the caller
+            received, in order, each as ``target@software version``.
         response_started: Whether the caller received a part of the response.
         is_trial: Whether it is the trial of a quarantined request.
         cached_fingerprint: Its fingerprint, empty until first used.
@@ -65,7 +67,8 @@
         self.sends = forwarding.Forwarding(route)
         self.events = event_stream.EventStream()
         self.events.last_id = request.last_event_id
-        self.stream_targets: list[roster_lib.Listing] = []
+        self.software_version: str | None = None
+        self.stream_targets: list[str] = []
         self.response_started = False
         self.is_trial = False
         self.cached_fingerprint = ""
@@ -82,6 +85,21 @@
             )
         return self.cached_fingerprint
 
+    @property
+    def resumes_stream(self) -> bool:
+        """Whether its caller has received the beginning of its stream."""
+        request = self.request
+        return self.route.streams and bool(
+            request.last_event_id or request.resumed_attempt_id
+        )
+
+    @property
+    def retention_ms(self) -> int:
+        """How long after its beginning the stream may be resumed."""
+        return stream_origins.retention_ms(
+            self.route.timeout_ms, self.request.left_ms
+        )
+
     def left_ms(self) -> int:
         """Returns how long the caller still waits."""
         return self.deadline_at_ms - clock.boot_ms()
--- a/packages/radishd/src/radishd/request/target_selection.py
+++ b/packages/radishd/src/radishd/request/target_selection.py
@@ -5,7 +5,9 @@
 import anyio
 from radishstack import result
 from radishstack.process import crash_evidence
+from radishstack.process import placement as placement_lib
 from radishstack.process import roster as roster_lib
+from radishstack.process import stream_origins
 from radishstack.request import admission as admission_lib
 from radishstack.request import waiting as waiting_lib
 
@@ -61,6 +63,9 @@
             The target, or why the request cannot be sent.
         """
         gateway = self._gateway
+        failure = await self._find_stream_origin()
+        if failure is not None:
+            return failure
         if not self._pending.needs_adapter:
             rejection = self._rejection()
             if rejection is not None:
@@ -74,6 +79,26 @@
             return Selection(member, 0)
         return await self._choose_engine()
 
+    async def _find_stream_origin(self) -> result.Failure | None:
+        """Finds at which software version a resumed stream may continue.
+
+        Returns:
+            Why it cannot continue, None if it can or is no resumed stream.
+        """
+        pending = self._pending
+        if not pending.resumes_stream or pending.software_version is not None:
+            return None
+        found = await self._gateway.stream_origins.find(
+            pending.request.resumed_attempt_id,
+            pending.service,
+            pending.retention_ms,
+            request=pending.request.attempt_id,
+        )
+        if isinstance(found, result.Failure):
+            return found
+        pending.software_version = found
+        return None
+
     def _rejection(self) -> result.Failure | None:
         """Returns the rejection of the request, None if it may be sent."""
         if not self._pending.response_started:
@@ -116,7 +141,7 @@
         return [
             member
             for member in self._gateway.roster.usable(
-                self._pending.service, now_ms
+                self._pending.service, now_ms, self._pending.software_version
             )
             if self._pending.sends.allows(member.listing.instance)
         ]
@@ -186,9 +211,7 @@
                 if gateway.draining:
                     waiting.limit_until(gateway.waits_end_at_ms)
                 usable = self._usable_targets(now_ms)
-                choice = gateway.placement.choose(
-                    adapter, usable, now_ms, waiting.patience(now_ms)
-                )
+                choice = self._choose(usable, now_ms, waiting.patience(now_ms))
                 member = choice.send or choice.load
                 if member is not None:
                     # Reserved before the load, because a load at a limited
@@ -216,6 +239,26 @@
         finally:
             gateway.load_requests.drop(load_request)
 
+    def _choose(
+        self,
+        usable: list[roster_lib.Member],
+        now_ms: int,
+        wait_limits: placement_lib.WaitLimits,
+    ) -> placement_lib.Choice:
+        """Chooses a target, for a new stream one that others can replace."""
+        pending = self._pending
+        placement = self._gateway.placement
+        adapter = pending.request.adapter
+        if pending.route.resumable and pending.software_version is None:
+            replaceable = stream_origins.replaceable(usable)
+            if len(replaceable) < len(usable):
+                choice = placement.choose(
+                    adapter, replaceable, now_ms, wait_limits
+                )
+                if choice.send is not None:
+                    return choice
+        return placement.choose(adapter, usable, now_ms, wait_limits)
+
     def _due_at_ms(self) -> int:
         """Returns the latest send time that meets the latency objective."""
         if self._pending.response_started:
@@ -238,6 +281,8 @@
                 self._pending.service, limited
             )
         code = result.NO_TARGET
+        if self._pending.software_version is not None:
+            code = result.SOFTWARE_VERSION_UNAVAILABLE
         if self._pending.sends.may_have_run:
             code = result.OUTCOME_UNKNOWN
         retry_after_ms = self._gateway.random_delay_ms(NO_TARGET_RETRY_MS)
@@ -246,10 +291,28 @@
         )
         return result.Failure(
             code,
-            f"no target of {self._pending.service} can take it",
+            f"no target of {self._pending.service} can take it"
+            + self._version_condition(),
             backoff_ms + retry_after_ms,
         )
 
+    def _version_condition(self) -> str:
+        software_version = self._pending.software_version
+        if software_version is None:
+            return ""
+        return f" at software version {software_version or 'unknown'}"
+
+    def has_other(self, member: roster_lib.Member) -> bool:
+        """Whether another target could accept the request."""
+        now_ms = clock.boot_ms()
+        return any(
+            one is not member
+            and self._gateway.rate_limits.may_send(one, now_ms)
+            for one in self._gateway.roster.usable(
+                self._pending.service, now_ms, self._pending.software_version
+            )
+        )
+
     def can_continue_elsewhere(self, member: roster_lib.Member) -> bool:
         """Whether another target could resume the stream now."""
         now_ms = clock.boot_ms()
--- a/packages/radishstack/src/radishstack/connection/fleet.capnp
+++ b/packages/radishstack/src/radishstack/connection/fleet.capnp
@@ -10,6 +10,9 @@
     usageAsk @3 :UsageAsk;
     usageLoan @4 :UsageLoan;
     rateLimitReport @5 :RateLimitReport;
+    streamRecord @6 :StreamRecord;
+    streamQuery @7 :StreamQuery;
+    streamAnswer @8 :StreamAnswer;
   }
 }
 
@@ -131,3 +134,30 @@
   # How long ago the response was received.
   agoMs @4 :UInt32;
 }
+
+struct StreamRecord {
+  # Reports to another gateway which software version began a stream.
+  streamId @0 :UInt64;
+  softwareVersion @1 :Text;
+  # How long the stream may be resumed.
+  retentionMs @2 :UInt32;
+}
+
+struct StreamQuery {
+  # Asks another gateway for the origin of a stream that a caller resumes.
+  streamId @0 :UInt64;
+  service @1 :Text;
+  # Longest lifetime of a stream of the service.
+  lifetimeMs @2 :UInt32;
+}
+
+struct StreamAnswer {
+  streamId @0 :UInt64;
+  # The software version that began the stream, empty if unknown.
+  softwareVersion @1 :Text;
+  # Whether the gateway observed several software versions of the service within
+  # the lifetime, otherwise the only one and how long it has observed it.
+  isMixed @2 :Bool;
+  soleVersion @3 :Text;
+  soleForMs @4 :UInt32;
+}
--- a/packages/radishstack/src/radishstack/connection/fleet_wire.py
+++ b/packages/radishstack/src/radishstack/connection/fleet_wire.py
@@ -18,6 +18,7 @@
 from radishstack.process import adapter_keeper
 from radishstack.process import crash_evidence
 from radishstack.process import incarnation
+from radishstack.process import stream_origins
 from radishstack.process import target_rate_limits
 from radishstack.process import usage_loan
 
@@ -25,6 +26,8 @@
 # Maximum entries of a list in one datagram; the sender counts and logs the
 # omitted ones.
 MAX_ENTRIES = 256
+# The largest time that fits in a 32-bit field.
+MAX_SOLE_FOR_MS = 0xFFFFFFFF
 # The largest count or time that fits in a 16-bit field.
 MAX_COUNT = 0xFFFF
 
@@ -137,11 +140,43 @@
     ago_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamRecord:
+    """Reports to another gateway which software version began a stream.
+
+    Attributes:
+        stream_id: The stream.
+        software_version: The software version of its first target.
+        retention_ms: How long the stream may be resumed.
+    """
+
+    stream_id: int
+    software_version: str
+    retention_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamQuery:
+    """Asks another gateway for the origin of a stream.
+
+    Attributes:
+        stream_id: The stream.
+        service: The service that serves it.
+        lifetime_ms: Longest lifetime of the service's streams.
+    """
+
+    stream_id: int
+    service: str
+    lifetime_ms: int
+
+
+StreamMessage = StreamRecord | StreamQuery | stream_origins.Answer
 Datagram = (
     DemandDatagram
     | StatusUpdate
     | CrashReport
     | RateLimitReport
+    | StreamMessage
     | usage_loan.Message
 )
 
@@ -309,6 +344,38 @@
     return _wire.FleetDatagram.new_message(usageLoan=body).to_bytes_packed()
 
 
+@encode.register
+def _(datagram: StreamRecord) -> bytes:
+    body = {
+        "streamId": datagram.stream_id,
+        "softwareVersion": datagram.software_version,
+        "retentionMs": datagram.retention_ms,
+    }
+    return _wire.FleetDatagram.new_message(streamRecord=body).to_bytes_packed()
+
+
+@encode.register
+def _(datagram: StreamQuery) -> bytes:
+    body = {
+        "streamId": datagram.stream_id,
+        "service": datagram.service,
+        "lifetimeMs": datagram.lifetime_ms,
+    }
+    return _wire.FleetDatagram.new_message(streamQuery=body).to_bytes_packed()
+
+
+@encode.register
+def _(datagram: stream_origins.Answer) -> bytes:
+    body = {
+        "streamId": datagram.stream_id,
+        "softwareVersion": datagram.software_version,
+        "isMixed": datagram.view.is_mixed,
+        "soleVersion": datagram.view.sole_version,
+        "soleForMs": min(datagram.view.sole_for_ms, MAX_SOLE_FOR_MS),
+    }
+    return _wire.FleetDatagram.new_message(streamAnswer=body).to_bytes_packed()
+
+
 def _encode_holdings(versions: Mapping[str, int]) -> list[dict[str, Any]]:
     by_base: dict[str, dict[str, Any]] = {}
     for name, version in versions.items():
@@ -357,6 +424,12 @@
                 return _decode_crash_report(message.crashReport)
             case "rateLimitReport":
                 return _decode_rate_limit_report(message.rateLimitReport)
+            case "streamRecord":
+                return _decode_stream_record(message.streamRecord)
+            case "streamQuery":
+                return _decode_stream_query(message.streamQuery)
+            case "streamAnswer":
+                return _decode_stream_answer(message.streamAnswer)
             case "usageAsk":
                 return _decode_usage_ask(message.usageAsk)
             case "usageLoan":
@@ -438,6 +511,21 @@
     return RateLimitReport(incarnation_id, limit_per_s, body.agoMs)
 
 
+def _decode_stream_record(body: object) -> StreamRecord:
+    return StreamRecord(body.streamId, body.softwareVersion, body.retentionMs)
+
+
+def _decode_stream_query(body: object) -> StreamQuery:
+    return StreamQuery(body.streamId, body.service, body.lifetimeMs)
+
+
+def _decode_stream_answer(body: object) -> stream_origins.Answer:
+    view = stream_origins.VersionView(
+        body.isMixed, body.soleVersion, body.soleForMs
+    )
+    return stream_origins.Answer(body.streamId, body.softwareVersion, view)
+
+
 def _decode_usage_ask(body: object) -> usage_loan.LoanRequest:
     return usage_loan.LoanRequest(
         body.account,
--- a/packages/radishstack/src/radishstack/process/roster.py
+++ b/packages/radishstack/src/radishstack/process/roster.py
@@ -99,6 +99,12 @@
         """
         return self.era > known.era and self.changed_at <= known.changed_at
 
+    def runs_software(self, software_version: str) -> bool:
+        """Whether the target is known to run a version of its software."""
+        return bool(software_version) and (
+            self.software_version == software_version
+        )
+
     @property
     def incarnation_id(self) -> incarnation.IncarnationId:
         """The incarnation of the target that the entry describes."""
@@ -482,16 +488,28 @@
         )
         return known[len(known) // 2] if known else 0.0
 
-    def usable(self, service: str, now_ms: int) -> list[Member]:
+    def usable(
+        self, service: str, now_ms: int, software_version: str | None = None
+    ) -> list[Member]:
         """Returns the targets that may get new requests.
 
-        Ejections never empty a service. If all targets are ejected, the cause
+        Ejections never empty the result. If all targets are ejected, the cause
         is more likely this process or its links.
+
+        Args:
+            service: The service.
+            now_ms: Now.
+            software_version: The only acceptable version of their software,
+                None for any. Targets whose version is unknown match no version.
         """
         active = [
             member
             for member in self._active_members(service, now_ms)
             if member.health.backoff_until_ms <= now_ms
+            and (
+                software_version is None
+                or member.listing.runs_software(software_version)
+            )
         ]
         healthy = [
             member
--- /dev/null
+++ b/packages/radishstack/src/radishstack/process/stream_origins.py
@@ -0,0 +1,296 @@
+"""Decides at which software version a resumed stream may continue.
+
+The targets of a service may run several versions of their software, without an
+order. What two versions write does not fit together, and targets do not check
+it, so a stream may continue only at the version that began it. Its caller may
+resume it at any gateway, often because the first one failed. Gateways therefore
+report the origin of each resumable stream to a few others before they send its
+first event, and ask those others before they continue a stream that they do not
+know.
+
+Without a record, a stream still continues if its service has had a single
+software version for longer than any of its streams lives.
+"""
+
+import collections
+from collections.abc import Iterable
+import dataclasses
+
+import xxhash
+
+from radishstack.process import rendezvous
+from radishstack.process import roster as roster_lib
+
+# Gateways that hold the record of a stream, besides the one that began it.
+HOLDER_COUNT = 2
+# Gateways that are asked for a record. More than hold it, because gateways that
+# joined or left in the meantime change the rendezvous order.
+QUERY_COUNT = 6
+# Time after its caller's deadline for which a stream can still be resumed. It
+# covers clients whose deadline starts later than that of the gateway.
+RETENTION_MARGIN_MS = 5_000
+# Longest time for which a record is kept, whatever deadline a caller states.
+MAX_RETENTION_MS = 120_000
+# Maximum number of records of one gateway, about 5 MB.
+MAX_RECORDS = 20_000
+
+
+def stream_id_of(attempt_id: str) -> int:
+    """Returns the identifier of a stream from the attempt that began it."""
+    return xxhash.xxh3_64_intdigest(attempt_id.encode("utf-8", "replace"))
+
+
+def holders(stream_id: int, gateways: Iterable[str]) -> list[str]:
+    """Returns the gateways to which the origin of a stream is reported."""
+    return rendezvous.order(str(stream_id), gateways, HOLDER_COUNT)
+
+
+def candidates(stream_id: int, gateways: Iterable[str]) -> list[str]:
+    """Returns the gateways that are asked for the origin of a stream."""
+    return rendezvous.order(str(stream_id), gateways, QUERY_COUNT)
+
+
+def retention_ms(timeout_ms: int, caller_left_ms: int) -> int:
+    """Returns how long after its beginning a stream may be resumed.
+
+    Args:
+        timeout_ms: Timeout of its route.
+        caller_left_ms: Time until its caller's deadline, 0 if not stated.
+    """
+    lifetime_ms = max(timeout_ms, caller_left_ms) + RETENTION_MARGIN_MS
+    return min(lifetime_ms, MAX_RETENTION_MS)
+
+
+def replaceable(
+    targets: list[roster_lib.Member],
+) -> list[roster_lib.Member]:
+    """Returns the targets that share their software version with another one.
+
+    A stream that begins at the only target of a version cannot continue if that
+    target fails.
+    """
+    counts = collections.Counter(
+        member.listing.software_version for member in targets
+    )
+    return [
+        member
+        for member in targets
+        if member.listing.software_version
+        and counts[member.listing.software_version] > 1
+    ]
+
+
+class StreamRecords:
+    """Origins of streams that may still be resumed."""
+
+    def __init__(self) -> None:
+        """Starts without records."""
+        self._records: dict[int, tuple[str, int]] = {}
+
+    def __len__(self) -> int:
+        """Returns the number of records."""
+        return len(self._records)
+
+    def record(
+        self, stream_id: int, software_version: str, until_ms: int
+    ) -> bool:
+        """Records which software version began a stream.
+
+        Args:
+            stream_id: The stream.
+            software_version: The version.
+            until_ms: When the record expires.
+
+        Returns:
+            Whether there was room; otherwise the oldest record is dropped.
+        """
+        has_room = len(self._records) < MAX_RECORDS
+        if stream_id in self._records:
+            # The origin of a stream never changes.
+            return True
+        if not has_room:
+            del self._records[next(iter(self._records))]
+        self._records[stream_id] = (software_version, until_ms)
+        return has_room
+
+    def find(self, stream_id: int, now_ms: int) -> str:
+        """Returns the software version of a stream, empty if unknown."""
+        software_version, until_ms = self._records.get(stream_id, ("", 0))
+        return software_version if now_ms < until_ms else ""
+
+    def expire(self, now_ms: int) -> None:
+        """Drops expired records."""
+        self._records = {
+            stream_id: record
+            for stream_id, record in self._records.items()
+            if now_ms < record[1]
+        }
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class VersionView:
+    """What one gateway knows of the software versions of a service.
+
+    Attributes:
+        is_mixed: Whether it observed several versions, or an unknown one,
+            within the lifetime of a stream.
+        sole_version: Otherwise the only version, empty if it does not know one
+            or its list of targets may be outdated.
+        sole_for_ms: How long it has observed only that version.
+    """
+
+    is_mixed: bool = False
+    sole_version: str = ""
+    sole_for_ms: int = 0
+
+
+NO_VIEW = VersionView()
+
+
+class VersionHistory:
+    """Software versions of each service that one gateway has observed."""
+
+    def __init__(self) -> None:
+        """Starts without observations."""
+        self._since_ms: dict[str, int] = {}
+        self._last_seen_ms: dict[str, dict[str, int]] = {}
+
+    def observe(
+        self,
+        listings: Iterable[roster_lib.Listing],
+        now_ms: int,
+        *,
+        is_current: bool,
+    ) -> None:
+        """Records the software versions of the listed targets.
+
+        Args:
+            listings: The listed targets.
+            now_ms: Now.
+            is_current: Whether the list is up to date. While it is not, a
+                version may come and go unnoticed.
+        """
+        if not is_current:
+            self._since_ms.clear()
+        for listing in listings:
+            if is_current:
+                self._since_ms.setdefault(listing.service, now_ms)
+            seen = self._last_seen_ms.setdefault(listing.service, {})
+            seen[listing.software_version] = now_ms
+
+    def expire(self, now_ms: int) -> None:
+        """Drops observations from before the lifetime of any stream."""
+        for service, seen in self._last_seen_ms.items():
+            self._last_seen_ms[service] = {
+                software_version: at_ms
+                for software_version, at_ms in seen.items()
+                if now_ms - at_ms <= MAX_RETENTION_MS
+            }
+
+    def restart(self) -> None:
+        """Records that versions may have come and gone unnoticed."""
+        self._since_ms.clear()
+
+    def view(self, service: str, lifetime_ms: int, now_ms: int) -> VersionView:
+        """Returns what is known of a service.
+
+        Args:
+            service: The service.
+            lifetime_ms: Longest lifetime of its streams.
+            now_ms: Now.
+        """
+        recent = {
+            software_version
+            for software_version, at_ms in self._last_seen_ms.get(
+                service, {}
+            ).items()
+            if now_ms - at_ms <= lifetime_ms
+        }
+        if len(recent) > 1 or "" in recent:
+            return VersionView(is_mixed=True)
+        since_ms = self._since_ms.get(service)
+        if not recent or since_ms is None:
+            return NO_VIEW
+        return VersionView(
+            sole_version=recent.pop(), sole_for_ms=now_ms - since_ms
+        )
+
+
+def sole_version(views: Iterable[VersionView], lifetime_ms: int) -> str:
+    """Returns the version that began every stream that may still live.
+
+    Args:
+        views: What this and other gateways know of the service.
+        lifetime_ms: Longest lifetime of its streams.
+
+    Returns:
+        The software version; empty if any gateway observed another one, or if
+        none has observed the service for long enough.
+    """
+    known = list(views)
+    if any(view.is_mixed for view in known):
+        return ""
+    versions = {view.sole_version for view in known} - {""}
+    longest_ms = max((view.sole_for_ms for view in known), default=0)
+    if len(versions) != 1 or longest_ms < lifetime_ms:
+        return ""
+    return versions.pop()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """What one gateway answers to the query for a stream.
+
+    Attributes:
+        stream_id: The stream.
+        software_version: The version that began it, empty if unknown.
+        view: What the gateway knows of the versions of the service.
+    """
+
+    stream_id: int
+    software_version: str
+    view: VersionView
+
+
+class Lookup:
+    """The query for the origin of one stream, until it is resolved."""
+
+    def __init__(self, asked: Iterable[str]) -> None:
+        """Starts without answers.
+
+        Args:
+            asked: The gateways that are asked.
+        """
+        self.unanswered = set(asked)
+        self.answers: dict[str, Answer] = {}
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether further answers would change nothing."""
+        return not self.unanswered or bool(self.found())
+
+    def record(self, gateway: str, answer: Answer) -> None:
+        """Records an answer; gateways that were not asked are ignored."""
+        if gateway in self.unanswered:
+            self.unanswered.remove(gateway)
+            self.answers[gateway] = answer
+
+    def found(self) -> str:
+        """Returns the recorded software version, empty if none is known."""
+        for answer in self.answers.values():
+            if answer.software_version:
+                return answer.software_version
+        return ""
+
+    def resolve(self, own_view: VersionView, lifetime_ms: int) -> str:
+        """Returns the software version at which the stream may continue.
+
+        Args:
+            own_view: What this gateway knows of the versions of the service.
+            lifetime_ms: Longest lifetime of the service's streams.
+
+        Returns:
+            The version, empty if the stream must not continue.
+        """
+        views = [own_view, *(one.view for one in self.answers.values())]
+        return self.found() or sole_version(views, lifetime_ms)
--- a/packages/radishstack/src/radishstack/result.py
+++ b/packages/radishstack/src/radishstack/result.py
@@ -107,6 +107,9 @@
 USAGE_CAP_REACHED = Code(2025, "usage_cap_reached", 429)
 TARGETS_RATE_LIMITED = Code(2026, "targets_rate_limited", 503)
 
+STREAM_ORIGIN_UNKNOWN = Code(2027, "stream_origin_unknown", 503)
+SOFTWARE_VERSION_UNAVAILABLE = Code(2028, "software_version_unavailable", 503)
+
 OUTCOME_UNKNOWN = Code(3001, "outcome_unknown", 504, Executed.UNKNOWN)
 KEY_QUARANTINED = Code(3002, "key_quarantined", 503, Executed.UNKNOWN)
 HOME_UNREACHABLE = Code(3003, "home_unreachable", 503, Executed.UNKNOWN)
@@ -153,6 +156,9 @@
     9013, "sent_after_possible_run", 500, Executed.UNKNOWN
 )
 DEADLINE_GREW = Code(9014, "deadline_grew", 500, Executed.UNKNOWN)
+OTHER_SOFTWARE_VERSION = Code(
+    9015, "other_software_version", 500, Executed.UNKNOWN
+)
 INTERNAL = Code(9011, "internal", 500, Executed.UNKNOWN)
 
 BY_NUMBER: dict[int, Code] = {
--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -621,8 +621,11 @@
     Mutant(
         "old news never wins",
         "radishd/process/discovery.py",
-        "            and not self._roster.in_grace_period(clock.boot_ms())",
-        "            and True",
+        "        fresh = self.has_current_targets and not self._roster"
+        ".in_grace_period(\n"
+        "            clock.boot_ms()\n"
+        "        )\n",
+        "        fresh = self.has_current_targets\n",
         _test("fleet.test_store_outage"),
     ),
     Mutant(
