Read the list before a stream continues without a record

A gateway that had just restarted read a new software version at once and began a stream at it; cut off from all others, another gateway had not read it yet, took v1 for the only version and continued the stream there.

--- a/packages/radishd/src/radishd/gateway.py
+++ b/packages/radishd/src/radishd/gateway.py
@@ -170,7 +170,12 @@
             random_source,
         )
         self.stream_origins = stream_origin_exchange.StreamOriginExchange(
-            self._other_gateways, self._send_to_gateways, log, metrics
+            self._other_gateways,
+            self._send_to_gateways,
+            # Not created yet.
+            lambda: self.discovery.read_changed_targets(),
+            log,
+            metrics,
         )
         self.incarnation_check = incarnation_check.IncarnationCheck(
             settings.name
--- a/packages/radishd/src/radishd/process/discovery.py
+++ b/packages/radishd/src/radishd/process/discovery.py
@@ -237,6 +237,34 @@
         follower = self.followers[wire.KIND_TARGETS]
         return bool(follower.revision) and not follower.failing_since_ms
 
+    async def read_changed_targets(self) -> list[roster_lib.Listing] | None:
+        """Reads targets that changed since the last read; applies none.
+
+        Returns:
+            Their listings; None if the store did not answer or an unknown
+            target has gone.
+        """
+        follower = self.followers[wire.KIND_TARGETS]
+        era = follower.era
+        if not follower.revision:
+            return None
+        answer = await self._store.watch(
+            wire.KIND_TARGETS, follower.revision, follow.PROBE_WAIT_MS
+        )
+        if not isinstance(answer, stored.Batch) or answer.era != era:
+            return None
+        listings = []
+        for record in answer.records:
+            if record.deleted and record.name in self._roster.members:
+                continue
+            listing = wire.target(
+                record.name, record.spec, record.created, record.revision, era
+            )
+            if isinstance(listing, result.Failure):
+                return None
+            listings.append(listing)
+        return listings
+
     def _enter_era(self, era: int, *, told_by: str) -> None:
         if era <= self._era:
             return
--- a/packages/radishd/src/radishd/process/stream_origin_exchange.py
+++ b/packages/radishd/src/radishd/process/stream_origin_exchange.py
@@ -24,6 +24,7 @@
 # round trip between regions at most.
 QUERY_TIMEOUT_MS = 100
 QUERY_ATTEMPTS = 2
+STORE_TIMEOUT_MS = 200
 # Maximum number of queries that wait for an answer; further ones are dropped
 # and repeated by their senders.
 MAX_PENDING_QUERIES = 256
@@ -33,6 +34,9 @@
 ]
 
 
+ReadChangedTargets = Callable[[], Awaitable[list[roster_lib.Listing] | None]]
+
+
 class StreamOriginExchange:
     """Origins of streams, as one gateway knows them."""
 
@@ -40,6 +44,7 @@
         self,
         others: Callable[[], list[fleet_socket.Address]],
         send: Send,
+        read_changed_targets: ReadChangedTargets,
         log: decision_log.DecisionLog,
         metrics: metrics_lib.Metrics,
     ) -> None:
@@ -48,11 +53,14 @@
         Args:
             others: Returns the datagram addresses of the other gateways.
             send: Sends a message to the given addresses.
+            read_changed_targets: Reads the listings that changed since the last
+                read of the list from the store; returns None if it cannot.
             log: Where lookups are logged.
             metrics: Where lookups and records are counted.
         """
         self._others = others
         self._send = send
+        self._read_changed_targets = read_changed_targets
         self._log = log
         self._metrics = metrics
         self._records = stream_origins.StreamRecords()
@@ -62,6 +70,8 @@
             tuple[fleet_socket.Address, fleet_wire.StreamQuery]
         ] = []
         self._wake = anyio.Event()
+        self._confirm_lock = anyio.Lock()
+        self._confirmed_at_ms = 0
 
     async def report(
         self, attempt_id: str, software_version: str, retention_ms: int
@@ -128,8 +138,7 @@
             software_version = self._records.find(stream_id, began_ms)
         if not software_version:
             lookup = await self._query(stream_id, service, lifetime_ms)
-            own_view = self._history.view(service, lifetime_ms, clock.boot_ms())
-            software_version = lookup.resolve(own_view, lifetime_ms)
+            software_version = await self._resolve(lookup, service, lifetime_ms)
             source = "gateway" if lookup.found() else "sole_version"
             if not software_version:
                 source = "unknown"
@@ -154,6 +163,43 @@
             "requested anew from its beginning",
         )
 
+    async def _resolve(
+        self, lookup: stream_origins.Lookup, service: str, lifetime_ms: int
+    ) -> str:
+        def resolve() -> str:
+            own_view = self._history.view(service, lifetime_ms, clock.boot_ms())
+            return lookup.resolve(own_view, lifetime_ms)
+
+        if lookup.found() or not resolve():
+            return lookup.found()
+        if not await self._confirm_versions(clock.boot_ms()):
+            return ""
+        return resolve()
+
+    async def _confirm_versions(self, since_ms: int) -> bool:
+        """Reads from the store which software versions are listed.
+
+        Lookups at the same time share one call, which is billed.
+
+        Args:
+            since_ms: How recent the read must be.
+
+        Returns:
+            Whether the store answered.
+        """
+        async with self._confirm_lock:
+            if self._confirmed_at_ms >= since_ms:
+                return True
+            now_ms = clock.boot_ms()
+            listings = None
+            with anyio.move_on_after(STORE_TIMEOUT_MS / MS_PER_S):
+                listings = await self._read_changed_targets()
+            if listings is None:
+                return False
+            self._history.observe(listings, clock.boot_ms(), is_current=True)
+            self._confirmed_at_ms = now_ms
+            return True
+
     async def _query(
         self, stream_id: int, service: str, lifetime_ms: int
     ) -> stream_origins.Lookup:
--- a/packages/radishstack/src/radishstack/process/stream_origins.py
+++ b/packages/radishstack/src/radishstack/process/stream_origins.py
@@ -9,7 +9,9 @@
 know.
 
 Without a record, a stream still continues if its service has had a single
-software version for longer than any of its streams lives.
+software version for longer than any of its streams lives. A stream may have
+begun at a version that the other gateway read sooner, so the list of targets is
+read once more before that is decided.
 """
 
 import collections
--- a/proofs/soak.py
+++ b/proofs/soak.py
@@ -14,6 +14,7 @@
 from proofs import runner
 from proofs import serving
 from proofs import starts
+from proofs import streams
 from proofs import usage
 
 SECONDS_PER_MINUTE = 60.0
@@ -31,6 +32,7 @@
         60,
         rate_limits.COUNTS,
     ),
+    "streams": (streams.StreamsMachine, 60, streams.COUNTS),
     "publication": (publication.PublicationMachine, 60, publication.COUNTS),
 }
 
