Soak: targets of several software versions, and callers that resume

Nothing of ours played two software versions side by side. Engines of a run now start in pairs of v1 and v2; a release replaces one by another version, and a restart under the same name changes the software before the entry in the store follows. A quarter of the callers of resumable streams lose their connection and resume at any gateway, others resume what a fault has cut. Events name the version that wrote them. Two checks: no stream has events of two versions, judged for all gateways; of 12 or more streams resumed at undisturbed gateways while two engines of their version serve, at least half as many continue as new ones begin. Default of four engines instead of two.

--- a/packages/standins/src/standins/platform_engine.py
+++ b/packages/standins/src/standins/platform_engine.py
@@ -122,6 +122,7 @@
         crashed: Whether it was ordered to load more adapters than fit.
         ended: Whether a request with ``Fault.CRASH`` has stopped it.
         leaving: Whether its responses announce that it is draining.
+        marks_events: Whether its events name the version of its software.
         swallow_orders: Number of further orders to leave unanswered.
     """
 
@@ -152,6 +153,7 @@
         self.event_count = event_count
         self.timing = timing or Timing()
         self.software_version = software_version
+        self.marks_events = False
         self.adapters: dict[str, int] = {}
         self.newest: dict[str, int] = {}
         self.in_transit: dict[str, int] = {}
@@ -437,9 +439,11 @@
             lines.append("Transfer-Encoding: chunked")
         writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
         first = int(request.headers.get("last-event-id") or 0) + 1
+        mark = f" {self.software_version}" if self.marks_events else ""
         for number in range(first, self.event_count + 1):
             await asyncio.sleep(self.timing.event_ms / MS_PER_S)
-            event = f"id: {number}\ndata: {request.attempt_id} {number}\n\n"
+            data = f"{request.attempt_id} {number}{mark}"
+            event = f"id: {number}\ndata: {data}\n\n"
             if fault is Fault.CUT_MIDWAY and number == self.event_count // 2:
                 self._write_body(writer, event[:5].encode(), framed=framed)
                 await writer.drain()
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -47,7 +47,7 @@
 )
 @click.option("--jobs", default=2, show_default=True, help="Seeds at once.")
 @click.option("--gateways", default=3, show_default=True)
-@click.option("--engines", default=2, show_default=True)
+@click.option("--engines", default=4, show_default=True)
 @click.option("--plain", default=2, show_default=True)
 @click.option(
     "--kind",
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -10,6 +10,7 @@
 
 from soak import accounts
 from soak import history as history_lib
+from soak import streams
 
 REQUEST_TIMEOUT_MS = 3_000
 # How long a caller waits for the end of an answer beyond its deadline.
@@ -22,6 +23,10 @@
 # Share of requests to routes that were added during the run.
 ADDED_ROUTE_FRACTION = 0.15
 ADAPTER_COUNT = 10
+# Maximum number of times that a caller resumes a stream.
+MAX_RESUMES = 2
+# Share of resumable streams whose caller loses its connection.
+RECONNECT_FRACTION = 0.25
 MS_PER_S = 1_000
 ROUTES = ("chat", "long", "book", "look")
 ENGINE_ROUTES = frozenset({"chat", "long"})
@@ -83,14 +88,49 @@
         return self._random.choice(ROUTES)
 
     async def _call(self) -> None:
-        connection = self._connection
         route = self._route()
-        attempt_id = secrets.token_hex(8)
         adapter = ""
         if route in ENGINE_ROUTES:
             # Popularity is skewed: a few adapters get most requests.
             adapter = f"a{int(ADAPTER_COUNT * self._random.random() ** 2)}"
         credential = self._draw_credential()
+        max_events = 0
+        if (
+            route == streams.RESUMABLE
+            and self._random.random() < RECONNECT_FRACTION
+        ):
+            max_events = self._random.randint(1, streams.EVENT_COUNT - 1)
+        attempt = await self._attempt(
+            route, adapter, credential, max_events=max_events
+        )
+        began = attempt.attempt_id
+        for _ in range(MAX_RESUMES):
+            if not streams.may_resume(attempt, reconnects=max_events > 0):
+                return
+            if not await self._connected():
+                return
+            max_events = 0
+            after_event = streams.parse(attempt).last
+            attempt = await self._attempt(
+                route, adapter, credential, began, after_event
+            )
+
+    async def _attempt(
+        self,
+        route: str,
+        adapter: str,
+        credential: accounts.Credential,
+        resumes: str = "",
+        after_event: int = 0,
+        *,
+        max_events: int = 0,
+    ) -> history_lib.Attempt:
+        connection = self._connection
+        attempt_id = secrets.token_hex(8)
+        further = list(credential.headers())
+        if resumes:
+            further.append(("Resumes", resumes))
+            further.append(("Last-Event-Id", str(after_event)))
         sent_at_ms = history_lib.now_ms()
         connection.send(
             platform_site.request(
@@ -99,7 +139,7 @@
                 attempt_id,
                 adapter=adapter,
                 left_ms=REQUEST_TIMEOUT_MS,
-                further=credential.headers(),
+                further=further,
             )
         )
         leaves = self._random.random() < DISCONNECT_FRACTION
@@ -110,8 +150,8 @@
         whole, ended, head = False, False, None
         try:
             async with asyncio.timeout(wait_s):
-                head, whole = await _read(connection, pieces)
-                ended = True
+                head, whole = await _read(connection, pieces, max_events)
+                ended = whole or not max_events
         except TimeoutError:
             pass
         if not (whole and connection.finish()):
@@ -121,21 +161,23 @@
         if head is not None:
             status = head.status
             self._record_target_state(head)
-        self._history.attempts.append(
-            history_lib.Attempt(
-                attempt_id=attempt_id,
-                route=route,
-                gateway=self._gateway,
-                sent_at_ms=sent_at_ms,
-                ended_at_ms=history_lib.now_ms(),
-                status=status,
-                whole=whole,
-                body=b"".join(pieces).decode("utf-8", "replace"),
-                left=leaves and not ended,
-                account=credential.account,
-                key=credential.key,
-            )
+        attempt = history_lib.Attempt(
+            attempt_id=attempt_id,
+            route=route,
+            gateway=self._gateway,
+            sent_at_ms=sent_at_ms,
+            ended_at_ms=history_lib.now_ms(),
+            status=status,
+            whole=whole,
+            body=b"".join(pieces).decode("utf-8", "replace"),
+            left=(leaves or max_events > 0) and not ended,
+            account=credential.account,
+            key=credential.key,
+            resumes=resumes,
+            after_event=after_event,
         )
+        self._history.attempts.append(attempt)
+        return attempt
 
     def _record_target_state(self, head: http_client.Head) -> None:
         """Records whether the target is draining or advertises a rate limit."""
@@ -153,9 +195,9 @@
 
 
 async def _read(
-    connection: http_client.Connection, pieces: list[bytes]
+    connection: http_client.Connection, pieces: list[bytes], max_events: int
 ) -> tuple[http_client.Head | None, bool]:
-    """Reads an answer.
+    """Reads an answer, or at most some events of a stream if that is not 0.
 
     Returns:
         The response head, or None if the connection was lost before it, and
@@ -171,3 +213,5 @@
         if not piece:
             return head, True
         pieces.append(piece)
+        if max_events and b"".join(pieces).count(b"\n\n") >= max_events:
+            return head, False
--- a/soak/history.py
+++ b/soak/history.py
@@ -35,6 +35,8 @@
         left: Whether the caller disconnected before the end of the answer.
         account: The client account that held its key, empty for none.
         key: Its API key, empty for none.
+        resumes: The attempt that began its stream, empty if this one does.
+        after_event: Event after which it resumes the stream.
     """
 
     attempt_id: str
@@ -48,6 +50,8 @@
     left: bool = False
     account: str = ""
     key: str = ""
+    resumes: str = ""
+    after_event: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -71,6 +75,23 @@
     had_key: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineSpan:
+    """A period in which an engine served.
+
+    Attributes:
+        target: Name of the target instance.
+        software_version: Version of its software.
+        from_ms: When it was registered.
+        until_ms: When it began to drain, or ended.
+    """
+
+    target: str
+    software_version: str
+    from_ms: int
+    until_ms: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Event:
     """One injected fault or operator action.
@@ -191,6 +212,7 @@
         limited_responses: Responses that callers received with a rate limit.
         keys_added_ms: When each rotated key was added.
         keys_removed_ms: When each rotated key was removed.
+        engines: Periods in which engines served.
     """
 
     seed: int
@@ -214,6 +236,7 @@
     )
     keys_added_ms: dict[str, int] = dataclasses.field(default_factory=dict)
     keys_removed_ms: dict[str, int] = dataclasses.field(default_factory=dict)
+    engines: list[EngineSpan] = dataclasses.field(default_factory=list)
 
     def save(self, path: pathlib.Path) -> None:
         """Writes the history as JSON."""
@@ -241,4 +264,5 @@
     raw["limited_responses"] = [
         LimitedResponse(**one) for one in raw.get("limited_responses", ())
     ]
+    raw["engines"] = [EngineSpan(**one) for one in raw.get("engines", ())]
     return History(**raw)
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -13,10 +13,10 @@
 from soak import accounts
 from soak import callers
 from soak import history as history_lib
+from soak import streams
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 REPEATABLE = frozenset({"long", "look"})
-EVENT_COUNT = 4
 # A gateway counts as undisturbed once neither it nor the store has had a fault
 # for this long. Until then the users' pages exempt it.
 UNDISTURBED_MS = 3_000
@@ -128,22 +128,13 @@
             )
 
 
-def _expected_stream(attempt: history_lib.Attempt) -> str:
-    return "".join(
-        f"id: {number}\ndata: {attempt.attempt_id} {number}\n\n"
-        for number in range(1, EVENT_COUNT + 1)
-    )
-
-
 def _complete_and_own(evidence: Evidence) -> Iterator[Violation]:
     for attempt in evidence.history.attempts:
         if attempt.status != SUCCESS:
             continue
         if attempt.route in callers.ENGINE_ROUTES:
-            expected = _expected_stream(attempt)
-            good = attempt.body == expected
-            if not attempt.whole:
-                good = expected.startswith(attempt.body)
+            events = streams.parse(attempt)
+            good = events.is_whole if attempt.whole else events.is_own_prefix
         elif attempt.whole:
             body = json.loads(attempt.body or "{}")
             good = body.get("attempt") == attempt.attempt_id
@@ -510,6 +501,27 @@
                 break
 
 
+def _software_versions(evidence: Evidence) -> Iterator[Violation]:
+    mixed = streams.mixed(evidence.history.attempts)
+    for attempt_id, versions in mixed.items():
+        yield Violation(
+            "a stream stays at one software version",
+            attempt_id,
+            ", ".join(sorted(versions)),
+        )
+
+
+def _resumed_streams(evidence: Evidence) -> Iterator[Violation]:
+    detail = streams.lost_share(
+        evidence.history,
+        lambda attempt: evidence.is_undisturbed(
+            attempt.gateway, attempt.sent_at_ms, attempt.ended_at_ms
+        ),
+    )
+    if detail:
+        yield Violation("streams that callers resume continue", "site", detail)
+
+
 CHECKS: tuple[Callable[[Evidence], Iterator[Violation]], ...] = (
     _at_most_once,
     _not_run_is_true,
@@ -530,6 +542,8 @@
     _keys,
     _usage_cap,
     _rate_limits,
+    _software_versions,
+    _resumed_streams,
 )
 
 
--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -151,6 +151,20 @@
         "Bucket(whole.depth, whole.per_ms)",
         _seeds(450, Kind.RUSH),
     ),
+    mutants.Mutant(
+        "a stream stays at one software version",
+        FORWARD,
+        "            pending.software_version = send.software_version\n",
+        "            pass\n",
+        _seeds(480, Kind.TARGET_FAULTS, Kind.SOFTWARE),
+    ),
+    mutants.Mutant(
+        "streams that callers resume continue",
+        "radishstack/process/stream_origins.py",
+        '        return software_version if now_ms < until_ms else ""',
+        '        return ""',
+        _seeds(500, Kind.GATEWAY_KILL),
+    ),
     mutants.Mutant(
         "a graceful stop cuts nothing",
         GATEWAY,
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -36,6 +36,8 @@
     RUSH = "rush"
     RATE_LIMIT = "rate_limit"
     STORE_RESTORED = "store_restored"
+    RELEASE = "release"
+    SOFTWARE = "software"
 
 
 # Kinds by affected component; other kinds affect the store or the whole site.
@@ -53,6 +55,8 @@
         Kind.LEAVE_BY_WORD,
         Kind.REST,
         Kind.RATE_LIMIT,
+        Kind.RELEASE,
+        Kind.SOFTWARE,
         Kind.LINK_SILENT,
         Kind.LINK_RESET,
         Kind.LINK_SLOW,
@@ -79,7 +83,7 @@
     """Numbers of gateways and targets in a run."""
 
     gateways: int = 3
-    engines: int = 2
+    engines: int = 4
     plain: int = 2
 
 
--- a/soak/world.py
+++ b/soak/world.py
@@ -7,6 +7,7 @@
 import pathlib
 import random
 import signal
+import time
 from typing import Any
 
 import anyio
@@ -33,6 +34,9 @@
 TARGET_PORT = 8_146
 LINK_PORT = 8_147
 CALLER_COUNT = 10
+# Versions of the software of targets, and how many targets begin with each.
+SOFTWARE_VERSIONS = ("v1", "v2")
+TARGETS_PER_VERSION = 2
 RETRY_EXTRA = 20
 MS_PER_S = 1_000
 # Limit from the start of the programs to the first request, on a slow machine.
@@ -92,10 +96,21 @@
     """A target that records the requests that reach it."""
 
     def __init__(
-        self, instance: str, history: history_lib.History, *, model: str
+        self,
+        instance: str,
+        history: history_lib.History,
+        *,
+        model: str,
+        software_version: str,
     ) -> None:
         """Creates a target that does not listen yet."""
-        super().__init__(instance, model=model, timing=TIMING)
+        super().__init__(
+            instance,
+            model=model,
+            timing=TIMING,
+            software_version=software_version,
+        )
+        self.marks_events = True
         self._history = history
         self.on_crash: Callable[[], None] = lambda: None
 
@@ -155,6 +170,9 @@
 
     Attributes:
         busy: Whether its target is being replaced.
+        software_version: Version of the software that its next target runs.
+        serving_since_ms: When its target was registered, 0 if it does not
+            serve.
     """
 
     def __init__(self, number: int, host: str, *, engine: bool) -> None:
@@ -167,6 +185,9 @@
         self.link = relay.Relay((host, TARGET_PORT))
         self.sidecar: processes.Program | None = None
         self.busy = False
+        pair = number // TARGETS_PER_VERSION
+        self.software_version = SOFTWARE_VERSIONS[pair % len(SOFTWARE_VERSIONS)]
+        self.serving_since_ms = 0
 
 
 class SoakRun:
@@ -250,16 +271,36 @@
         vm.starts += 1
         name = f"i-{vm.number}-{vm.starts}"
         model = platform_site.MODEL if vm.engine else ""
-        vm.target = Target(name, self.history, model=model)
+        vm.target = Target(
+            name,
+            self.history,
+            model=model,
+            software_version=vm.software_version,
+        )
         await vm.target.start(vm.host, TARGET_PORT)
         vm.target.on_crash = functools.partial(self._handle_crash, vm)
         if not vm.link.is_open:
             await vm.link.start(vm.host, LINK_PORT)
         self._register(vm)
+        vm.serving_since_ms = history_lib.now_ms()
+
+    def _end_serving(self, vm: TargetVm) -> None:
+        """Records that a target begins to drain, or ends."""
+        since_ms, vm.serving_since_ms = vm.serving_since_ms, 0
+        if vm.engine and since_ms:
+            self.history.engines.append(
+                history_lib.EngineSpan(
+                    vm.target.instance,
+                    vm.target.software_version,
+                    since_ms,
+                    history_lib.now_ms(),
+                )
+            )
 
     def _handle_crash(self, vm: TargetVm) -> None:
         """Schedules the restart of a target that a request crashed."""
         target = vm.target
+        self._end_serving(vm)
         target.on_crash = lambda: None
         # Connections are refused until the restart.
         vm.link.stop()
@@ -290,8 +331,22 @@
         holders = sorted({str(one["holder"]) for one in target.orders})
         self.history.holders[target.instance] = holders
 
+    async def _replace_software(self, vm: TargetVm) -> None:
+        """Restarts a target under its name with other software.
+
+        Its entry in the store follows late.
+        """
+        self._end_serving(vm)
+        vm.software_version = self.random.choice(SOFTWARE_VERSIONS)
+        vm.target.software_version = vm.software_version
+        vm.target.restart(time.time_ns() // history_lib.NS_PER_MS)
+        await asyncio.sleep(self.random.uniform(0, LISTING_TTL_S))
+        self._register(vm)
+        vm.serving_since_ms = history_lib.now_ms()
+
     async def _restart_target(self, vm: TargetVm) -> None:
         target = vm.target
+        self._end_serving(vm)
         await target.stop()
         self._record_orders(target)
         await asyncio.sleep(0.2)
@@ -301,6 +356,7 @@
 
     async def _drain_by_listing(self, vm: TargetVm) -> None:
         target = vm.target
+        self._end_serving(vm)
         self._register(vm, "draining")
         self.history.leaving[target.instance] = history_lib.now_ms()
         await self._finish_draining(vm)
@@ -317,6 +373,7 @@
 
     async def _drain_by_header(self, vm: TargetVm) -> None:
         """Drains a target that announces it in its responses only."""
+        self._end_serving(vm)
         vm.target.leaving = True
         await self._finish_draining(vm)
 
@@ -420,7 +477,12 @@
         elif not vm.busy:
             # Only one replacement of a VM's target at a time.
             vm.busy = True
-            if kind is Kind.TARGET_RESTART:
+            if kind is Kind.RELEASE:
+                # The next target at this address runs other software.
+                vm.software_version = self.random.choice(SOFTWARE_VERSIONS)
+            if kind is Kind.SOFTWARE:
+                await self._replace_software(vm)
+            elif kind is Kind.TARGET_RESTART:
                 await self._restart_target(vm)
             elif kind is Kind.LEAVE_BY_WORD:
                 await self._drain_by_header(vm)
@@ -683,6 +745,7 @@
         for vm in self.vms:
             vm.link.stop()
             if vm.target is not None:
+                self._end_serving(vm)
                 await vm.target.stop()
                 self._record_orders(vm.target)
 
--- a/tests/fleet/test_soak.py
+++ b/tests/fleet/test_soak.py
@@ -12,6 +12,7 @@
 from soak import judge
 from soak import processes
 from soak import schedule
+from soak import streams
 from soak import world
 
 SEED = 1
@@ -284,6 +285,54 @@
     assert promise not in _broken(limited)
 
 
+def _stream(
+    name: str, software_version: str, numbers: range, **fields: object
+) -> history_lib.Attempt:
+    """Returns an attempt with some events of one software version."""
+    body = "".join(
+        f"id: {n}\ndata: {name} {n} {software_version}\n\n" for n in numbers
+    )
+    whole = numbers.stop > streams.EVENT_COUNT
+    values = {"sent_at_ms": 10, "ended_at_ms": 20, "status": 200} | fields
+    return history_lib.Attempt(
+        name, "long", 0, body=body, whole=whole, **values
+    )
+
+
+def test_the_judge_finds_a_stream_of_two_software_versions() -> None:
+    """Guards against a check that compares only the events of one response."""
+    first = _stream("s0", "v1", range(1, 3))
+    for software_version, broken in (("v1", set()), ("v2", {"s0"})):
+        second = _stream(
+            "s1", software_version, range(3, 5), resumes="s0", after_event=2
+        )
+        found = streams.mixed([first, second])
+        assert found.keys() == broken
+
+
+def test_the_judge_finds_that_resumed_streams_are_rejected() -> None:
+    """Guards against a gateway that rejects every stream in doubt."""
+    promise = "streams that callers resume continue"
+    for target_count, expected in ((1, False), (2, True)):
+        history = _history()
+        history.engines += [
+            history_lib.EngineSpan(f"i{number}", "v1", 0, 100)
+            for number in range(target_count)
+        ]
+        for number in range(streams.MIN_RESUMED):
+            history.attempts.append(_stream(f"s{number}", "v1", range(1, 5)))
+            rejected = _stream(
+                f"r{number}",
+                "v1",
+                range(3, 3),
+                resumes=f"s{number}",
+                after_event=2,
+                status=503,
+            )
+            history.attempts.append(rejected)
+        assert (promise in _broken(history)) is expected
+
+
 def test_a_history_is_judged_again_from_its_file() -> None:
     """A stored history must give the same violations after it is read."""
     with tempfile.TemporaryDirectory() as folder:
