--- a/packages/radishd/src/radishd/process/incarnation_check.py
+++ b/packages/radishd/src/radishd/process/incarnation_check.py
@@ -5,6 +5,9 @@
 
 from radishd.platform import engine as engine_lib
 
+# The first attempt may use a connection that the engine has just closed.
+REPORT_ATTEMPTS = 2
+
 
 class IncarnationCheck:
     """Reads the start times of engines that may restart under their names.
@@ -37,11 +40,11 @@
         engine = self._engines.setdefault(
             listing.address, engine_lib.Engine(listing.address, self._name)
         )
-        report = await engine.report()
-        return (
-            not isinstance(report, result.Failure)
-            and report.born_ms == listing.born_ms
-        )
+        for _ in range(REPORT_ATTEMPTS):
+            report = await engine.report()
+            if not isinstance(report, result.Failure):
+                return report.born_ms == listing.born_ms
+        return False
 
     def forget(self, addresses: set[str]) -> None:
         """Drops the connections to all other addresses."""
--- a/packages/radishd/src/radishd/process/stream_origin_exchange.py
+++ b/packages/radishd/src/radishd/process/stream_origin_exchange.py
@@ -38,7 +38,11 @@
 
 
 class StreamOriginExchange:
-    """Origins of streams, as one gateway knows them."""
+    """Origins of streams, as one gateway knows them.
+
+    Attributes:
+        history: Software versions that this gateway has observed.
+    """
 
     def __init__(
         self,
@@ -64,7 +68,7 @@
         self._log = log
         self._metrics = metrics
         self._records = stream_origins.StreamRecords()
-        self._history = stream_origins.VersionHistory()
+        self.history = stream_origins.VersionHistory()
         self._lookups: dict[int, list[_PendingLookup]] = {}
         self._queries: list[
             tuple[fleet_socket.Address, fleet_wire.StreamQuery]
@@ -167,7 +171,7 @@
         self, lookup: stream_origins.Lookup, service: str, lifetime_ms: int
     ) -> str:
         def resolve() -> str:
-            own_view = self._history.view(service, lifetime_ms, clock.boot_ms())
+            own_view = self.history.view(service, lifetime_ms, clock.boot_ms())
             return lookup.resolve(own_view, lifetime_ms)
 
         if lookup.found() or not resolve():
@@ -196,7 +200,7 @@
                 listings = await self._read_changed_targets()
             if listings is None:
                 return False
-            self._history.observe(listings, clock.boot_ms(), is_current=True)
+            self.history.observe(listings, clock.boot_ms(), is_current=True)
             self._confirmed_at_ms = now_ms
             return True
 
@@ -259,7 +263,7 @@
         return stream_origins.Answer(
             query.stream_id,
             self._records.find(query.stream_id, now_ms),
-            self._history.view(query.service, query.lifetime_ms, now_ms),
+            self.history.view(query.service, query.lifetime_ms, now_ms),
         )
 
     def observe(
@@ -267,14 +271,14 @@
     ) -> None:
         """Records the listed software versions, and expires old state."""
         now_ms = clock.boot_ms()
-        self._history.observe(listings, now_ms, is_current=is_current)
-        self._history.expire(now_ms)
+        self.history.observe(listings, now_ms, is_current=is_current)
+        self.history.expire(now_ms)
         self._records.expire(now_ms)
         self._metrics.stream_records.set({}, len(self._records))
 
     def on_process_pause(self) -> None:
         """Handles a pause, in which versions may have come and gone."""
-        self._history.restart()
+        self.history.restart()
 
 
 class _PendingLookup:
--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -52,10 +52,102 @@
 _RATE_LIMITS_PROMISE = "a rate limit that a target names holds"
 
 _SELECTION_PATH = "radishd/request/target_selection.py"
+_STREAMS = (*SOAK, "0.5", "--machine", "streams")
+_STREAMS_PATH = "radishstack/process/stream_origins.py"
+_EXCHANGE_PATH = "radishd/process/stream_origin_exchange.py"
+_STREAMS_PROMISE = "a stream stays at one software version"
+_RESUME_PROMISE = "streams that callers resume continue"
+_SOFTWARE_TEST = _test("fleet.test_software_versions")
+
 _ROSTER_PATH = "radishstack/process/roster.py"
 _RESTORED_PROMISE = "a restored store revives no outdated entries"
 
 MUTANTS = (
+    Mutant(
+        _STREAMS_PROMISE,
+        _STREAMS_PATH,
+        '    if any(view.is_mixed for view in known):\n        return ""\n',
+        "",
+        _STREAMS,
+    ),
+    Mutant(
+        _STREAMS_PROMISE,
+        _STREAMS_PATH,
+        '        if len(recent) > 1 or "" in recent:\n',
+        "        if False:\n",
+        _STREAMS,
+    ),
+    Mutant(
+        _STREAMS_PROMISE,
+        _STREAMS_PATH,
+        "    if len(versions) != 1 or longest_ms < lifetime_ms:\n",
+        "    if len(versions) != 1:\n",
+        _SOFTWARE_TEST,
+    ),
+    Mutant(
+        _STREAMS_PROMISE,
+        _STREAMS_PATH,
+        "        if not is_current:\n            self._since_ms.clear()\n",
+        "",
+        _SOFTWARE_TEST,
+    ),
+    Mutant(
+        _STREAMS_PROMISE,
+        _EXCHANGE_PATH,
+        "            self.history.observe(listings, clock.boot_ms(), "
+        "is_current=True)\n",
+        "",
+        _SOFTWARE_TEST,
+    ),
+    Mutant(
+        _STREAMS_PROMISE,
+        _ROSTER_PATH,
+        '            software_version="",\n',
+        "",
+        _SOFTWARE_TEST,
+    ),
+    Mutant(
+        _STREAMS_PROMISE,
+        "radishd/process/incarnation_check.py",
+        "                return report.born_ms == listing.born_ms\n",
+        "                return True\n",
+        _SOFTWARE_TEST,
+    ),
+    Mutant(
+        _STREAMS_PROMISE,
+        "radishd/request/forward.py",
+        "            pending.software_version = send.software_version\n",
+        "            pass\n",
+        _SOFTWARE_TEST,
+    ),
+    Mutant(
+        _STREAMS_PROMISE,
+        _SELECTION_PATH,
+        "        pending.software_version = found\n",
+        "",
+        _SOFTWARE_TEST,
+    ),
+    Mutant(
+        _RESUME_PROMISE,
+        "radishd/request/forward.py",
+        "        elif send.software_version:\n",
+        "        elif False:\n",
+        _SOFTWARE_TEST,
+    ),
+    Mutant(
+        _RESUME_PROMISE,
+        _STREAMS_PATH,
+        "            if answer.software_version:\n",
+        "            if False:\n",
+        _SOFTWARE_TEST,
+    ),
+    Mutant(
+        _RESUME_PROMISE,
+        _SELECTION_PATH,
+        "            if len(replaceable) < len(usable):\n",
+        "            if False:\n",
+        _SOFTWARE_TEST,
+    ),
     Mutant(
         _RESTORED_PROMISE,
         _ROSTER_PATH,
--- a/tests/fleet/test_software_versions.py
+++ b/tests/fleet/test_software_versions.py
@@ -4,7 +4,10 @@
 import contextlib
 
 from radishd import gateway as gateway_lib
+from radishd.process import clock
+from radishstack.connection import fleet_wire
 from radishstack.process import roster as roster_lib
+from radishstack.process import stream_origins
 from standins import platform_engine
 
 from tests.fleet import fixtures
@@ -15,6 +18,7 @@
 LAST_BEFORE_CUT = 1
 # Low enough that no target counts as degraded.
 FAILURE_SHARE_STEP = 0.1
+LIFETIME_MS = 17_000
 
 
 @contextlib.asynccontextmanager
@@ -215,3 +219,190 @@
         roster_lib.incarnation.IncarnationId("i1", 9_000), 5_000
     )
     assert restarted.listing.software_version == ""
+
+
+def test_a_new_stream_begins_where_it_could_continue() -> None:
+    """Guards against a stream whose only target of a version fails."""
+
+    async def play() -> None:
+        async with _fleet("v1", "v1", "v2") as fleet:
+            first, _, alone = _engines(fleet)
+            _prefer(fleet.gateway, alone, first)
+            answer = await fleet.call("/long/x", adapter=ADAPTER, attempt="c0")
+            assert answer.whole, answer
+            assert first.ran == ["c0"]
+
+    fixtures.run(play)
+
+
+def test_a_gateway_without_a_record_asks_the_holders() -> None:
+    """Guards against losing a stream whose gateway was killed.
+
+    The caller resumes at a gateway that holds no record of the stream.
+    """
+
+    async def play() -> None:
+        async with _fleet("v1", "v1", "v2") as fleet:
+            gateways = [await _add_gateway(fleet) for _ in range(4)]
+            first = fleet.gateway
+            await fleet.until(
+                lambda: all(
+                    len(one.peers.recent_addresses) == len(gateways)
+                    for one in (first, *gateways)
+                ),
+                "the gateways know each other",
+            )
+            await _begin_at_first_engine(fleet, "d0")
+            # It answers no query any more.
+            first.socket = None
+            stream_id = stream_origins.stream_id_of("d0")
+            hosts = [one.own.peers.partition(":")[0] for one in gateways]
+            holders = stream_origins.holders(stream_id, hosts)
+            (other,) = [
+                gateway
+                for gateway, host in zip(gateways, hosts, strict=True)
+                if host not in holders
+            ]
+            answer = await _resume(fleet, other, "d0")
+            assert answer.status == 200 and answer.whole, answer
+            assert _runners(fleet, "d0-next") == ["v1"]
+
+    fixtures.run(play)
+
+
+def test_a_stream_of_unknown_origin_does_not_continue() -> None:
+    """Guards against a guess where several software versions serve.
+
+    Its caller names an attempt that no gateway knows, or none.
+    """
+
+    async def play() -> None:
+        async with _fleet("v1", "v1", "v2") as fleet:
+            for headers in ({"Resumes": "e0"}, {}):
+                answer = await fleet.call(
+                    "/long/x",
+                    adapter=ADAPTER,
+                    attempt="e0-next",
+                    Last_Event_Id="1",
+                    **headers,
+                )
+                assert answer.status == 503, answer
+                assert b"stream_origin_unknown" in answer.body, answer
+                assert not _runners(fleet, "e0-next")
+
+    fixtures.run(play)
+
+
+def test_a_stream_of_unknown_origin_continues_at_the_only_version() -> None:
+    """Guards against rejecting streams after all gateways have restarted.
+
+    The service has had one software version for longer than a stream lives.
+    """
+
+    async def play() -> None:
+        async with _fleet("v1", "v1") as fleet:
+            gateway = fleet.gateway
+            history = gateway.stream_origins.history
+            listings = [one.listing for one in gateway.roster.members.values()]
+            history.restart()
+            for ago_ms in (stream_origins.MAX_RETENTION_MS, 0):
+                history.observe(
+                    listings, clock.boot_ms() - ago_ms, is_current=True
+                )
+            answer = await _resume(fleet, gateway, "f0")
+            assert answer.status == 200 and answer.whole, answer
+            engine = await fleet.add_target(
+                "i-engine2", engine=True, software_version="v2"
+            )
+            answer = await _resume(fleet, gateway, "f1")
+            assert answer.status == 503, answer
+            assert not engine.ran
+
+    fixtures.run(play)
+
+
+def test_a_request_does_not_trust_an_outdated_listing() -> None:
+    """Guards against a stream that continues at a restarted target.
+
+    The target restarts under its name with other software, and the gateway has
+    not read its new entry. Nothing in a request names the incarnation.
+    """
+
+    async def play() -> None:
+        async with _fleet("v1") as fleet:
+            (engine,) = _engines(fleet)
+            gateway = fleet.gateway
+            listing = gateway.roster.members[engine.instance].listing
+            assert await gateway.incarnation_check.confirm(listing)
+            engine.restart(engine.born_ms + 1_000)
+            assert not await gateway.incarnation_check.confirm(listing)
+
+    fixtures.run(play)
+
+
+def _view(
+    *software_versions: str, for_ms: int, is_current: bool = True
+) -> stream_origins.VersionView:
+    """Returns the view of a gateway after observing versions for a time."""
+    history = stream_origins.VersionHistory()
+    listings = [
+        roster_lib.Listing(
+            instance=f"i{number}",
+            service="llm",
+            address=f"10.0.0.{number}:80",
+            failure_domain="north",
+            leaving=False,
+            slot_count=8,
+            software_version=software_version,
+        )
+        for number, software_version in enumerate(software_versions)
+    ]
+    history.observe(listings, 0, is_current=True)
+    history.observe(listings, for_ms, is_current=is_current)
+    return history.view("llm", LIFETIME_MS, for_ms)
+
+
+def test_only_a_version_that_was_alone_is_assumed() -> None:
+    """Guards against a guess from a view that is too short or outdated."""
+    long_ms = LIFETIME_MS + 1
+    alone = _view("v1", "v1", for_ms=long_ms)
+    assert stream_origins.sole_version([alone], LIFETIME_MS) == "v1"
+    for other in (
+        _view("v1", "v2", for_ms=1),
+        _view("v1", "", for_ms=1),
+        _view("v2", for_ms=1),
+    ):
+        assert not stream_origins.sole_version([alone, other], LIFETIME_MS)
+    for views in (
+        [],
+        [_view("v1", for_ms=LIFETIME_MS - 1)],
+        [_view("v1", for_ms=long_ms, is_current=False)],
+    ):
+        assert not stream_origins.sole_version(views, LIFETIME_MS)
+
+
+def test_records_of_streams_are_bounded() -> None:
+    """Guards against memory that grows with the number of streams."""
+    records = stream_origins.StreamRecords()
+    for stream_id in range(stream_origins.MAX_RECORDS):
+        assert records.record(stream_id, "v1", LIFETIME_MS)
+    assert not records.record(stream_origins.MAX_RECORDS, "v1", LIFETIME_MS)
+    assert len(records) == stream_origins.MAX_RECORDS
+    assert not records.find(0, 0)
+    records.expire(LIFETIME_MS)
+    assert not len(records)
+
+
+def test_messages_about_streams_survive_the_wire() -> None:
+    """Guards against a field that is lost or cut between two gateways."""
+    view = stream_origins.VersionView(False, "v1.2", 2**40)
+    for message in (
+        fleet_wire.StreamRecord(2**64 - 1, "v1.2", 17_000),
+        fleet_wire.StreamQuery(1, "llm", 17_000),
+        stream_origins.Answer(1, "", stream_origins.VersionView(is_mixed=True)),
+    ):
+        assert fleet_wire.decode(fleet_wire.encode(message)) == message
+    decoded = fleet_wire.decode(
+        fleet_wire.encode(stream_origins.Answer(1, "v1.1", view))
+    )
+    assert decoded.view.sole_for_ms == fleet_wire.MAX_SOLE_FOR_MS
