Bind a stream to the service that began it as well

Software versions of two services may bear the same name, so a version alone does not say which software began a stream. A route can move to another service, or be split over two, between a stream's first event and the attempt that resumes it; that attempt picked a service by weight and went on there.

The record of a stream names its service too. An attempt that resumes it uses that service while the route still names it, and is rejected (2028) otherwise; without a record, a route with several services is not assumed to have begun it at one of them. On the commit before, the new test fails: the attempt is sent to the plain service, which the route names now. A mutant without the check is caught.

--- a/packages/radishd/src/radishd/process/stream_origin_exchange.py
+++ b/packages/radishd/src/radishd/process/stream_origin_exchange.py
@@ -78,31 +78,35 @@
         self._confirmed_at_ms = 0
 
     async def report(
-        self, attempt_id: str, software_version: str, retention_ms: int
+        self,
+        attempt_id: str,
+        origin: stream_origins.Origin,
+        retention_ms: int,
     ) -> None:
         """Records the origin of a stream here and at its holders.
 
         Args:
             attempt_id: The attempt that begins the stream.
-            software_version: The software version of its target.
+            origin: Its origin.
             retention_ms: How long the stream may be resumed.
         """
         stream_id = stream_origins.stream_id_of(attempt_id)
-        self._record(stream_id, software_version, retention_ms)
-        record = fleet_wire.StreamRecord(
-            stream_id, software_version, retention_ms
-        )
+        self._record(stream_id, origin, retention_ms)
+        record = fleet_wire.StreamRecord(stream_id, origin, retention_ms)
         await self._send(
             self._select(stream_origins.holders, stream_id), record
         )
 
     def _record(
-        self, stream_id: int, software_version: str, retention_ms: int
+        self,
+        stream_id: int,
+        origin: stream_origins.Origin,
+        retention_ms: int,
     ) -> None:
         until_ms = clock.boot_ms() + min(
             retention_ms, stream_origins.MAX_RETENTION_MS
         )
-        if not self._records.record(stream_id, software_version, until_ms):
+        if not self._records.record(stream_id, origin, until_ms):
             self._metrics.stream_records_dropped.inc({})
             self._log.write("stream_records_full", records=len(self._records))
 
@@ -121,64 +125,71 @@
         lifetime_ms: int,
         *,
         request: str,
-    ) -> str | result.Failure:
-        """Finds the software version at which a stream may continue.
+    ) -> result.Outcome[stream_origins.Origin]:
+        """Finds the software that began a stream.
 
         Args:
             attempt_id: The attempt that began the stream, empty if not stated.
-            service: The service that serves it.
-            lifetime_ms: Longest lifetime of the service's streams.
+            service: The only service that can have begun it, empty if there
+                are several.
+            lifetime_ms: Longest lifetime of its streams.
             request: The attempt that resumes it, for the log.
 
         Returns:
-            The software version, or why the stream cannot continue.
+            The origin, or why it is unknown.
         """
         began_ms = clock.boot_ms()
         stream_id = stream_origins.stream_id_of(attempt_id)
-        software_version = ""
         lookup = stream_origins.Lookup(())
         source = "own"
+        origin = None
         if attempt_id:
-            software_version = self._records.find(stream_id, began_ms)
-        if not software_version:
+            origin = self._records.find(stream_id, began_ms)
+        if origin is None:
             lookup = await self._query(stream_id, service, lifetime_ms)
-            software_version = await self._resolve(lookup, service, lifetime_ms)
-            source = "gateway" if lookup.found() else "sole_version"
-            if not software_version:
-                source = "unknown"
-        if lookup.found():
-            self._record(stream_id, software_version, lifetime_ms)
+            origin, source = lookup.found(), "gateway"
+            if origin is not None:
+                self._record(stream_id, origin, lifetime_ms)
+        if origin is None:
+            origin = await self._assume_origin(lookup, service, lifetime_ms)
+            source = "unknown" if origin is None else "sole_version"
         self._metrics.stream_lookups.inc({"source": source})
         self._log.write(
             "stream_origin",
             request=request,
             resumes=attempt_id,
-            software_version=software_version,
+            service=origin.service if origin else "",
+            software_version=origin.software_version if origin else "",
             source=source,
             answered=len(lookup.answers),
             unanswered=len(lookup.unanswered),
             took_ms=clock.boot_ms() - began_ms,
         )
-        if software_version:
-            return software_version
+        if origin is not None:
+            return origin
         return result.Failure(
             result.STREAM_ORIGIN_UNKNOWN,
             "the software version that began the stream is unknown; it can be "
             "requested anew from its beginning",
         )
 
-    async def _resolve(
+    async def _assume_origin(
         self, lookup: stream_origins.Lookup, service: str, lifetime_ms: int
-    ) -> str:
-        def resolve() -> str:
+    ) -> stream_origins.Origin | None:
+        """Returns the origin if the service has had only one version."""
+
+        def sole_version() -> str:
             own_view = self.history.view(service, lifetime_ms, clock.boot_ms())
-            return lookup.resolve(own_view, lifetime_ms)
+            return lookup.sole_version(own_view, lifetime_ms)
 
-        if lookup.found() or not resolve():
-            return lookup.found()
+        if not service or not sole_version():
+            return None
         if not await self._confirm_versions(clock.boot_ms()):
-            return ""
-        return resolve()
+            return None
+        software_version = sole_version()
+        if not software_version:
+            return None
+        return stream_origins.Origin(service, software_version)
 
     async def _confirm_versions(self, since_ms: int) -> bool:
         """Reads from the store which software versions are listed.
@@ -238,7 +249,7 @@
             case fleet_wire.StreamRecord():
                 self._record(
                     message.stream_id,
-                    message.software_version,
+                    message.origin,
                     message.retention_ms,
                 )
             case fleet_wire.StreamQuery():
--- a/packages/radishd/src/radishd/request/callers_port.py
+++ b/packages/radishd/src/radishd/request/callers_port.py
@@ -102,16 +102,13 @@
             )
             return
         service = gateway.pick_service(admitted.route)
-        spec = gateway.table.services.get(service)
         pending = pending_request.PendingRequest(
             request,
             admitted,
             service,
+            gateway.table.services.get(service),
             body,
             arrived_at_ms,
-            needs_adapter=bool(
-                spec is not None and spec.adapter_limit and request.adapter
-            ),
         )
         forward = forward_lib.Forward(gateway, pending, send, reservation)
         gateway.budget(service).earn(arrived_at_ms)
--- a/packages/radishd/src/radishd/request/forward.py
+++ b/packages/radishd/src/radishd/request/forward.py
@@ -15,6 +15,7 @@
 from radishstack import result
 from radishstack.process import placement as placement_lib
 from radishstack.process import roster as roster_lib
+from radishstack.process import stream_origins
 from radishstack.process import usage_books
 from radishstack.request import forwarding
 from radishstack.request import silence
@@ -563,7 +564,7 @@
         elif send.software_version:
             await self._gateway.stream_origins.report(
                 pending.request.attempt_id,
-                send.software_version,
+                stream_origins.Origin(pending.service, send.software_version),
                 pending.retention_ms,
             )
         if pending.software_version is None:
--- a/packages/radishd/src/radishd/request/pending_request.py
+++ b/packages/radishd/src/radishd/request/pending_request.py
@@ -5,6 +5,7 @@
 from radishstack.request import event_stream
 from radishstack.request import fingerprint as fingerprint_lib
 from radishstack.request import forwarding
+from radishstack.version import route_table
 
 from radishd.platform import front
 from radishd.process import clock
@@ -38,10 +39,9 @@
         request: front.Request,
         admission: admission_lib.Admission,
         service: str,
+        spec: route_table.ServiceSpec | None,
         body: bytes,
         arrived_at_ms: int,
-        *,
-        needs_adapter: bool,
     ) -> None:
         """Starts without a send.
 
@@ -49,15 +49,14 @@
             request: Head of the request.
             admission: Its route and client account.
             service: The service that serves it.
+            spec: Configuration of the service, None if there is none.
             body: Its body.
             arrived_at_ms: When it arrived.
-            needs_adapter: Whether its target must hold an adapter.
         """
         self.request = request
         self.admission = admission
         self.route = route = admission.route
-        self.service = service
-        self.needs_adapter = needs_adapter
+        self.use_service(service, spec)
         self.body = body
         self.arrived_at_ms = arrived_at_ms
         self.deadline_at_ms = arrived_at_ms + route.timeout_ms
@@ -73,6 +72,15 @@
         self.is_trial = False
         self.cached_fingerprint = ""
 
+    def use_service(
+        self, service: str, spec: route_table.ServiceSpec | None
+    ) -> None:
+        """Sets the service that serves the request."""
+        self.service = service
+        self.needs_adapter = bool(
+            spec is not None and spec.adapter_limit and self.request.adapter
+        )
+
     def fingerprint(self) -> str:
         """Returns the fingerprint of the request, computed on first use."""
         if not self.cached_fingerprint:
--- a/packages/radishd/src/radishd/request/target_selection.py
+++ b/packages/radishd/src/radishd/request/target_selection.py
@@ -88,15 +88,24 @@
         pending = self._pending
         if not pending.resumes_stream or pending.software_version is not None:
             return None
-        found = await self._gateway.stream_origins.find(
+        services = [share.service for share in pending.route.shares]
+        origin = await self._gateway.stream_origins.find(
             pending.request.resumed_attempt_id,
-            pending.service,
+            services[0] if len(services) == 1 else "",
             pending.retention_ms,
             request=pending.request.attempt_id,
         )
-        if isinstance(found, result.Failure):
-            return found
-        pending.software_version = found
+        if isinstance(origin, result.Failure):
+            return origin
+        if origin.service not in services:
+            return result.Failure(
+                result.SOFTWARE_VERSION_UNAVAILABLE,
+                f"{origin.service}, which began the stream, no longer serves "
+                "its route",
+            )
+        spec = self._gateway.table.services.get(origin.service)
+        pending.use_service(origin.service, spec)
+        pending.software_version = origin.software_version
         return None
 
     def _rejection(self) -> result.Failure | None:
--- a/packages/radishstack/src/radishstack/connection/fleet.capnp
+++ b/packages/radishstack/src/radishstack/connection/fleet.capnp
@@ -141,6 +141,7 @@
   softwareVersion @1 :Text;
   # How long the stream may be resumed.
   retentionMs @2 :UInt32;
+  service @3 :Text;
 }
 
 struct StreamQuery {
@@ -153,11 +154,12 @@
 
 struct StreamAnswer {
   streamId @0 :UInt64;
-  # The software version that began the stream, empty if unknown.
+  # The software that began the stream, empty if unknown.
   softwareVersion @1 :Text;
   # Whether the gateway observed several software versions of the service within
   # the lifetime, otherwise the only one and how long it has observed it.
   isMixed @2 :Bool;
   soleVersion @3 :Text;
   soleForMs @4 :UInt32;
+  service @5 :Text;
 }
--- a/packages/radishstack/src/radishstack/connection/fleet_wire.py
+++ b/packages/radishstack/src/radishstack/connection/fleet_wire.py
@@ -142,16 +142,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StreamRecord:
-    """Reports to another gateway which software version began a stream.
+    """Reports to another gateway which software began a stream.
 
     Attributes:
         stream_id: The stream.
-        software_version: The software version of its first target.
+        origin: Its origin.
         retention_ms: How long the stream may be resumed.
     """
 
     stream_id: int
-    software_version: str
+    origin: stream_origins.Origin
     retention_ms: int
 
 
@@ -348,7 +348,8 @@
 def _(datagram: StreamRecord) -> bytes:
     body = {
         "streamId": datagram.stream_id,
-        "softwareVersion": datagram.software_version,
+        "service": datagram.origin.service,
+        "softwareVersion": datagram.origin.software_version,
         "retentionMs": datagram.retention_ms,
     }
     return _wire.FleetDatagram.new_message(streamRecord=body).to_bytes_packed()
@@ -366,9 +367,11 @@
 
 @encode.register
 def _(datagram: stream_origins.Answer) -> bytes:
+    origin = datagram.origin
     body = {
         "streamId": datagram.stream_id,
-        "softwareVersion": datagram.software_version,
+        "service": origin.service if origin else "",
+        "softwareVersion": origin.software_version if origin else "",
         "isMixed": datagram.view.is_mixed,
         "soleVersion": datagram.view.sole_version,
         "soleForMs": min(datagram.view.sole_for_ms, MAX_SOLE_FOR_MS),
@@ -512,7 +515,8 @@
 
 
 def _decode_stream_record(body: object) -> StreamRecord:
-    return StreamRecord(body.streamId, body.softwareVersion, body.retentionMs)
+    origin = stream_origins.Origin(body.service, body.softwareVersion)
+    return StreamRecord(body.streamId, origin, body.retentionMs)
 
 
 def _decode_stream_query(body: object) -> StreamQuery:
@@ -523,7 +527,10 @@
     view = stream_origins.VersionView(
         body.isMixed, body.soleVersion, body.soleForMs
     )
-    return stream_origins.Answer(body.streamId, body.softwareVersion, view)
+    origin = None
+    if body.softwareVersion:
+        origin = stream_origins.Origin(body.service, body.softwareVersion)
+    return stream_origins.Answer(body.streamId, origin, view)
 
 
 def _decode_usage_ask(body: object) -> usage_loan.LoanRequest:
--- a/packages/radishstack/src/radishstack/process/stream_origins.py
+++ b/packages/radishstack/src/radishstack/process/stream_origins.py
@@ -84,25 +84,36 @@
     ]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Origin:
+    """The software that began a stream.
+
+    Attributes:
+        service: Service of its first target.
+        software_version: Version of the software of its first target.
+    """
+
+    service: str
+    software_version: str
+
+
 class StreamRecords:
     """Origins of streams that may still be resumed."""
 
     def __init__(self) -> None:
         """Starts without records."""
-        self._records: dict[int, tuple[str, int]] = {}
+        self._records: dict[int, tuple[Origin, int]] = {}
 
     def __len__(self) -> int:
         """Returns the number of records."""
         return len(self._records)
 
-    def record(
-        self, stream_id: int, software_version: str, until_ms: int
-    ) -> bool:
-        """Records which software version began a stream.
+    def record(self, stream_id: int, origin: Origin, until_ms: int) -> bool:
+        """Records the origin of a stream.
 
         Args:
             stream_id: The stream.
-            software_version: The version.
+            origin: The origin.
             until_ms: When the record expires.
 
         Returns:
@@ -114,13 +125,13 @@
             return True
         if not has_room:
             del self._records[next(iter(self._records))]
-        self._records[stream_id] = (software_version, until_ms)
+        self._records[stream_id] = (origin, until_ms)
         return has_room
 
-    def find(self, stream_id: int, now_ms: int) -> str:
-        """Returns the software version of a stream, empty if unknown."""
-        software_version, until_ms = self._records.get(stream_id, ("", 0))
-        return software_version if now_ms < until_ms else ""
+    def find(self, stream_id: int, now_ms: int) -> Origin | None:
+        """Returns the origin of a stream, None if unknown."""
+        origin, until_ms = self._records.get(stream_id, (None, 0))
+        return origin if now_ms < until_ms else None
 
     def expire(self, now_ms: int) -> None:
         """Drops expired records."""
@@ -247,12 +258,12 @@
 
     Attributes:
         stream_id: The stream.
-        software_version: The version that began it, empty if unknown.
+        origin: Its origin, None if unknown.
         view: What the gateway knows of the versions of the service.
     """
 
     stream_id: int
-    software_version: str
+    origin: Origin | None
     view: VersionView
 
 
@@ -271,7 +282,7 @@
     @property
     def is_complete(self) -> bool:
         """Whether further answers would change nothing."""
-        return not self.unanswered or bool(self.found())
+        return not self.unanswered or self.found() is not None
 
     def record(self, gateway: str, answer: Answer) -> None:
         """Records an answer; gateways that were not asked are ignored."""
@@ -279,22 +290,19 @@
             self.unanswered.remove(gateway)
             self.answers[gateway] = answer
 
-    def found(self) -> str:
-        """Returns the recorded software version, empty if none is known."""
+    def found(self) -> Origin | None:
+        """Returns the recorded origin, None if no gateway knows it."""
         for answer in self.answers.values():
-            if answer.software_version:
-                return answer.software_version
-        return ""
+            if answer.origin is not None:
+                return answer.origin
+        return None
 
-    def resolve(self, own_view: VersionView, lifetime_ms: int) -> str:
-        """Returns the software version at which the stream may continue.
+    def sole_version(self, own_view: VersionView, lifetime_ms: int) -> str:
+        """Returns the version that began every stream that may still live.
 
         Args:
             own_view: What this gateway knows of the versions of the service.
             lifetime_ms: Longest lifetime of the service's streams.
-
-        Returns:
-            The version, empty if the stream must not continue.
         """
         views = [own_view, *(one.view for one in self.answers.values())]
-        return self.found() or sole_version(views, lifetime_ms)
+        return sole_version(views, lifetime_ms)
--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -123,10 +123,17 @@
     Mutant(
         _STREAMS_PROMISE,
         _SELECTION_PATH,
-        "        pending.software_version = found\n",
+        "        pending.software_version = origin.software_version\n",
         "",
         _SOFTWARE_TEST,
     ),
+    Mutant(
+        _STREAMS_PROMISE,
+        _SELECTION_PATH,
+        "        if origin.service not in services:\n",
+        "        if False:\n",
+        _SOFTWARE_TEST,
+    ),
     Mutant(
         _RESUME_PROMISE,
         "radishd/request/forward.py",
@@ -137,7 +144,7 @@
     Mutant(
         _RESUME_PROMISE,
         _STREAMS_PATH,
-        "            if answer.software_version:\n",
+        "            if answer.origin is not None:\n",
         "            if False:\n",
         _SOFTWARE_TEST,
     ),
--- a/proofs/streams.py
+++ b/proofs/streams.py
@@ -158,15 +158,12 @@
         )
         stream_id = stream_origins.stream_id_of(stream.attempt_id)
         until_ms = world.now_ms + LIFETIME_MS
-        self.records.record(stream_id, software_version, until_ms)
-        message = fleet_wire.StreamRecord(
-            stream_id, software_version, LIFETIME_MS
-        )
+        origin = stream_origins.Origin(SERVICE, software_version)
+        self.records.record(stream_id, origin, until_ms)
+        message = fleet_wire.StreamRecord(stream_id, origin, LIFETIME_MS)
         for name in world.holders(self, stream_id):
             if world.deliver(self.name, name, message):
-                world.gateways[name].records.record(
-                    stream_id, software_version, until_ms
-                )
+                world.gateways[name].records.record(stream_id, origin, until_ms)
         return stream
 
     def resume_stream(self, stream: Stream) -> str:
@@ -174,9 +171,9 @@
         world = self.world
         now_ms = world.now_ms
         stream_id = stream_origins.stream_id_of(stream.attempt_id)
-        known = self.records.find(stream_id, now_ms)
-        if known:
-            return known
+        origin = self.records.find(stream_id, now_ms)
+        if origin is not None:
+            return origin.software_version
         asked = world.candidates(self, stream_id)
         lookup = stream_origins.Lookup(asked)
         query = fleet_wire.StreamQuery(stream_id, SERVICE, LIFETIME_MS)
@@ -191,14 +188,14 @@
             )
             if world.deliver(name, self.name, answer):
                 lookup.record(name, answer)
-        own_view = self.history.view(SERVICE, LIFETIME_MS, now_ms)
-        if lookup.found() or not lookup.resolve(own_view, LIFETIME_MS):
-            return lookup.found()
+        origin = lookup.found()
+        if origin is not None:
+            return origin.software_version
         if self.cut_since_ms is not None:
             return ""
         self.read_list()
         own_view = self.history.view(SERVICE, LIFETIME_MS, now_ms)
-        return lookup.resolve(own_view, LIFETIME_MS)
+        return lookup.sole_version(own_view, LIFETIME_MS)
 
 
 class World:
--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -161,8 +161,8 @@
     mutants.Mutant(
         "streams that callers resume continue",
         "radishstack/process/stream_origins.py",
-        '        return software_version if now_ms < until_ms else ""',
-        '        return ""',
+        "        return origin if now_ms < until_ms else None",
+        "        return None",
         _seeds(500, Kind.GATEWAY_KILL),
     ),
     mutants.Mutant(
--- a/tests/fleet/test_software_versions.py
+++ b/tests/fleet/test_software_versions.py
@@ -19,6 +19,7 @@
 # Low enough that no target counts as degraded.
 FAILURE_SHARE_STEP = 0.1
 LIFETIME_MS = 17_000
+ORIGIN = stream_origins.Origin("llm", "v1")
 
 
 @contextlib.asynccontextmanager
@@ -385,8 +386,8 @@
     """Guards against memory that grows with the number of streams."""
     records = stream_origins.StreamRecords()
     for stream_id in range(stream_origins.MAX_RECORDS):
-        assert records.record(stream_id, "v1", LIFETIME_MS)
-    assert not records.record(stream_origins.MAX_RECORDS, "v1", LIFETIME_MS)
+        assert records.record(stream_id, ORIGIN, LIFETIME_MS)
+    assert not records.record(stream_origins.MAX_RECORDS, ORIGIN, LIFETIME_MS)
     assert len(records) == stream_origins.MAX_RECORDS
     assert not records.find(0, 0)
     records.expire(LIFETIME_MS)
@@ -397,12 +398,40 @@
     """Guards against a field that is lost or cut between two gateways."""
     view = stream_origins.VersionView(False, "v1.2", 2**40)
     for message in (
-        fleet_wire.StreamRecord(2**64 - 1, "v1.2", 17_000),
+        fleet_wire.StreamRecord(2**64 - 1, ORIGIN, 17_000),
+        stream_origins.Answer(7, ORIGIN, stream_origins.NO_VIEW),
         fleet_wire.StreamQuery(1, "llm", 17_000),
-        stream_origins.Answer(1, "", stream_origins.VersionView(is_mixed=True)),
+        stream_origins.Answer(
+            1, None, stream_origins.VersionView(is_mixed=True)
+        ),
     ):
         assert fleet_wire.decode(fleet_wire.encode(message)) == message
     decoded = fleet_wire.decode(
-        fleet_wire.encode(stream_origins.Answer(1, "v1.1", view))
+        fleet_wire.encode(stream_origins.Answer(1, None, view))
     )
     assert decoded.view.sole_for_ms == fleet_wire.MAX_SOLE_FOR_MS
+
+
+def test_a_stream_does_not_continue_at_another_service() -> None:
+    """Guards against taking versions of two services for the same software.
+
+    The route moves to another service after the stream has begun.
+    """
+
+    async def play() -> None:
+        async with _fleet("v1", "v1") as fleet:
+            await _begin_at_first_engine(fleet, "g0")
+            moved = fixtures.configuration(2)
+            for route in moved["routes"]:
+                if route["name"] == "long":
+                    route["service"] = "counter"
+            fleet.store.put("config", "main", moved)
+            await fleet.until(
+                lambda: fleet.gateway.table.version == 2, "the route has moved"
+            )
+            answer = await _resume(fleet, fleet.gateway, "g0")
+            assert answer.status == 503, answer
+            plain = fleet.targets["i-plain0"]
+            assert not plain.seen and not _runners(fleet, "g0-next")
+
+    fixtures.run(play)
