--- a/bench/stream_origins.py
+++ b/bench/stream_origins.py
@@ -14,6 +14,7 @@
 
 import click
 from radishstack.process import rendezvous
+from radishstack.process import roster
 from radishstack.process import stream_origins
 
 from bench import report
@@ -158,6 +159,52 @@
     }
 
 
+Preferred = Callable[[list[roster.Member]], list[roster.Member]]
+PLACEMENTS: dict[str, Preferred] = {
+    "where others can continue": stream_origins.replaceable,
+    "any target": lambda members: members,
+}
+TARGET_COUNT = 6
+RELEASE_STEP_MS = 4_000
+STREAMS_PER_STEP = 200
+
+
+def simulate_release(preferred: Preferred, seed: int) -> dict[str, float]:
+    """Replaces all targets one by one, each by one of the next version.
+
+    At each step, streams begin and their targets crash.
+
+    Args:
+        preferred: Selects the targets at which streams begin.
+        seed: Seed of all random choices.
+
+    Returns:
+        Under "can_continue" the share of streams of whose version another
+        target runs.
+    """
+    world = streams.World(1, 1, random.Random(seed))
+    world.preferred = preferred
+    for _ in range(TARGET_COUNT):
+        world.start_target("v1")
+    world.advance(RELEASE_STEP_MS)
+    (gateway,) = world.gateways.values()
+    can_continue = 0
+    for old in list(world.targets):
+        world.start_target("v2")
+        world.advance(RELEASE_STEP_MS)
+        for _ in range(STREAMS_PER_STEP):
+            stream = gateway.begin_stream()
+            count = sum(
+                one.is_running
+                and one.software_version == stream.software_version
+                for one in world.targets
+            )
+            can_continue += count > 1
+        world.end_target(old)
+        world.advance(RELEASE_STEP_MS)
+    return {"can_continue": can_continue / (TARGET_COUNT * STREAMS_PER_STEP)}
+
+
 @click.command()
 @click.option("--seed", default=1, show_default=True)
 def main(seed: int) -> None:
@@ -173,6 +220,10 @@
     headings = ["gateways", "lost", "way", "found", "wrong"]
     headings += ["bytes_per_stream", "bytes_per_resume"]
     print(report.table(headings, rows))
+    for name, preferred in PLACEMENTS.items():
+        figures = simulate_release(preferred, seed)
+        results[f"{name}/release"] = figures
+        print(f"release, {name}: {figures['can_continue']:.3f} can continue")
     report.save("stream-origins", results)
 
 
--- a/proofs/streams.py
+++ b/proofs/streams.py
@@ -142,7 +142,7 @@
         """Begins a stream at a random running target that it knows."""
         world = self.world
         members = self.members()
-        preferred = stream_origins.replaceable(members) or members
+        preferred = world.preferred(members) or members
         names = [member.listing.instance for member in preferred]
         running = [name for name in names if self.listed[name].is_running]
         if not running:
@@ -211,6 +211,7 @@
         sent_bytes: Bytes of the messages, with their headers, by type.
         holders: Selects where the origin of a stream is reported.
         candidates: Selects which gateways are asked for it.
+        preferred: Selects the targets at which new streams begin.
     """
 
     def __init__(
@@ -240,6 +241,7 @@
                 stream_id, gateway.others()
             )
         )
+        self.preferred = stream_origins.replaceable
         self._numbers = 0
         self._pending_reads: list[tuple[int, Gateway]] = []
         self.gateways: dict[str, Gateway] = {}
