--- a/tests/stack/test_proofs.py
+++ b/tests/stack/test_proofs.py
@@ -6,6 +6,7 @@
 from proofs import runner
 from proofs import serving
 from proofs import starts
+from proofs import streams
 from proofs import usage
 
 
@@ -50,6 +51,19 @@
     assert starts.COUNTS["fault restore"] > 100
 
 
+def test_a_stream_continues_only_at_its_software_version() -> None:
+    """Guards against a resumed stream at another version than it began.
+
+    Gateways are killed and cut off, read the list late and lose messages.
+    """
+    for seed in (1, 2, 3):
+        runner.run(streams.StreamsMachine, seed=seed, examples=60, steps=60)
+    assert streams.COUNTS["fault kill"] > 100
+    assert streams.COUNTS["fault cut"] > 100
+    assert streams.COUNTS["fault version"] > 100
+    assert streams.COUNTS["resumed"] > 1_000
+
+
 def test_no_window_exceeds_a_usage_cap() -> None:
     """Guards against a cap that gateways under faults exceed together."""
     for seed in (1, 2, 6, 50):
