Log the software version of streams that may not be resumed, too

Read as a newcomer would: stream_targets of a route without resume had no version, although on-call needs it for any stream; a connection that was acquired for a target that turned out to be another incarnation was neither closed nor returned to the pool; and a full table of records logged a line for each stream instead of a count.

--- a/packages/radishd/src/radishd/process/stream_origin_exchange.py
+++ b/packages/radishd/src/radishd/process/stream_origin_exchange.py
@@ -74,6 +74,7 @@
             tuple[fleet_socket.Address, fleet_wire.StreamQuery]
         ] = []
         self._wake = anyio.Event()
+        self._dropped_count = 0
         self._confirm_lock = anyio.Lock()
         self._confirmed_at_ms = 0
 
@@ -108,7 +109,7 @@
         )
         if not self._records.record(stream_id, origin, until_ms):
             self._metrics.stream_records_dropped.inc({})
-            self._log.write("stream_records_full", records=len(self._records))
+            self._dropped_count += 1
 
     def _select(
         self,
@@ -286,6 +287,9 @@
         self.history.expire(now_ms)
         self._records.expire(now_ms)
         self._metrics.stream_records.set({}, len(self._records))
+        if self._dropped_count:
+            self._log.write("stream_records_full", dropped=self._dropped_count)
+            self._dropped_count = 0
 
     def on_process_pause(self) -> None:
         """Handles a pause, in which versions may have come and gone."""
--- a/packages/radishd/src/radishd/request/forward.py
+++ b/packages/radishd/src/radishd/request/forward.py
@@ -217,6 +217,7 @@
                 return Outcome.UNSENT
             software_version = await self._confirm_software_version(member)
             if not self._may_send_to(software_version):
+                connection.close()
                 return Outcome.UNSENT
             send = self._write_request(selection, connection, software_version)
             member.health.unanswered[self] = send.sent_at_ms
@@ -239,13 +240,14 @@
     async def _confirm_software_version(self, member: roster_lib.Member) -> str:
         """Returns the software version that a target runs now.
 
-        The list may still describe a former incarnation.
+        The list may still describe a former incarnation. This is checked only
+        for streams that are or may be resumed.
 
         Returns:
-            The version; empty if unknown or not needed.
+            The version, empty if unknown.
         """
         if not (self.pending.route.resumable or self.pending.resumes_stream):
-            return ""
+            return member.listing.software_version
         if not await self._gateway.incarnation_check.confirm(member.listing):
             return ""
         if not self._gateway.roster.is_current(member):
@@ -561,7 +563,7 @@
                     "software_version": "same" if is_same else "other",
                 }
             )
-        elif send.software_version:
+        elif pending.route.resumable and send.software_version:
             await self._gateway.stream_origins.report(
                 pending.request.attempt_id,
                 stream_origins.Origin(pending.service, send.software_version),
--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -137,7 +137,7 @@
     Mutant(
         _RESUME_PROMISE,
         "radishd/request/forward.py",
-        "        elif send.software_version:\n",
+        "        elif pending.route.resumable and send.software_version:\n",
         "        elif False:\n",
         _SOFTWARE_TEST,
     ),
