--- a/packages/radishstack/src/radishstack/process/stream_origins.py
+++ b/packages/radishstack/src/radishstack/process/stream_origins.py
@@ -35,7 +35,7 @@
 RETENTION_MARGIN_MS = 5_000
 # Longest time for which a record is kept, whatever deadline a caller states.
 MAX_RETENTION_MS = 120_000
-# Maximum number of records of one gateway, about 5 MB.
+# Maximum number of records of one gateway, about 6 MB.
 MAX_RECORDS = 20_000
 
 
