Soak mutants: the older ones run with two engines as before

With the new default of four engines faults hit plain targets less often: "at most once" was missed with its seeds 300 and 301. The older mutants name the size that their seeds were chosen for; the two of streams need four.

--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -18,10 +18,13 @@
 Kind = schedule.Kind
 
 
-def _seeds(first: int, *kinds: schedule.Kind) -> tuple[str, ...]:
+def _seeds(
+    first: int, *kinds: schedule.Kind, engines: int = 2
+) -> tuple[str, ...]:
     """Returns arguments for a soak of two seeds with faults of some kinds."""
     of_kinds = [word for kind in kinds for word in ("--kind", str(kind))]
-    return (*SOAK, str(first), "--seeds", "2", *of_kinds)
+    size = ("--engines", str(engines))
+    return (*SOAK, str(first), "--seeds", "2", *size, *of_kinds)
 
 
 MUTANTS = (
@@ -156,14 +159,14 @@
         FORWARD,
         "            pending.software_version = send.software_version\n",
         "            pass\n",
-        _seeds(480, Kind.TARGET_FAULTS, Kind.SOFTWARE),
+        _seeds(480, Kind.TARGET_FAULTS, Kind.SOFTWARE, engines=4),
     ),
     mutants.Mutant(
         "streams that callers resume continue",
         "radishstack/process/stream_origins.py",
         "        return origin if now_ms < until_ms else None",
         "        return None",
-        _seeds(500, Kind.GATEWAY_KILL),
+        _seeds(500, Kind.GATEWAY_KILL, engines=4),
     ),
     mutants.Mutant(
         "a graceful stop cuts nothing",
