--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -63,7 +63,7 @@
         "            left = not done\n"
         "            tasks.cancel_scope.cancel()\n",
         "            left = not done\n",
-        _seeds(340, Kind.SIDE_PAUSE, Kind.LINK_SILENT),
+        _seeds(340, Kind.SIDE_PAUSE, Kind.LINK_SILENT, engines=4),
     ),
     mutants.Mutant(
         "no engine is overfilled",
