Log how responses of targets were framed and how they ended

The logs of the incident show a stream that was broken off as `:ok` with code 0, and no line says whether the answer had a length, chunks or neither, how its connection ended, or whether an event was unfinished. The `request` line now has `response_ends`, one entry per response as target:framing:end, followed by the number of bytes of an unfinished event, and response_ends_total counts them. The end of a response is judged as before.

--- a/packages/radishd/src/radishd/connection/http_client.py
+++ b/packages/radishd/src/radishd/connection/http_client.py
@@ -9,6 +9,7 @@
 import asyncio
 import collections
 import dataclasses
+import enum
 import socket
 import struct
 
@@ -47,6 +48,26 @@
         return None
 
 
+class Framing(enum.Enum):
+    """How the end of a response body is marked; the values are log labels."""
+
+    NO_BODY = "no_body"
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    CLOSE = "close"
+
+
+def framing(head: Head) -> Framing:
+    """Returns how the body of a response is framed."""
+    if head.status in NO_CONTENT:
+        return Framing.NO_BODY
+    if head.get(b"transfer-encoding") is not None:
+        return Framing.CHUNKED
+    if head.get(b"content-length") is not None:
+        return Framing.LENGTH
+    return Framing.CLOSE
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Lost:
     """Returned in place of a response when the connection is lost.
@@ -69,7 +90,6 @@
     __slots__ = (
         "chunks",
         "complete",
-        "framed",
         "head",
         "header_list",
         "keeps_alive",
@@ -82,7 +102,6 @@
         self.chunks: collections.deque[bytes] = collections.deque()
         self.size_bytes = 0
         self.complete = False
-        self.framed = False
         self.keeps_alive = False
 
 
@@ -144,12 +163,6 @@
         incoming = self._parsing
         status = self._parser.get_status_code()
         incoming.head = Head(status, tuple(incoming.header_list))
-        names = {name for name, _ in incoming.header_list}
-        incoming.framed = (
-            b"content-length" in names
-            or b"transfer-encoding" in names
-            or status in NO_CONTENT
-        )
         incoming.keeps_alive = self._parser.should_keep_alive()
 
     def on_body(self, body: bytes) -> None:
@@ -182,7 +195,7 @@
             and self._lost is None
             and parsing is not None
             and parsing.head is not None
-            and not parsing.framed
+            and framing(parsing.head) is Framing.CLOSE
         ):
             # A response without a length ends when the connection closes.
             # A reset sets ``error`` and is not handled here.
--- a/packages/radishd/src/radishd/process/metrics.py
+++ b/packages/radishd/src/radishd/process/metrics.py
@@ -72,6 +72,10 @@
             "control_lost_total", "Datagrams that could not be sent"
         )
         self.sends = counter("sends_total", "Sends to targets by outcome")
+        self.response_ends = counter(
+            "response_ends_total",
+            "Ends of targets' responses, by framing and by how they ended",
+        )
         self.continued_streams = counter(
             "streams_continued_total",
             "Streams continued by a later send, by who resumed them and by "
--- a/packages/radishd/src/radishd/request/forward.py
+++ b/packages/radishd/src/radishd/request/forward.py
@@ -26,6 +26,7 @@
 from radishd.process import web
 from radishd.request import gateway_interface
 from radishd.request import pending_request
+from radishd.request import response_ends
 from radishd.request import target_selection
 
 MS_PER_S = 1_000
@@ -100,6 +101,7 @@
         self.pending = pending
         self.failure: result.Failure | None = None
         self.send_history: list[str] = []
+        self.response_ends = response_ends.ResponseEnds(gateway.metrics)
         self.status = 0
         self.sent = False
         self._gateway = gateway
@@ -337,6 +339,18 @@
             return await self._forward_stream(send, head)
         return await self._forward_buffered(send, head)
 
+    def _record_cut(
+        self, send: Send, head: http_client.Head, outcome: Outcome
+    ) -> Outcome:
+        """Records a response that is not complete; returns the outcome."""
+        self.response_ends.record_cut(
+            send.member.listing.instance,
+            head,
+            outcome,
+            self.pending.events.unfinished_bytes,
+        )
+        return outcome
+
     async def _read_head(
         self, send: Send
     ) -> http_client.Head | http_client.Lost | ReadTimeout:
@@ -431,7 +445,8 @@
         """Forwards a target's error response, unless another may be tried."""
         body = await http_client.read_body(send.connection)
         if isinstance(body, http_client.Lost):
-            return _outcome_of(body)
+            return self._record_cut(send, head, _outcome_of(body))
+        self.response_ends.record_complete(send.member.listing.instance, head)
         self._gateway.release(send.member.listing.address, send.connection)
         self._record_completion()
         instance = send.member.listing.instance
@@ -467,15 +482,16 @@
         while True:
             piece = await self._read_with_timeout(send, send.connection.chunk)
             if piece is ReadTimeout.IDLE:
-                return Outcome.SILENT
+                return self._record_cut(send, head, Outcome.SILENT)
             if isinstance(piece, http_client.Lost):
-                return _outcome_of(piece)
+                return self._record_cut(send, head, _outcome_of(piece))
             if not piece:
                 break
             pieces.append(piece)
             size_bytes += len(piece)
             if size_bytes > MAX_BUFFERED_BYTES:
-                return Outcome.SPOILED
+                return self._record_cut(send, head, Outcome.SPOILED)
+        self.response_ends.record_complete(send.member.listing.instance, head)
         self._record_success(send)
         self._record_completion()
         self._gateway.release(send.member.listing.address, send.connection)
@@ -521,9 +537,9 @@
         while True:
             piece = await self._read_with_timeout(send, send.connection.chunk)
             if piece is ReadTimeout.IDLE:
-                return Outcome.SILENT
+                return self._record_cut(send, head, Outcome.SILENT)
             if isinstance(piece, http_client.Lost):
-                return _outcome_of(piece)
+                return self._record_cut(send, head, _outcome_of(piece))
             if not piece:
                 return await self._finish_stream(send, head)
             now_ms = clock.boot_ms()
@@ -592,6 +608,11 @@
     async def _finish_stream(
         self, send: Send, head: http_client.Head
     ) -> Outcome | None:
+        self.response_ends.record_complete(
+            send.member.listing.instance,
+            head,
+            self.pending.events.unfinished_bytes,
+        )
         self._record_completion()
         self._gateway.release(send.member.listing.address, send.connection)
         await self._send_stream_head(head)
--- a/packages/radishstack/src/radishstack/request/event_stream.py
+++ b/packages/radishstack/src/radishstack/request/event_stream.py
@@ -46,6 +46,11 @@
                 new_events.append(event)
         return b"".join(new_events)
 
+    @property
+    def unfinished_bytes(self) -> int:
+        """Number of bytes after the last complete event."""
+        return len(self._pending)
+
     def rest(self) -> bytes:
         """Returns the bytes after the last event of a complete response."""
         rest, self._pending = self._pending, b""
