--- a/packages/standins/src/standins/platform_engine.py
+++ b/packages/standins/src/standins/platform_engine.py
@@ -22,7 +22,13 @@
 
 
 class Fault(enum.Enum):
-    """A fault that a target injects into one request."""
+    """A fault that a target injects into one request.
+
+    Some of them break a response off in its middle so that it looks complete
+    to HTTP: ``CLOSE_IN_EVENT`` and ``END_IN_EVENT`` inside an event, with and
+    without the end of the connection; ``CRASH_AT_CLOSE`` after an event, as the
+    target crashes.
+    """
 
     NONE = "none"
     SHED = "shed"
@@ -36,6 +42,15 @@
     UNSIGNED = "unsigned"
     PROMISE_AFTER_RUN = "promise_after_run"
     CRASH = "crash"
+    CLOSE_IN_EVENT = "close_in_event"
+    END_IN_EVENT = "end_in_event"
+    CRASH_AT_CLOSE = "crash_at_close"
+
+
+# Faults whose responses have neither a length nor chunks.
+_UNFRAMED = frozenset(
+    {Fault.UNFRAMED, Fault.CLOSE_IN_EVENT, Fault.CRASH_AT_CLOSE}
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -419,10 +434,46 @@
         await asyncio.sleep(self.timing.work_ms / MS_PER_S)
         headers = {} if fault is Fault.UNSIGNED else signature
         body = {"instance": self.instance, "attempt": request.attempt_id}
+        if fault in _UNFRAMED:
+            data = json.dumps(body).encode()
+            writer.write(self._response_head(request, headers))
+            if fault is Fault.CRASH_AT_CLOSE:
+                writer.write(data[: len(data) // 2])
+                await self._crash_after_close(writer)
+            writer.write(data)
+            writer.close()
+            return
         await self._reply(writer, 200, body, headers, request)
         if fault is Fault.TWICE:
             await self._reply(writer, 200, body, headers, request)
 
+    def _response_head(
+        self, request: ReceivedRequest, headers: dict[str, str]
+    ) -> bytes:
+        """Returns the head of a successful response."""
+        lines = ["HTTP/1.1 200 OK", *self._status_headers()]
+        lines.append(f"X-Attempt-Id: {request.attempt_id}")
+        lines.extend(f"{name}: {value}" for name, value in headers.items())
+        return "\r\n".join(lines).encode() + b"\r\n\r\n"
+
+    async def _crash_after_close(self, writer: asyncio.StreamWriter) -> None:
+        """Crashes; this connection is closed and the others are reset.
+
+        The operating system closes the connections of a process that ends, so
+        that the response that is being written looks complete.
+
+        Raises:
+            ConnectionResetError: To end the request.
+        """
+        self.ended = True
+        if self._server is not None:
+            self._server.close()
+        await writer.drain()
+        writer.close()
+        self._writers.discard(writer)
+        await self.stop()
+        raise ConnectionResetError
+
     async def _stream(
         self,
         request: ReceivedRequest,
@@ -430,14 +481,11 @@
         fault: Fault,
         signature: dict[str, str],
     ) -> None:
-        lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
-        lines.extend(self._status_headers())
-        lines.append(f"X-Attempt-Id: {request.attempt_id}")
-        lines.extend(f"{name}: {value}" for name, value in signature.items())
-        framed = fault is not Fault.UNFRAMED
+        headers = {"Content-Type": "text/event-stream", **signature}
+        framed = fault not in _UNFRAMED
         if framed:
-            lines.append("Transfer-Encoding: chunked")
-        writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+            headers["Transfer-Encoding"] = "chunked"
+        writer.write(self._response_head(request, headers))
         first = int(request.headers.get("last-event-id") or 0) + 1
         mark = f" {self.software_version}" if self.marks_events else ""
         for number in range(first, self.event_count + 1):
@@ -448,8 +496,14 @@
                 self._write_body(writer, event[:5].encode(), framed=framed)
                 await writer.drain()
                 raise ConnectionResetError
+            is_last = number == max(first, self.event_count // 2)
+            if is_last and fault in (Fault.CLOSE_IN_EVENT, Fault.END_IN_EVENT):
+                self._write_body(writer, event[:-1].encode(), framed=framed)
+                break
             self._write_body(writer, event.encode(), framed=framed)
             await writer.drain()
+            if is_last and fault is Fault.CRASH_AT_CLOSE:
+                await self._crash_after_close(writer)
         if framed:
             writer.write(b"0\r\n\r\n")
             await writer.drain()
