Complete an answer only if its target did not break it off

What callers saw: a stream that its engine had broken off arrived as a complete answer, 200 with the engine's signature and half an event at its end.

Cause: the end of a connection, and any last chunk, was taken as the end of the answer. An answer without a length or chunks was complete as soon as its connection was closed without an error, the bytes of an unfinished event were forwarded after the last whole one, and everything that learns from an end learned 'complete': crash evidence was cleared, health and logs had a success.

Change: one decision (request/response_end) stands before all of them. A response that ends inside an event is cut in every framing; events may end with LF, CR or both, split over reads. A stream without length and chunks is cut before its first event. What bytes cannot tell, an end of the connection after an event or in a plain answer, is told by the target: it must accept a new connection, which stays in the pool. A cut stream is aborted or continues at another target; a cut plain answer is not forwarded.

A table of all framings, line ends, closes and resets, cut at every byte, passes. Why the liveness check: a crashed process has its connections closed by its operating system, most often after a whole event.

--- a/packages/radishd/src/radishd/connection/pool.py
+++ b/packages/radishd/src/radishd/connection/pool.py
@@ -93,6 +93,22 @@
             )
         idle.append(_IdleConnection(connection, now_ms, now_ms + idle_ms))
 
+    async def probe(self, address: str) -> http_client.Lost | None:
+        """Checks whether an address accepts connections.
+
+        The new connection stays in the pool.
+
+        Returns:
+            Why it accepts none, None if it does.
+        """
+        connection = await http_client.open_connection(
+            address, self._connect_timeout_ms
+        )
+        if isinstance(connection, http_client.Lost):
+            return connection
+        self.release(address, connection, keep_alive_s=0)
+        return None
+
     async def exchange(
         self, address: str, connection: http_client.Connection, data: bytes
     ) -> http_client.Answer | http_client.Lost:
--- a/packages/radishd/src/radishd/request/forward.py
+++ b/packages/radishd/src/radishd/request/forward.py
@@ -17,6 +17,7 @@
 from radishstack.process import roster as roster_lib
 from radishstack.process import stream_origins
 from radishstack.process import usage_books
+from radishstack.request import event_stream
 from radishstack.request import forwarding
 from radishstack.request import silence
 
@@ -101,7 +102,9 @@
         self.pending = pending
         self.failure: result.Failure | None = None
         self.send_history: list[str] = []
-        self.response_ends = response_ends.ResponseEnds(gateway.metrics)
+        self.response_ends = response_ends.ResponseEnds(
+            gateway.pool, gateway.metrics
+        )
         self.status = 0
         self.sent = False
         self._gateway = gateway
@@ -347,10 +350,27 @@
             send.member.listing.instance,
             head,
             outcome,
-            self.pending.events.unfinished_bytes,
+            self.pending.events,
         )
         return outcome
 
+    async def _is_complete(
+        self,
+        send: Send,
+        head: http_client.Head,
+        events: event_stream.EventStream | None = None,
+    ) -> bool:
+        """Whether a response that HTTP takes as complete is the whole answer.
+
+        Whatever learns from the end of an answer asks this first: a cut answer
+        must neither reach the caller as a whole one nor clear a request that
+        crashes its targets.
+        """
+        listing = send.member.listing
+        return await self.response_ends.check(
+            listing.instance, listing.address, head, events
+        )
+
     async def _read_head(
         self, send: Send
     ) -> http_client.Head | http_client.Lost | ReadTimeout:
@@ -446,7 +466,8 @@
         body = await http_client.read_body(send.connection)
         if isinstance(body, http_client.Lost):
             return self._record_cut(send, head, _outcome_of(body))
-        self.response_ends.record_complete(send.member.listing.instance, head)
+        if not await self._is_complete(send, head):
+            return Outcome.LOST
         self._gateway.release(send.member.listing.address, send.connection)
         self._record_completion()
         instance = send.member.listing.instance
@@ -491,7 +512,8 @@
             size_bytes += len(piece)
             if size_bytes > MAX_BUFFERED_BYTES:
                 return self._record_cut(send, head, Outcome.SPOILED)
-        self.response_ends.record_complete(send.member.listing.instance, head)
+        if not await self._is_complete(send, head):
+            return Outcome.LOST
         self._record_success(send)
         self._record_completion()
         self._gateway.release(send.member.listing.address, send.connection)
@@ -608,11 +630,8 @@
     async def _finish_stream(
         self, send: Send, head: http_client.Head
     ) -> Outcome | None:
-        self.response_ends.record_complete(
-            send.member.listing.instance,
-            head,
-            self.pending.events.unfinished_bytes,
-        )
+        if not await self._is_complete(send, head, self.pending.events):
+            return Outcome.LOST
         self._record_completion()
         self._gateway.release(send.member.listing.address, send.connection)
         await self._send_stream_head(head)
--- a/packages/radishstack/src/radishstack/request/event_stream.py
+++ b/packages/radishstack/src/radishstack/request/event_stream.py
@@ -5,25 +5,35 @@
 events are forwarded, so the caller always has a prefix of the stream.
 """
 
+import re
+
 ID_FIELD = b"id:"
 # Intended size above which a partial event is no longer buffered. It is not
 # enforced.
 MAX_EVENT_BYTES = 1024 * 1024
+BYTE_ORDER_MARK = b"\xef\xbb\xbf"
+# An empty line, with the end of the line before it. A line ends with LF, CR or
+# both; a CR before an LF ends no line by itself.
+_EVENT_END = re.compile(rb"(?:\r\n|\n|\r(?!\n))(?:\r\n|\n|\r)")
+MAX_EVENT_END_BYTES = 4
 
 
 class EventStream:
     """Splits a byte stream into events and drops repeated ones."""
 
-    __slots__ = ("_pending", "last_id")
+    __slots__ = ("_has_events", "_pending", "_searched_bytes", "last_id")
 
     def __init__(self) -> None:
         """Initializes an empty stream."""
         self._pending = b""
+        self._searched_bytes = 0
+        self._has_events = False
         self.last_id = b""
 
     def restart(self) -> None:
         """Discards a partial event before another response is read."""
         self._pending = b""
+        self._searched_bytes = 0
 
     def feed(self, data: bytes) -> bytes:
         """Adds bytes of a response.
@@ -36,16 +46,29 @@
         """
         self._pending += data
         new_events = []
-        while True:
-            size_bytes = _event_end(self._pending)
-            if size_bytes == 0:
-                break
-            event = self._pending[:size_bytes]
-            self._pending = self._pending[size_bytes:]
+        while match := _EVENT_END.search(self._pending, self._searched_bytes):
+            event = self._pending[: match.end()]
+            self._pending = self._pending[match.end() :]
+            self._searched_bytes = 0
             if self._is_new(event):
                 new_events.append(event)
+        # The end of an event may be split over two reads.
+        self._searched_bytes = max(
+            0, len(self._pending) - MAX_EVENT_END_BYTES + 1
+        )
+        self._has_events = self._has_events or bool(new_events)
         return b"".join(new_events)
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether the bytes so far end in the middle of an event."""
+        return bool(self._pending.removeprefix(BYTE_ORDER_MARK).strip(b"\r\n"))
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether the caller has received no event of the stream."""
+        return not (self._has_events or self.last_id)
+
     @property
     def unfinished_bytes(self) -> int:
         """Number of bytes after the last complete event."""
@@ -69,17 +92,8 @@
         return True
 
 
-def _event_end(data: bytes) -> int:
-    ends = [
-        position + len(separator)
-        for separator in (b"\n\n", b"\r\n\r\n")
-        if (position := data.find(separator)) >= 0
-    ]
-    return min(ends, default=0)
-
-
 def _event_id(event: bytes) -> bytes | None:
-    for line in event.splitlines():
+    for line in event.removeprefix(BYTE_ORDER_MARK).splitlines():
         if line.startswith(ID_FIELD):
             return line[len(ID_FIELD) :].strip()
     return None
--- a/tests/fleet/test_response_ends.py
+++ b/tests/fleet/test_response_ends.py
@@ -1,15 +1,22 @@
 """Responses that a target breaks off although they look complete to HTTP."""
 
+import socket
+from typing import Any
+
+from radishd.connection import http_client
 from radishd.process import clock
 from radishstack.process import crash_evidence
 from radishstack.process import incarnation
+from radishstack.request import event_stream
 from radishstack.request import fingerprint as fingerprint_lib
+from radishstack.request import response_end
 from standins import platform_engine
 from standins import platform_site
 
 from tests.fleet import fixtures
 
 Fault = platform_engine.Fault
+Framing = http_client.Framing
 # Faults that end a stream inside an event, without and with the last chunk.
 INSIDE_EVENT = (Fault.CLOSE_IN_EVENT, Fault.END_IN_EVENT)
 
@@ -149,3 +156,158 @@
                 assert evidence.record(fingerprint).observations, fault
 
     fixtures.run(play)
+
+
+class _Transport:
+    """A transport that drops what is sent."""
+
+    def __init__(self) -> None:
+        self.socket = socket.socket()
+
+    def get_extra_info(self, name: str) -> socket.socket:
+        del name
+        return self.socket
+
+    def write(self, data: bytes) -> None:
+        del data
+
+    def is_closing(self) -> bool:
+        return True
+
+    def resume_reading(self) -> None:
+        pass
+
+
+def _encode(framing: Framing, body: bytes) -> bytes:
+    """Returns a response with a body of two chunks if it is chunked."""
+    head = b"HTTP/1.1 200 OK\r\n"
+    if framing is Framing.LENGTH:
+        return head + b"Content-Length: %d\r\n\r\n" % len(body) + body
+    if framing is Framing.CLOSE:
+        return head + b"\r\n" + body
+    middle = len(body) // 2
+    chunks = b"".join(
+        b"%x\r\n%s\r\n" % (len(chunk), chunk)
+        for chunk in (body[:middle], body[middle:])
+        if chunk
+    )
+    head += b"Transfer-Encoding: chunked\r\n\r\n"
+    return head + chunks + b"0\r\n\r\n"
+
+
+async def _read_stream(
+    data: bytes, *, error: Exception | None = None
+) -> tuple[bytes, Any]:
+    """Reads a response that ends after some bytes.
+
+    Returns:
+        The events that a caller receives, and how the response ended; None if
+        HTTP does not take it as complete.
+    """
+    connection = http_client.Connection()
+    connection.connection_made(_Transport())
+    connection.send(b"")
+    for position in range(len(data)):
+        connection.data_received(data[position : position + 1])
+    connection.connection_lost(error)
+    head = await connection.head()
+    events = event_stream.EventStream()
+    received = b""
+    while True:
+        piece = await connection.chunk()
+        if isinstance(piece, http_client.Lost):
+            return received, None
+        if not piece:
+            break
+        received += events.feed(piece)
+    end = response_end.judge(
+        response_end.Ending(
+            is_delimited=http_client.framing(head) is not Framing.CLOSE,
+            is_inside_event=events.is_inside_event,
+            lacks_events=events.is_empty,
+        )
+    )
+    return received, end
+
+
+LINE_ENDS = (b"\n", b"\r\n", b"\r")
+
+
+def _events_with(line_end: bytes) -> list[bytes]:
+    lines = (b"id: 1|data: a||", b": comment||", b"id: 2|data: b||")
+    events = [one.replace(b"|", line_end) for one in lines]
+    return [event_stream.BYTE_ORDER_MARK + events[0], *events[1:]]
+
+
+def test_a_stream_that_is_cut_at_any_byte_is_not_complete() -> None:
+    """Guards against cut streams that pass for whole ones in some framing.
+
+    A stream is cut after each of its bytes, by a close and by a reset. Only a
+    close at the end of an event leaves it to the state of the target.
+    """
+
+    async def play() -> None:
+        for line_end in LINE_ENDS:
+            events = _events_with(line_end)
+            body = b"".join(events)
+            ends = {len(b"".join(events[:count])) for count in (1, 2, 3)}
+            if line_end == b"\r\n":
+                # Its CR alone ends the empty line, too.
+                ends |= {size - 1 for size in ends}
+            for framing in (Framing.LENGTH, Framing.CHUNKED, Framing.CLOSE):
+                data = _encode(framing, body)
+                first = data.index(b"\r\n\r\n") + 4
+                for size in range(first, len(data) + 1):
+                    is_framed = framing is not Framing.CLOSE
+                    is_whole = is_framed and size == len(data)
+                    reset = ConnectionResetError()
+                    _, end = await _read_stream(data[:size], error=reset)
+                    assert (end is not None) is is_whole, (framing, size)
+                    received, end = await _read_stream(data[:size])
+                    case = (framing, line_end, size, end)
+                    assert body.startswith(received), case
+                    if is_framed:
+                        assert (end is not None) is is_whole, case
+                    elif size - first in ends:
+                        assert end is response_end.Undecided.TARGET_STATE, case
+                    else:
+                        assert not end.is_complete, case
+
+    fixtures.run(play)
+
+
+def test_a_frame_that_ends_inside_an_event_is_not_complete() -> None:
+    """Guards against trusting a length or last chunk that comes too early."""
+
+    async def play() -> None:
+        for line_end in LINE_ENDS:
+            events = _events_with(line_end)
+            body = b"".join(events)
+            for size in range(len(events[0]) + 1, len(body)):
+                for framing in (Framing.LENGTH, Framing.CHUNKED):
+                    received, end = await _read_stream(
+                        _encode(framing, body[:size])
+                    )
+                    rest = body[len(received) : size].strip(b"\r\n")
+                    expected = (
+                        response_end.End.INSIDE_EVENT
+                        if rest
+                        else response_end.End.DELIMITED
+                    )
+                    assert end is expected, (framing, line_end, size)
+
+    fixtures.run(play)
+
+
+def test_a_stream_without_length_and_events_is_not_complete() -> None:
+    """Guards against a stream that ends before its first event."""
+
+    async def play() -> None:
+        for body in (b"", b"\r\n", event_stream.BYTE_ORDER_MARK):
+            _, end = await _read_stream(_encode(Framing.CLOSE, body))
+            assert end is response_end.End.EMPTY, body
+        resumed = event_stream.EventStream()
+        resumed.last_id = b"4"
+        assert not resumed.is_empty
+
+    fixtures.run(play)
