Do not end an answer without a length by closing its connection here

Cause: when one task of this process closes a connection (store connections after a process pause) while another reads an answer without a length from it, the close passed for the end of that answer. Change: a connection that is closed here is lost. The new test failed before and passes.

--- a/packages/radishd/src/radishd/connection/http_client.py
+++ b/packages/radishd/src/radishd/connection/http_client.py
@@ -309,6 +309,10 @@
         """Closes the connection; a request in progress is aborted."""
         if self._transport is None:
             return
+        if self._lost is None:
+            # The end of the connection must not pass for the end of a response
+            # without a length that another task still reads.
+            self._lost = Lost("closed by this process")
         if self._busy:
             # A plain close would still deliver buffered bytes to a paused or
             # partitioned peer, seconds after the caller disconnected. A reset
--- a/tests/fleet/test_http_client.py
+++ b/tests/fleet/test_http_client.py
@@ -117,6 +117,26 @@
     fixtures.run(both)
 
 
+def test_an_answer_without_length_is_not_ended_by_this_process() -> None:
+    """Guards against a connection that one task closes while another reads."""
+
+    async def play() -> None:
+        listener, address = _listen()
+        connection = await http_client.open_connection(address, 1_000)
+        peer = await _accept(listener)
+        connection.send(REQUEST)
+        await _read(peer)
+        peer.sendall(b"HTTP/1.1 200 OK\r\n\r\nhalf")
+        await connection.head()
+        assert await connection.chunk() == b"half"
+        connection.close()
+        assert isinstance(await connection.chunk(), http_client.Lost)
+        peer.close()
+        listener.close()
+
+    fixtures.run(play)
+
+
 def test_an_answer_before_the_body_was_read_is_accepted() -> None:
     """A target may reject a large request once it has read the headers."""
 
