Soak and mutants: answers that targets break off

The soak plays streams that end inside an event without a length or with a last chunk, plain answers without a length, and crashes whose answers end with a plain close; the judge takes half a plain body as a broken promise instead of failing on it.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -59,10 +59,79 @@
 _RESUME_PROMISE = "streams that callers resume continue"
 _SOFTWARE_TEST = _test("fleet.test_software_versions")
 
+_RESPONSE_END_PATH = "radishstack/request/response_end.py"
+_EVENT_STREAM_PATH = "radishstack/request/event_stream.py"
+_CUT_PROMISE = "a cut answer is not complete"
+_CUT_TEST = _test("fleet.test_response_ends")
+_CHECK_STREAM_END = (
+    "        if not await self._is_complete(send, head, "
+    "self.pending.events):\n"
+    "            return Outcome.LOST\n"
+)
+_CLEAR_SUSPECT = "        self._record_completion()\n"
+
 _ROSTER_PATH = "radishstack/process/roster.py"
 _RESTORED_PROMISE = "a restored store revives no outdated entries"
 
 MUTANTS = (
+    Mutant(
+        _CUT_PROMISE,
+        _RESPONSE_END_PATH,
+        "    if ending.is_inside_event:\n        return End.INSIDE_EVENT\n",
+        "",
+        _CUT_TEST,
+    ),
+    Mutant(
+        _CUT_PROMISE,
+        _RESPONSE_END_PATH,
+        "    if ending.lacks_events:\n        return End.EMPTY\n",
+        "",
+        _CUT_TEST,
+    ),
+    Mutant(
+        _CUT_PROMISE,
+        _RESPONSE_END_PATH,
+        "    return End.CLOSED if target_accepts else End.UNREACHABLE\n",
+        "    return End.CLOSED\n",
+        _CUT_TEST,
+    ),
+    Mutant(
+        _CUT_PROMISE,
+        _EVENT_STREAM_PATH,
+        "len(self._pending) - MAX_EVENT_END_BYTES + 1",
+        "len(self._pending)",
+        _CUT_TEST,
+    ),
+    Mutant(
+        _CUT_PROMISE,
+        _EVENT_STREAM_PATH,
+        "(?:\\r\\n|\\n|\\r(?!\\n))",
+        "(?:\\r\\n|\\n|\\r)",
+        _CUT_TEST,
+    ),
+    Mutant(
+        _CUT_PROMISE,
+        "radishd/request/forward.py",
+        "        if not await self._is_complete(send, head):\n"
+        "            return Outcome.LOST\n"
+        "        self._record_success(send)\n",
+        "        self._record_success(send)\n",
+        _CUT_TEST,
+    ),
+    Mutant(
+        "a cut answer clears no suspect",
+        "radishd/request/forward.py",
+        _CHECK_STREAM_END + _CLEAR_SUSPECT,
+        _CLEAR_SUSPECT + _CHECK_STREAM_END,
+        _CUT_TEST,
+    ),
+    Mutant(
+        _CUT_PROMISE,
+        "radishd/connection/http_client.py",
+        '            self._lost = Lost("closed by this process")\n',
+        "            pass\n",
+        _test("fleet.test_http_client"),
+    ),
     Mutant(
         _STREAMS_PROMISE,
         _STREAMS_PATH,
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -128,6 +128,15 @@
             )
 
 
+def _is_own_body(attempt: history_lib.Attempt) -> bool:
+    """Whether a body is the whole answer of a plain target to an attempt."""
+    try:
+        body = json.loads(attempt.body)
+    except ValueError:
+        return False
+    return body.get("attempt") == attempt.attempt_id
+
+
 def _complete_and_own(evidence: Evidence) -> Iterator[Violation]:
     for attempt in evidence.history.attempts:
         if attempt.status != SUCCESS:
@@ -136,8 +145,7 @@
             events = streams.parse(attempt)
             good = events.is_whole if attempt.whole else events.is_own_prefix
         elif attempt.whole:
-            body = json.loads(attempt.body or "{}")
-            good = body.get("attempt") == attempt.attempt_id
+            good = _is_own_body(attempt)
         else:
             good = attempt.left or not attempt.body
         if not good:
--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -50,6 +50,20 @@
         "            return\n        proven_not_run",
         _seeds(320, Kind.TARGET_FAULTS),
     ),
+    mutants.Mutant(
+        "whole and own",
+        "radishstack/request/response_end.py",
+        "    if ending.is_inside_event:\n        return End.INSIDE_EVENT\n",
+        "",
+        _seeds(510, Kind.TARGET_FAULTS),
+    ),
+    mutants.Mutant(
+        "whole and own",
+        "radishstack/request/response_end.py",
+        "    return End.CLOSED if target_accepts else End.UNREACHABLE\n",
+        "    return End.CLOSED\n",
+        _seeds(520, Kind.CRASH_AT_CLOSE),
+    ),
     mutants.Mutant(
         "a leaving target gets no work",
         "radishstack/process/roster.py",
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -38,6 +38,7 @@
     STORE_RESTORED = "store_restored"
     RELEASE = "release"
     SOFTWARE = "software"
+    CRASH_AT_CLOSE = "crash_at_close"
 
 
 # Kinds by affected component; other kinds affect the store or the whole site.
@@ -60,6 +61,7 @@
         Kind.LINK_SILENT,
         Kind.LINK_RESET,
         Kind.LINK_SLOW,
+        Kind.CRASH_AT_CLOSE,
     }
 )
 # Component that the other kinds affect, where it is not the store.
--- a/soak/world.py
+++ b/soak/world.py
@@ -84,10 +84,13 @@
         platform_engine.Fault.HANG,
     }
 )
+CRASHES = frozenset(
+    {platform_engine.Fault.CRASH, platform_engine.Fault.CRASH_AT_CLOSE}
+)
 FAULTS = tuple(
     fault
     for fault in platform_engine.Fault
-    if fault not in (platform_engine.Fault.NONE, platform_engine.Fault.CRASH)
+    if fault is not platform_engine.Fault.NONE and fault not in CRASHES
 )
 Kind = schedule.Kind
 
@@ -467,6 +470,8 @@
             target.backoff_s = BACKOFF_S
             await asyncio.sleep(for_s)
             target.backoff_s = 0.0
+        elif kind is Kind.CRASH_AT_CLOSE:
+            vm.target.fault = _crash_at_close
         elif kind is Kind.RATE_LIMIT:
             await self._advertise_rate_limit(vm.target, for_s)
         elif kind is Kind.TARGET_FAULTS:
@@ -750,6 +755,14 @@
                 self._record_orders(vm.target)
 
 
+def _crash_at_close(
+    request: platform_engine.ReceivedRequest,
+) -> platform_engine.Fault:
+    """Crashes the target under the next request, its answer looks complete."""
+    del request
+    return platform_engine.Fault.CRASH_AT_CLOSE
+
+
 async def run(
     seed: int,
     length_ms: int,
--- a/tests/fleet/test_response_ends.py
+++ b/tests/fleet/test_response_ends.py
@@ -207,8 +207,7 @@
     connection = http_client.Connection()
     connection.connection_made(_Transport())
     connection.send(b"")
-    for position in range(len(data)):
-        connection.data_received(data[position : position + 1])
+    connection.data_received(data)
     connection.connection_lost(error)
     head = await connection.head()
     events = event_stream.EventStream()
@@ -219,7 +218,8 @@
             return received, None
         if not piece:
             break
-        received += events.feed(piece)
+        for position in range(len(piece)):
+            received += events.feed(piece[position : position + 1])
     end = response_end.judge(
         response_end.Ending(
             is_delimited=http_client.framing(head) is not Framing.CLOSE,
--- a/tests/fleet/test_soak.py
+++ b/tests/fleet/test_soak.py
@@ -80,6 +80,9 @@
     short = _history()
     short.attempts[0] = dataclasses.replace(short.attempts[0], body="id: 1\n")
     assert _broken(short) == {"whole and own"}
+    half = _history()
+    half.attempts[1] = dataclasses.replace(half.attempts[1], body='{"at')
+    assert _broken(half) == {"whole and own"}
     foreign = _history()
     foreign.attempts[1] = dataclasses.replace(
         foreign.attempts[1], body='{"attempt": "b3"}'
