Bound the size of an event that a target does not finish

Cause: the bound on an unfinished event was named and not enforced, so that a target that sends no end of an event fills the memory of a gateway. Change: above 1 MiB the response is invalid, as other responses that are too large. The new test failed before (the stream was buffered whole and served) and passes.

--- a/packages/radishd/src/radishd/request/forward.py
+++ b/packages/radishd/src/radishd/request/forward.py
@@ -568,6 +568,8 @@
             health.record_progress(now_ms - last_read_at_ms, now_ms)
             last_read_at_ms = now_ms
             events = self.pending.events.feed(piece)
+            if self.pending.events.is_oversized:
+                return self._record_cut(send, head, Outcome.SPOILED)
             if not events:
                 continue
             if not success_recorded:
--- a/packages/radishstack/src/radishstack/request/event_stream.py
+++ b/packages/radishstack/src/radishstack/request/event_stream.py
@@ -8,8 +8,7 @@
 import re
 
 ID_FIELD = b"id:"
-# Intended size above which a partial event is no longer buffered. It is not
-# enforced.
+# An event that is larger than this and not finished is not buffered any further.
 MAX_EVENT_BYTES = 1024 * 1024
 BYTE_ORDER_MARK = b"\xef\xbb\xbf"
 # An empty line, with the end of the line before it. A line ends with LF, CR or
@@ -59,6 +58,11 @@
         self._has_events = self._has_events or bool(new_events)
         return b"".join(new_events)
 
+    @property
+    def is_oversized(self) -> bool:
+        """Whether an unfinished event is larger than ``MAX_EVENT_BYTES``."""
+        return len(self._pending) > MAX_EVENT_BYTES
+
     @property
     def is_inside_event(self) -> bool:
         """Whether the bytes so far end in the middle of an event."""
--- a/packages/standins/src/standins/platform_engine.py
+++ b/packages/standins/src/standins/platform_engine.py
@@ -45,8 +45,12 @@
     CLOSE_IN_EVENT = "close_in_event"
     END_IN_EVENT = "end_in_event"
     CRASH_AT_CLOSE = "crash_at_close"
+    ENDLESS_EVENT = "endless_event"
 
 
+# Size of the event that ``ENDLESS_EVENT`` does not finish, and of its pieces.
+ENDLESS_EVENT_BYTES = 4 * 1024 * 1024
+ENDLESS_PIECE_BYTES = 64 * 1024
 # Faults whose responses have neither a length nor chunks.
 _UNFRAMED = frozenset(
     {Fault.UNFRAMED, Fault.CLOSE_IN_EVENT, Fault.CRASH_AT_CLOSE}
@@ -486,6 +490,12 @@
         if framed:
             headers["Transfer-Encoding"] = "chunked"
         writer.write(self._response_head(request, headers))
+        if fault is Fault.ENDLESS_EVENT:
+            for _ in range(ENDLESS_EVENT_BYTES // ENDLESS_PIECE_BYTES):
+                self._write_body(
+                    writer, b"x" * ENDLESS_PIECE_BYTES, framed=framed
+                )
+                await writer.drain()
         first = int(request.headers.get("last-event-id") or 0) + 1
         mark = f" {self.software_version}" if self.marks_events else ""
         for number in range(first, self.event_count + 1):
--- a/tests/fleet/test_response_ends.py
+++ b/tests/fleet/test_response_ends.py
@@ -129,6 +129,23 @@
     fixtures.run(play)
 
 
+def test_an_event_without_an_end_is_not_buffered_without_bound() -> None:
+    """Guards against a target that fills the memory of a gateway."""
+
+    async def play() -> None:
+        async with fixtures.running_fleet(engines=1, plain=0) as fleet:
+            _inject(fleet, Fault.ENDLESS_EVENT)
+            answer = await fleet.call("/chat/x", adapter="a1", attempt="61")
+            assert answer.status == 502, answer.status
+
+    fixtures.run(play)
+    events = event_stream.EventStream()
+    events.feed(b"x" * event_stream.MAX_EVENT_BYTES)
+    assert not events.is_oversized
+    events.feed(b"x")
+    assert events.is_oversized
+
+
 def test_an_answer_that_is_broken_off_clears_no_suspect() -> None:
     """Guards against evidence of a crash that a cut answer removes."""
 
