--- a/packages/radishstack/src/radishstack/request/event_stream.py
+++ b/packages/radishstack/src/radishstack/request/event_stream.py
@@ -8,7 +8,7 @@
 import re
 
 ID_FIELD = b"id:"
-# An event that is larger than this and not finished is not buffered any further.
+# An unfinished event that is larger than this is not buffered any further.
 MAX_EVENT_BYTES = 1024 * 1024
 BYTE_ORDER_MARK = b"\xef\xbb\xbf"
 # An empty line, with the end of the line before it. A line ends with LF, CR or
