Log which prompt blocks stand behind a crash

The logs of the incident cannot tell a part of a prompt from anything else that requests share: no line names the parts. target_broke_off now has prompt_blocks, fingerprints of the blocks that the aborted requests shared with others, each with the number of requests; the request line of a failed or rejected request has its own, and radishctl explain shows the crashes, at any time, under a fingerprint or block of the request. Nothing decides by them yet.

--- a/packages/radishctl/src/radishctl/explain.py
+++ b/packages/radishctl/src/radishctl/explain.py
@@ -65,13 +65,15 @@
 
     Returns:
         The lines of the request itself and of the other attempts at the same
-        stream, and those on its adapter and its targets from shortly before it
-        began until shortly after it ended.
+        stream, those on crashes of targets that were running a feature of it,
+        and those on its adapter and its targets from shortly before it began
+        until shortly after it ended.
     """
     own = [one for one in lines if one.fields.get("request") == request_id]
     if not own:
         return []
     attempts = _stream_lines(lines, own, request_id)
+    crashes = _crash_lines(lines, own)
     ends_ms = max(one.at_ms for one in own)
     took_ms = max(int(one.fields.get("took_ms", 0)) for one in own)
     adapters = {one.fields["adapter"] for one in own if "adapter" in one.fields}
@@ -85,9 +87,11 @@
         for one in lines
         if ends_ms - took_ms - MARGIN_MS <= one.at_ms <= ends_ms + MARGIN_MS
         and one.event != "request"
+        and one not in crashes
         and _is_related(one, adapters, targets)
     ]
-    return sorted(own + attempts + picked, key=lambda one: one.at_ms)
+    related = own + attempts + crashes + picked
+    return sorted(related, key=lambda one: one.at_ms)
 
 
 def _stream_lines(
@@ -108,6 +112,25 @@
     ]
 
 
+def _crash_lines(lines: list[Line], own: list[Line]) -> list[Line]:
+    """Returns the lines on crashes under features of a request."""
+    features = set().union(*map(_features, own))
+    return [
+        one
+        for one in lines
+        if one.event != "request" and features & _features(one)
+    ]
+
+
+def _features(line: Line) -> set[str]:
+    """Returns the fingerprints in a line, of requests and prompt blocks."""
+    return {
+        line.fields.get("fingerprint", ""),
+        *line.fields.get("fingerprints", ()),
+        *line.fields.get("prompt_blocks", ()),
+    } - {""}
+
+
 def _is_related(line: Line, adapters: set[str], targets: set[str]) -> bool:
     fields = line.fields
     if "adapter" in fields:
--- a/packages/radishd/src/radishd/connection/crash_watch.py
+++ b/packages/radishd/src/radishd/connection/crash_watch.py
@@ -5,6 +5,7 @@
 connections and refuses new ones until it is restarted, seconds later.
 """
 
+import collections
 from collections.abc import Callable
 import dataclasses
 
@@ -25,6 +26,7 @@
 COALESCE_MS = 10
 CONNECT_TIMEOUT_MS = 400
 MAX_LOGGED_FINGERPRINTS = 8
+MAX_LOGGED_PROMPT_BLOCKS = 24
 
 OnCrash = Callable[[crash_lib.Crash], None]
 
@@ -34,6 +36,7 @@
     address: str
     at_ms: int
     suspects: dict[str, crash_lib.Suspect]
+    blocks: collections.Counter[str]
 
 
 class CrashWatch:
@@ -67,23 +70,26 @@
         return bool(self._aborted)
 
     def record_abort(
-        self, member: roster_lib.Member, fingerprint: str, began_at_ms: int
+        self, member: roster_lib.Member, suspects: tuple[crash_lib.Suspect, ...]
     ) -> None:
         """Records that a target aborted a response.
 
         Args:
             member: The target.
-            fingerprint: Fingerprint of the request.
-            began_at_ms: When the request was sent.
+            suspects: Features of the request.
         """
         listing = member.listing
         aborted = self._aborted.setdefault(
             listing.incarnation_id,
-            _AbortedSends(listing.address, clock.boot_ms(), {}),
-        )
-        aborted.suspects[fingerprint] = crash_lib.Suspect(
-            fingerprint, began_at_ms
+            _AbortedSends(
+                listing.address, clock.boot_ms(), {}, collections.Counter()
+            ),
         )
+        for suspect in suspects:
+            if suspect.kind is crash_lib.FeatureKind.PROMPT_BLOCK:
+                aborted.blocks[suspect.fingerprint] += 1
+                continue
+            aborted.suspects[suspect.fingerprint] = suspect
         self._wake.set()
 
     async def run(self) -> None:
@@ -115,6 +121,10 @@
             fingerprints=[
                 one.fingerprint for one in suspects[:MAX_LOGGED_FINGERPRINTS]
             ],
+            # With the number of requests whose prompts have the block.
+            prompt_blocks=dict(
+                aborted.blocks.most_common(MAX_LOGGED_PROMPT_BLOCKS)
+            ),
         )
         if ended:
             self._on_crash(
--- a/packages/radishd/src/radishd/platform/front.py
+++ b/packages/radishd/src/radishd/platform/front.py
@@ -29,6 +29,7 @@
 _AUTHORIZATION = b"authorization"
 _ACCOUNT = b"x-tenant"
 _TOKEN_COUNT = b"x-token-count"
+_PROMPT = b"x-prompt-prefix"
 _BEARER = b"bearer"
 
 _HOP_BY_HOP = frozenset(
@@ -65,9 +66,7 @@
 )
 _DROPPED = _HOP_BY_HOP | _SYSTEM_HEADERS
 # Headers that are forwarded even if the caller's Connection header lists them.
-_UNDROPPABLE = frozenset(
-    {b"", _HOST, _ATTEMPT, _MODEL, _TOKEN_COUNT, b"x-prompt-prefix"}
-)
+_UNDROPPABLE = frozenset({b"", _HOST, _ATTEMPT, _MODEL, _TOKEN_COUNT, _PROMPT})
 _RESPONSE_DROPPED = _HOP_BY_HOP
 
 HTTP_SUCCESS = range(200, 300)
@@ -97,6 +96,7 @@
         key_digest: Digest of the API key, ``client_account.NO_KEY`` if there
             is no single well-formed one. The key itself is not forwarded.
         token_count: Prompt plus maximum output tokens, None if not stated.
+        prompt_blocks: Ids of its prompt's blocks, the broadest first.
     """
 
     attempt_id: str
@@ -111,6 +111,7 @@
     headers: http_client.Headers
     key_digest: bytes = dataclasses.field(repr=False)
     token_count: int | None
+    prompt_blocks: tuple[bytes, ...]
 
 
 def decode(scope: web.Scope) -> result.Outcome[Request]:
@@ -146,6 +147,10 @@
         headers=tuple(pair for pair in raw if pair[0] not in dropped),
         key_digest=_key_digest(raw),
         token_count=_token_count(first.get(_TOKEN_COUNT)),
+        prompt_blocks=tuple(
+            part.partition(b":")[0].strip()
+            for part in first.get(_PROMPT, b"").split(b",")
+        ),
     )
 
 
--- a/packages/radishd/src/radishd/request/callers_port.py
+++ b/packages/radishd/src/radishd/request/callers_port.py
@@ -230,6 +230,8 @@
             fields["stream_targets"] = forward.pending.stream_targets
         if failure is not None and forward.pending.cached_fingerprint:
             fields["fingerprint"] = forward.pending.cached_fingerprint
+            if forward.pending.block_fingerprints:
+                fields["prompt_blocks"] = forward.pending.block_fingerprints
         self._gateway.log.write(
             "request",
             request=forward.pending.request.attempt_id,
--- a/packages/radishd/src/radishd/request/forward.py
+++ b/packages/radishd/src/radishd/request/forward.py
@@ -178,7 +178,7 @@
             gateway.usage_caps.release(self._reservation)
         if outcome in _POSSIBLE_CRASH:
             gateway.evidence.record_aborted_response(
-                member, self.pending.fingerprint(), self._sent_at_ms
+                member, self.pending.suspects(self._sent_at_ms)
             )
         retry_allowed = True
         if outcome is not Outcome.UNSENT:
--- a/packages/radishd/src/radishd/request/pending_request.py
+++ b/packages/radishd/src/radishd/request/pending_request.py
@@ -1,5 +1,6 @@
 """The state of one request while its gateway forwards it."""
 
+from radishstack.process import crash
 from radishstack.process import stream_origins
 from radishstack.request import admission as admission_lib
 from radishstack.request import event_stream
@@ -32,6 +33,8 @@
         response_started: Whether the caller received a part of the response.
         is_trial: Whether it is the trial of a quarantined request.
         cached_fingerprint: Its fingerprint, empty until first used.
+        block_fingerprints: Fingerprints of the blocks of its prompt that other
+            requests may share, the broadest first.
     """
 
     def __init__(
@@ -71,6 +74,9 @@
         self.response_started = False
         self.is_trial = False
         self.cached_fingerprint = ""
+        self.block_fingerprints = fingerprint_lib.of_shared_blocks(
+            request.prompt_blocks
+        )
 
     def use_service(
         self, service: str, spec: route_table.ServiceSpec | None
@@ -93,6 +99,19 @@
             )
         return self.cached_fingerprint
 
+    def suspects(self, began_at_ms: int) -> tuple[crash.Suspect, ...]:
+        """Returns the features that a crash of its target may be due to.
+
+        Args:
+            began_at_ms: When it was sent to the target.
+        """
+        whole = crash.Suspect(self.fingerprint(), began_at_ms)
+        blocks = (
+            crash.Suspect(one, began_at_ms, crash.FeatureKind.PROMPT_BLOCK)
+            for one in self.block_fingerprints
+        )
+        return (whole, *blocks)
+
     @property
     def resumes_stream(self) -> bool:
         """Whether its caller has received the beginning of its stream."""
--- a/packages/radishd/src/radishd/target_evidence.py
+++ b/packages/radishd/src/radishd/target_evidence.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from radishstack.process import crash
 from radishstack.process import incarnation
 from radishstack.process import placement as placement_lib
 from radishstack.process import roster as roster_lib
@@ -69,14 +70,19 @@
             self._roster.failed(instance, now_ms)
 
     def record_aborted_response(
-        self, member: roster_lib.Member, fingerprint: str, began_at_ms: int
+        self, member: roster_lib.Member, suspects: tuple[crash.Suspect, ...]
     ) -> None:
-        """Records that a target aborted a response, as in a crash."""
+        """Records that a target aborted a response, as in a crash.
+
+        Args:
+            member: The target.
+            suspects: Features of the request.
+        """
         # A draining target aborts the requests that it still runs. If these
         # counted as crashes, a software release, which drains each target,
         # would quarantine slow requests.
         if self._roster.is_active(member, clock.boot_ms()):
-            self._crash_watch.record_abort(member, fingerprint, began_at_ms)
+            self._crash_watch.record_abort(member, suspects)
 
     def record_error_response(
         self, member: roster_lib.Member, status: int
--- a/tests/fleet/test_crash_evidence.py
+++ b/tests/fleet/test_crash_evidence.py
@@ -341,3 +341,14 @@
     assert clearance is not None and clearance.cleared_at_ms == 2_820
     first.take(clearance)
     assert first.quarantine(OTHER, 2_830) is None
+
+
+def test_blocks_of_a_prompt_have_fingerprints_except_the_last() -> None:
+    """Guards against taking a session's own block for a shared one."""
+    blocks = fingerprint_lib.of_shared_blocks((b"aa", b"BB", b"", b"aa", b"cc"))
+    assert blocks == fingerprint_lib.of_shared_blocks((b"aa", b"bb", b"x"))
+    assert len(blocks) == len(set(blocks)) == 2
+    assert fingerprint_lib.of_shared_blocks((b"aa",)) == ()
+    assert fingerprint_lib.of_shared_blocks(()) == ()
+    many = tuple(b"%x" % number for number in range(100))
+    assert len(fingerprint_lib.of_shared_blocks(many)) <= 8
--- a/tests/fleet/test_crashes.py
+++ b/tests/fleet/test_crashes.py
@@ -5,6 +5,7 @@
 import anyio
 from radishd import gateway as gateway_lib
 from radishd.process import clock
+from radishstack.process import crash as crash_lib
 from radishstack.process import crash_evidence
 from radishstack.process import incarnation
 from radishstack.request import fingerprint as fingerprint_lib
@@ -253,11 +254,12 @@
                 target.fault = _crash_on_poison
             answer = await fleet.call("/book/1", body=b"")
             assert "server-leaving" in answer.headers, answer
+            suspects = (crash_lib.Suspect("07" * 16, 0),)
             for member in gateway.roster.members.values():
-                gateway.evidence.record_aborted_response(member, "07" * 16, 0)
+                gateway.evidence.record_aborted_response(member, suspects)
             removed = gateway.roster.members["i-plain0"]
             gateway.roster.drop("i-plain0")
-            gateway.evidence.record_aborted_response(removed, "07" * 16, 0)
+            gateway.evidence.record_aborted_response(removed, suspects)
             assert not gateway.crash_watch.is_investigating
 
     fixtures.run(play)
--- a/tests/operators/test_explain.py
+++ b/tests/operators/test_explain.py
@@ -78,3 +78,44 @@
         )
         assert "i1@v1" in run.output and "i2@v2" in run.output, run.output
         assert "r3" not in run.output
+
+
+def test_explain_shows_the_crashes_behind_a_rejection() -> None:
+    """An on-call engineer sees which prompt block stood at which crashes."""
+    lines = [
+        _line(
+            1_000,
+            "edge-2",
+            "target_broke_off",
+            target="i9",
+            fingerprints=["f0"],
+            prompt_blocks={"b0": 7, "b1": 1},
+        ),
+        _line(
+            2_000,
+            "edge-2",
+            "target_broke_off",
+            target="i8",
+            fingerprints=["f1"],
+            prompt_blocks={"b7": 2},
+        ),
+        _line(90_000, "edge-1", "request_quarantined", fingerprint="b1"),
+        _line(
+            99_000,
+            "edge-1",
+            "request",
+            request="r1",
+            code=2024,
+            sends=[],
+            took_ms=2,
+            fingerprint="f5",
+            prompt_blocks=["b0", "b1"],
+        ),
+    ]
+    run = testing.CliRunner().invoke(
+        cli.main, ["explain", "r1"], input="\n".join(lines)
+    )
+    assert run.exit_code == 0, run.output
+    events = [line.split()[3] for line in run.output.splitlines()]
+    assert events == ["target_broke_off", "request_quarantined", "request"]
+    assert "i9" in run.output and "i8" not in run.output
