--- a/packages/radishd/src/radishd/gateway.py
+++ b/packages/radishd/src/radishd/gateway.py
@@ -15,10 +15,10 @@
 import anyio.abc
 from radishstack.connection import fleet_wire
 from radishstack.process import crash as crash_lib
-from radishstack.process import crash_evidence
 from radishstack.process import placement as placement_lib
 from radishstack.process import roster as roster_lib
 from radishstack.process import shared_budget
+from radishstack.process import suspicion
 from radishstack.process import target_rate_limits
 from radishstack.process import usage_books
 from radishstack.process import usage_cap
@@ -269,7 +269,7 @@
         if self.socket is not None:
             await self.socket.send_all(addresses, report)
 
-    def _quarantined(self, record: crash_evidence.Record) -> None:
+    def _quarantined(self, record: suspicion.Record) -> None:
         """Handles a newly quarantined request."""
         self.kept_crashes.keep(record)
         # Equal requests that wait for an adapter must be rejected at once, too.
--- a/packages/radishd/src/radishd/process/crash_gossip.py
+++ b/packages/radishd/src/radishd/process/crash_gossip.py
@@ -16,7 +16,9 @@
 from radishstack.connection import fleet_wire
 from radishstack.process import crash as crash_lib
 from radishstack.process import crash_evidence
+from radishstack.process import quarantine_rules
 from radishstack.process import rendezvous
+from radishstack.process import suspicion
 
 from radishd.process import clock
 from radishd.process import decision_log
@@ -60,7 +62,7 @@
         log: decision_log.DecisionLog,
         metrics: metrics_lib.Metrics,
         random_source: random.Random,
-        on_quarantined: Callable[[crash_evidence.Record], None],
+        on_quarantined: Callable[[suspicion.Record], None],
     ) -> None:
         """Starts without evidence.
 
@@ -82,10 +84,10 @@
         self._metrics = metrics
         self._random = random_source
         self._on_quarantined = on_quarantined
-        self._pending: list[crash_evidence.Record] = []
+        self._pending: list[suspicion.Record] = []
         self._requesters: set[fleet_socket.Address] = set()
         self._missed_records: dict[
-            fleet_socket.Address, list[crash_evidence.Record]
+            fleet_socket.Address, list[suspicion.Record]
         ] = {}
         self._request_pending = False
         self._wake = anyio.Event()
@@ -108,11 +110,13 @@
             self._log.write("suspect_cleared", fingerprint=fingerprint)
             self._report_soon([record])
 
-    def _report_soon(self, records: list[crash_evidence.Record]) -> None:
+    def _report_soon(self, records: list[suspicion.Record]) -> None:
         self._pending.extend(records)
         self._wake.set()
 
-    def quarantine(self, fingerprint: str) -> crash_evidence.Quarantine | None:
+    def quarantine(
+        self, fingerprint: str
+    ) -> quarantine_rules.Quarantine | None:
         """Returns the quarantine of a request, None if there is none."""
         return self.evidence.quarantine(fingerprint, clock.boot_ms())
 
@@ -148,7 +152,7 @@
         names = [self._own_host, *(host for host, _ in self._others())]
         return rendezvous.order(fingerprint, names).index(self._own_host)
 
-    def records_to_rewrite(self) -> list[crash_evidence.Record]:
+    def records_to_rewrite(self) -> list[suspicion.Record]:
         """Returns records that this gateway rewrites to a restored store."""
         return [
             self.evidence.record(fingerprint)
@@ -202,7 +206,7 @@
             self._wake.set()
 
     def merge(
-        self, records: Iterable[crash_evidence.Record], *, source: str
+        self, records: Iterable[suspicion.Record], *, source: str
     ) -> None:
         """Merges records of other gateways or of the store."""
         for record in records:
@@ -212,7 +216,7 @@
     async def _send_records(
         self,
         addresses: Iterable[fleet_socket.Address],
-        records: list[crash_evidence.Record],
+        records: list[suspicion.Record],
     ) -> None:
         now_ms = clock.boot_ms()
         entries = [
@@ -252,10 +256,10 @@
                     (self._random.choice(others),), records
                 )
 
-    def _pause_ms(self, records: list[crash_evidence.Record]) -> int:
+    def _pause_ms(self, records: list[suspicion.Record]) -> int:
         newest_ms = max(
             (record.observations[-1].ended_at_ms for record in records),
-            default=crash_evidence.NEVER_MS,
+            default=suspicion.NEVER_MS,
         )
         is_recent = clock.boot_ms() - newest_ms < RECENT_CRASH_MS
         return (
--- a/packages/radishd/src/radishd/process/crash_record.py
+++ b/packages/radishd/src/radishd/process/crash_record.py
@@ -5,8 +5,8 @@
 
 import pydantic
 from radishstack import result
-from radishstack.process import crash_evidence
 from radishstack.process import incarnation
+from radishstack.process import suspicion
 
 from radishd.process import checked
 
@@ -28,7 +28,7 @@
 
 
 def encode(
-    record: crash_evidence.Record, now_ms: int, unix_ms: int
+    record: suspicion.Record, now_ms: int, unix_ms: int
 ) -> dict[str, Any]:
     """Encodes a crash record for the store.
 
@@ -51,7 +51,7 @@
 
 def decode(
     spec: Any, now_ms: int, unix_ms: int
-) -> result.Outcome[crash_evidence.Record]:
+) -> result.Outcome[suspicion.Record]:
     """Decodes a crash record from the store.
 
     Args:
@@ -67,10 +67,10 @@
         entry = _CrashRecord.model_validate(spec)
     except ValueError as error:
         return checked.invalid_object("crash", error)
-    return crash_evidence.Record(
+    return suspicion.Record(
         entry.fingerprint,
         tuple(
-            crash_evidence.Observation(
+            suspicion.Observation(
                 incarnation.IncarnationId(one.target, one.born_ms),
                 now_ms - max(0, unix_ms - one.began_unix_ms),
                 now_ms - max(0, unix_ms - one.ended_unix_ms),
--- a/packages/radishd/src/radishd/process/kept_crashes.py
+++ b/packages/radishd/src/radishd/process/kept_crashes.py
@@ -11,6 +11,7 @@
 import anyio
 from radishstack import result
 from radishstack.process import crash_evidence
+from radishstack.process import suspicion
 
 from radishd.platform import store as store_lib
 from radishd.process import clock
@@ -26,7 +27,7 @@
 # gateways still report it to each other.
 MAX_PENDING_RECORDS = 64
 
-ApplyRecords = Callable[[Iterable[crash_evidence.Record]], None]
+ApplyRecords = Callable[[Iterable[suspicion.Record]], None]
 
 
 class KeptCrashes:
@@ -48,10 +49,10 @@
         self._store = store
         self._apply_records = apply_records
         self._log = log
-        self._pending: dict[str, crash_evidence.Record] = {}
+        self._pending: dict[str, suspicion.Record] = {}
         self._wake = anyio.Event()
 
-    def keep(self, record: crash_evidence.Record) -> None:
+    def keep(self, record: suspicion.Record) -> None:
         """Queues a record to be written to the store."""
         if len(self._pending) >= MAX_PENDING_RECORDS:
             self._log.write(
--- a/packages/radishd/src/radishd/request/target_selection.py
+++ b/packages/radishd/src/radishd/request/target_selection.py
@@ -4,8 +4,8 @@
 
 import anyio
 from radishstack import result
-from radishstack.process import crash_evidence
 from radishstack.process import placement as placement_lib
+from radishstack.process import quarantine_rules
 from radishstack.process import roster as roster_lib
 from radishstack.process import stream_origins
 from radishstack.request import admission as admission_lib
@@ -142,7 +142,7 @@
         return result.Failure(
             result.REQUEST_ENDS_TARGETS,
             f"targets ended at {quarantine.moments} times under this request",
-            max(quarantine.left_ms, crash_evidence.TRIAL_DELAY_MS),
+            max(quarantine.left_ms, quarantine_rules.TRIAL_DELAY_MS),
         )
 
     def _allowed_targets(self, now_ms: int) -> list[roster_lib.Member]:
--- a/packages/radishstack/src/radishstack/connection/fleet_wire.py
+++ b/packages/radishstack/src/radishstack/connection/fleet_wire.py
@@ -16,9 +16,9 @@
 
 from radishstack import result
 from radishstack.process import adapter_keeper
-from radishstack.process import crash_evidence
 from radishstack.process import incarnation
 from radishstack.process import stream_origins
+from radishstack.process import suspicion
 from radishstack.process import target_rate_limits
 from radishstack.process import usage_loan
 
@@ -181,12 +181,10 @@
 )
 
 
-def to_reported_record(
-    record: crash_evidence.Record, now_ms: int
-) -> ReportedRecord:
+def to_reported_record(record: suspicion.Record, now_ms: int) -> ReportedRecord:
     """Converts a record's times on this VM's clock to ages."""
     cleared_at_ms = record.cleared_at_ms
-    is_cleared = cleared_at_ms != crash_evidence.NEVER_MS
+    is_cleared = cleared_at_ms != suspicion.NEVER_MS
     return ReportedRecord(
         record.fingerprint,
         tuple(
@@ -203,15 +201,15 @@
 
 def from_reported_record(
     reported: ReportedRecord, now_ms: int
-) -> crash_evidence.Record:
+) -> suspicion.Record:
     """Converts a record's ages to times on this VM's clock."""
-    cleared_at_ms = crash_evidence.NEVER_MS
+    cleared_at_ms = suspicion.NEVER_MS
     if reported.cleared_ago_ms is not None:
         cleared_at_ms = now_ms - reported.cleared_ago_ms
-    return crash_evidence.Record(
+    return suspicion.Record(
         reported.fingerprint,
         tuple(
-            crash_evidence.Observation(
+            suspicion.Observation(
                 one.incarnation_id,
                 now_ms - one.began_ago_ms,
                 now_ms - one.ended_ago_ms,
--- /dev/null
+++ b/packages/radishstack/src/radishstack/process/quarantine_rules.py
@@ -0,0 +1,136 @@
+"""Decides which features of requests are quarantined, and for how long.
+
+A feature that crashes targets runs at every crash and never succeeds. Others
+run beside it, most of them at one crash only.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import dataclasses
+
+from radishstack.process import incarnation
+from radishstack.process import suspicion
+
+# A request is quarantined after MIN_CRASHES crashes at different times, of
+# which at least MIN_CONSECUTIVE were consecutive: the request was sent after
+# the previous target had crashed. A power cut crashes many targets at one time.
+MIN_CRASHES = 3
+MIN_CONSECUTIVE = 2
+# A request that crashes targets never succeeds. One that succeeded within this
+# time before its first crash was running there by chance, as a popular request
+# always is. It is still quarantined after MIN_CRASHES_IF_SERVED crashes,
+# because a new version can turn it into one that crashes targets.
+RECENT_SUCCESS_MS = 60_000
+MIN_CRASHES_IF_SERVED = 10
+# Additional crashes that are required if another request was running at the
+# last crash and at as many crashes in total. One more crash either
+# distinguishes the two or quarantines both.
+AMBIGUOUS_EXTRA_CRASHES = 1
+# Duration of the first quarantine, after which one request is sent as a trial;
+# each further crash multiplies it by QUARANTINE_GROWTH. A harmless request is
+# served again within minutes, and a harmful one crashes only four more targets
+# on its first day.
+QUARANTINE_MS = 5 * 60_000
+QUARANTINE_GROWTH = 6
+# Duration of the quarantine if the request was the only suspect of several
+# crashes at fewer than MIN_CRASHES_ALONE of its crashes. While several requests
+# crash targets, a popular request runs beside them each time, and could not
+# succeed if all gateways rejected it. Also the interval between the gateways'
+# turns to send a trial.
+TRIAL_DELAY_MS = 10_000
+MIN_CRASHES_ALONE = 2
+
+SuspectsAt = Callable[[incarnation.IncarnationId], Iterable[suspicion.Record]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Quarantine:
+    """A request that is rejected because it presumably crashes targets.
+
+    Attributes:
+        moments: Number of crashes; simultaneous ones count as one.
+        last_at_ms: When the last of them happened.
+        until_ms: Until when all copies are rejected. After that, one is sent
+            as a trial, see ``may_send_trial``.
+        left_ms: Time from now until then, 0 if it has passed.
+    """
+
+    moments: int
+    last_at_ms: int
+    until_ms: int
+    left_ms: int
+
+
+def decide(
+    record: suspicion.Record, suspects_at: SuspectsAt, now_ms: int
+) -> Quarantine | None:
+    """Returns the quarantine of a feature, None if there is none.
+
+    Args:
+        record: The evidence about it.
+        suspects_at: Returns the records of all suspects of a crash.
+        now_ms: Now.
+    """
+    if not record.observations:
+        return None
+    crash_count = suspicion.count_crashes(record)
+    extra = 0
+    if _is_ambiguous(record, crash_count, suspects_at):
+        extra = AMBIGUOUS_EXTRA_CRASHES
+    if succeeded_recently(record):
+        extra = MIN_CRASHES_IF_SERVED - MIN_CRASHES
+    if (
+        crash_count < MIN_CRASHES + extra
+        or suspicion.count_consecutive(record) < MIN_CONSECUTIVE + extra
+    ):
+        return None
+    duration_ms = _duration_ms(record, crash_count - extra, suspects_at)
+    last_at_ms = record.observations[-1].ended_at_ms
+    until_ms = last_at_ms + duration_ms
+    left_ms = max(0, until_ms - now_ms)
+    return Quarantine(crash_count, last_at_ms, until_ms, left_ms)
+
+
+def succeeded_recently(record: suspicion.Record) -> bool:
+    """Whether the feature succeeded shortly before its first crash."""
+    first_ms = record.observations[0].ended_at_ms
+    return first_ms - record.cleared_at_ms <= RECENT_SUCCESS_MS
+
+
+def _duration_ms(
+    record: suspicion.Record, crash_count: int, suspects_at: SuspectsAt
+) -> int:
+    """Returns the time from the last crash to the first trial."""
+    alone = [
+        observation
+        for observation in record.observations
+        if _was_alone(record, observation.incarnation_id, suspects_at)
+    ]
+    if len(alone) < MIN_CRASHES_ALONE:
+        return TRIAL_DELAY_MS
+    return QUARANTINE_MS * QUARANTINE_GROWTH ** (crash_count - MIN_CRASHES)
+
+
+def _others(
+    record: suspicion.Record, suspects: Iterable[suspicion.Record]
+) -> Iterable[suspicion.Record]:
+    return (one for one in suspects if one.fingerprint != record.fingerprint)
+
+
+def _was_alone(
+    record: suspicion.Record,
+    incarnation_id: incarnation.IncarnationId,
+    suspects_at: SuspectsAt,
+) -> bool:
+    """Whether no other suspect of several crashes ran at a crash."""
+    others = _others(record, suspects_at(incarnation_id))
+    return not any(len(one.observations) > 1 for one in others)
+
+
+def _is_ambiguous(
+    record: suspicion.Record, crash_count: int, suspects_at: SuspectsAt
+) -> bool:
+    """Whether another suspect of the last crash ran at as many crashes."""
+    last = record.observations[-1]
+    others = _others(record, suspects_at(last.incarnation_id))
+    return any(suspicion.count_crashes(one) >= crash_count for one in others)
--- /dev/null
+++ b/packages/radishstack/src/radishstack/process/suspicion.py
@@ -0,0 +1,108 @@
+"""Evidence about one feature of requests that may crash targets."""
+
+import dataclasses
+
+from radishstack.process import incarnation
+
+# Maximum number of crashes that are remembered of a feature.
+MAX_OBSERVATIONS = 16
+# Crashes within this time count as one if the request was sent before the first
+# of them: a power cut or a rack failure.
+SIMULTANEOUS_MS = 250
+# A crash is observed some milliseconds after it happens, so a request that is
+# resent immediately seems to have been sent before the crash.
+REPORT_LAG_MS = 25
+# Earlier than any other time. Clocks count from the start of the VM, and a
+# crash that another gateway reports may have happened before that.
+NEVER_MS = -(2**62)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Observation:
+    """A crash at which a request was running.
+
+    Attributes:
+        incarnation_id: The incarnation of a target that crashed.
+        began_at_ms: When the request was sent to the target.
+        ended_at_ms: When the target crashed.
+    """
+
+    incarnation_id: incarnation.IncarnationId
+    began_at_ms: int
+    ended_at_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Record:
+    """The evidence about one request.
+
+    Attributes:
+        fingerprint: Fingerprint of the request.
+        observations: Crashes at which it was running, in order.
+        cleared_at_ms: When an equal request last succeeded, ``NEVER_MS`` if
+            unknown. Crashes up to that time do not count.
+    """
+
+    fingerprint: str
+    observations: tuple[Observation, ...] = ()
+    cleared_at_ms: int = NEVER_MS
+
+
+def last_ms(record: Record) -> int:
+    """Returns when its last crash or success happened."""
+    last_ms = (
+        record.observations[-1].ended_at_ms if record.observations else NEVER_MS
+    )
+    return max(last_ms, record.cleared_at_ms)
+
+
+def merge(one: Record, other: Record) -> Record:
+    """Merges two records of a feature, in any order."""
+    by_incarnation = {
+        observation.incarnation_id: observation
+        for observation in one.observations
+    }
+    for observation in other.observations:
+        known = by_incarnation.get(observation.incarnation_id, observation)
+        # Crashes are observed late, so the earliest time is the most accurate.
+        by_incarnation[observation.incarnation_id] = min(
+            known, observation, key=lambda seen: seen.ended_at_ms
+        )
+    cleared_at_ms = max(one.cleared_at_ms, other.cleared_at_ms)
+    relevant = sorted(
+        (
+            observation
+            for observation in by_incarnation.values()
+            if observation.ended_at_ms > cleared_at_ms
+        ),
+        key=lambda seen: (seen.ended_at_ms, seen.incarnation_id.name),
+    )
+    return Record(
+        one.fingerprint, tuple(relevant[-MAX_OBSERVATIONS:]), cleared_at_ms
+    )
+
+
+def count_crashes(record: Record) -> int:
+    """Counts the crashes of a record; simultaneous ones count as one.
+
+    A request that was sent after a crash cannot have failed in the same outage.
+    """
+    count = 0
+    at_ms = NEVER_MS
+    for observation in record.observations:
+        later = observation.ended_at_ms > at_ms + SIMULTANEOUS_MS
+        if later or observation.began_at_ms >= at_ms - REPORT_LAG_MS:
+            count += 1
+            at_ms = observation.ended_at_ms
+    return count
+
+
+def count_consecutive(record: Record) -> int:
+    """Counts consecutive crashes: each send began after the previous crash."""
+    count = 0
+    earliest_send_ms = NEVER_MS
+    for observation in record.observations:
+        if observation.began_at_ms >= earliest_send_ms:
+            count += 1
+            earliest_send_ms = observation.ended_at_ms - REPORT_LAG_MS
+    return count
--- a/proofs/crashes.py
+++ b/proofs/crashes.py
@@ -13,6 +13,8 @@
 from radishstack.process import crash as crash_lib
 from radishstack.process import crash_evidence
 from radishstack.process import incarnation
+from radishstack.process import quarantine_rules
+from radishstack.process import suspicion
 
 COUNTS: collections.Counter[str] = collections.Counter()
 GATEWAY_COUNT = 3
@@ -73,7 +75,7 @@
     def _send(
         self,
         sender: int,
-        records: list[crash_evidence.Record],
+        records: list[suspicion.Record],
         only: int | None = None,
     ) -> None:
         wire_records = tuple(
@@ -110,7 +112,7 @@
 
     def _quarantine(
         self, number: int, fingerprint: str
-    ) -> crash_evidence.Quarantine | None:
+    ) -> quarantine_rules.Quarantine | None:
         return self.gateways[number].quarantine(fingerprint, self.now_ms)
 
     def _may_send(self, number: int, fingerprint: str) -> bool:
--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -14,7 +14,7 @@
 SOAK = ("-m", "soak", "run", "--seconds", "15", "--jobs", "2", "--first-seed")
 FORWARD = "radishd/request/forward.py"
 GATEWAY = "radishd/gateway.py"
-EVIDENCE = "radishstack/process/crash_evidence.py"
+RULES = "radishstack/process/quarantine_rules.py"
 Kind = schedule.Kind
 
 
@@ -111,12 +111,12 @@
     ),
     mutants.Mutant(
         "nobody else is refused",
-        EVIDENCE,
-        "        if (\n"
-        "            crash_count < MIN_CRASHES + extra\n"
-        "            or _count_consecutive(record) < MIN_CONSECUTIVE + extra\n"
-        "        ):\n",
-        "        if False:\n",
+        RULES,
+        "    if (\n"
+        "        crash_count < MIN_CRASHES + extra\n"
+        "        or suspicion.count_consecutive(record) < MIN_CONSECUTIVE + extra\n"
+        "    ):\n",
+        "    if False:\n",
         _seeds(400, Kind.POISON, Kind.TARGET_RESTART),
     ),
     mutants.Mutant(
--- a/tests/fleet/test_crash_evidence.py
+++ b/tests/fleet/test_crash_evidence.py
@@ -6,6 +6,8 @@
 from radishstack.process import crash as crash_lib
 from radishstack.process import crash_evidence
 from radishstack.process import incarnation
+from radishstack.process import quarantine_rules
+from radishstack.process import suspicion
 from radishstack.request import fingerprint as fingerprint_lib
 
 HARMFUL = "50" * fingerprint_lib.SIZE_BYTES
@@ -132,7 +134,7 @@
         *(_crash(number, 1_000 * number, HARMFUL) for number in range(3))
     )
     first = evidence.quarantine(HARMFUL, 2_000)
-    assert first.left_ms == crash_evidence.QUARANTINE_MS
+    assert first.left_ms == quarantine_rules.QUARANTINE_MS
     later_ms = 2_000 + first.left_ms
     assert evidence.quarantine(HARMFUL, later_ms).left_ms == 0
     evidence.crashed(_crash(3, later_ms + 1_000, HARMFUL))
@@ -159,12 +161,12 @@
         harmful = f"{number % 3:032x}"
         evidence.crashed(_crash(number, 500 * number, OTHER, harmful))
     quarantine = evidence.quarantine(OTHER, 4_000)
-    assert quarantine.left_ms == crash_evidence.TRIAL_DELAY_MS
+    assert quarantine.left_ms == quarantine_rules.TRIAL_DELAY_MS
     # Two more crashes without other suspects show that it is harmful.
     for number in (9, 10):
         evidence.crashed(_crash(number, 20_000 * number, OTHER))
     later = evidence.quarantine(OTHER, 200_000)
-    assert later.left_ms >= crash_evidence.QUARANTINE_MS
+    assert later.left_ms >= quarantine_rules.QUARANTINE_MS
 
 
 def test_a_request_that_succeeded_recently_is_not_quarantined() -> None:
@@ -177,7 +179,7 @@
     informed = crash_evidence.CrashEvidence()
     informed.succeeded(OTHER, 1_000)
     other = crash_evidence.CrashEvidence()
-    for number in range(crash_evidence.MIN_CRASHES_IF_SERVED - 1):
+    for number in range(quarantine_rules.MIN_CRASHES_IF_SERVED - 1):
         crash = _crash(number, 2_000 + 500 * number, OTHER)
         for record in informed.crashed(crash):
             assert other.take(record)
@@ -202,7 +204,7 @@
     """
     evidence = crash_evidence.CrashEvidence()
     evidence.succeeded(OTHER, 1_000)
-    later_ms = 1_000 + crash_evidence.RECENT_SUCCESS_MS
+    later_ms = 1_000 + quarantine_rules.RECENT_SUCCESS_MS
     for number in range(3):
         evidence.crashed(_crash(number, later_ms + 1_000 * number + 1, OTHER))
     assert evidence.quarantine(OTHER, later_ms + 3_000) is not None
@@ -235,10 +237,10 @@
     reordered = crash_evidence.CrashEvidence()
     for record in reversed(records):
         for observation in reversed(record.observations):
-            part = crash_evidence.Record(record.fingerprint, (observation,))
+            part = suspicion.Record(record.fingerprint, (observation,))
             assert reordered.take(part)
             assert not reordered.take(part)
-    reordered.take(crash_evidence.Record(OTHER, (), 4_000))
+    reordered.take(suspicion.Record(OTHER, (), 4_000))
     assert reordered.quarantine(HARMFUL, 4_100) == seen.quarantine(
         HARMFUL, 4_100
     )
@@ -269,7 +271,7 @@
     assert uninformed.quarantine(OTHER, 5_100) is None
     assert informed.missed_clearance(uninformed.record(OTHER)) is None
     # A gateway that knows only an earlier clearance also gets this one.
-    behind = crash_evidence.Record(OTHER, report.observations, 500)
+    behind = suspicion.Record(OTHER, report.observations, 500)
     assert informed.missed_clearance(behind) == clearance
 
 
@@ -277,7 +279,7 @@
     """Guards against reporting times on a clock that only one VM uses."""
     evidence = _evidence(_crash(0, 1_000, HARMFUL))
     evidence.succeeded(HARMFUL, 1_500)
-    for record in (evidence.record(HARMFUL), crash_evidence.Record(HARMFUL)):
+    for record in (evidence.record(HARMFUL), suspicion.Record(HARMFUL)):
         sent = fleet_wire.CrashReport(
             (fleet_wire.to_reported_record(record, 2_000),)
         )
@@ -288,7 +290,7 @@
         assert restored == record
         assert fleet_wire.from_reported_record(report, 9_000).cleared_at_ms in (
             8_500,
-            crash_evidence.NEVER_MS,
+            suspicion.NEVER_MS,
         )
 
 
@@ -299,11 +301,11 @@
     )
     spec = crash_record.encode(evidence.record(HARMFUL), 2_100, 1_000_000)
     read = crash_record.decode(spec, -40_000, 1_000_500)
-    assert isinstance(read, crash_evidence.Record), read
+    assert isinstance(read, suspicion.Record), read
     restored = crash_evidence.CrashEvidence()
     restored.take(read)
     quarantine = restored.quarantine(HARMFUL, -40_000)
-    assert quarantine.left_ms == crash_evidence.QUARANTINE_MS - 600
+    assert quarantine.left_ms == quarantine_rules.QUARANTINE_MS - 600
     ahead = crash_record.decode(spec, 9_000, 500_000)
     assert ahead.observations[-1].ended_at_ms == 9_000
     assert isinstance(
--- a/tests/fleet/test_crashes.py
+++ b/tests/fleet/test_crashes.py
@@ -6,8 +6,9 @@
 from radishd import gateway as gateway_lib
 from radishd.process import clock
 from radishstack.process import crash as crash_lib
-from radishstack.process import crash_evidence
 from radishstack.process import incarnation
+from radishstack.process import quarantine_rules
+from radishstack.process import suspicion
 from radishstack.request import fingerprint as fingerprint_lib
 from standins import platform_engine
 from standins import platform_site
@@ -281,14 +282,14 @@
                 for number in range(3)
             ]
             observations = tuple(
-                crash_evidence.Observation(
+                suspicion.Observation(
                     incarnation_id, now_ms - ago_ms - 300, now_ms - ago_ms
                 )
                 for incarnation_id, ago_ms in zip(
                     incarnation_ids, (9_000, 6_000, 3_000), strict=True
                 )
             )
-            record = crash_evidence.Record("07" * 16, observations)
+            record = suspicion.Record("07" * 16, observations)
             for gateway in (cleared, uncleared):
                 gateway.crash_gossip.merge([record], source="test")
             cleared.crash_gossip.evidence.succeeded("07" * 16, now_ms)
@@ -321,17 +322,17 @@
                 "POST", platform_site.HOST, b"/book/1", POISON
             )
             observations = tuple(
-                crash_evidence.Observation(
+                suspicion.Observation(
                     incarnation.IncarnationId(f"i{number}", 1),
                     at_ms - 300,
                     at_ms,
                 )
                 for number, at_ms in enumerate(
-                    now_ms - crash_evidence.QUARANTINE_MS - ago_ms
+                    now_ms - quarantine_rules.QUARANTINE_MS - ago_ms
                     for ago_ms in (9_000, 6_000, 3_000)
                 )
             )
-            record = crash_evidence.Record(fingerprint, observations)
+            record = suspicion.Record(fingerprint, observations)
             for gateway in gateways:
                 gateway.crash_gossip.merge([record], source="test")
             targets = {
--- a/tests/fleet/test_response_ends.py
+++ b/tests/fleet/test_response_ends.py
@@ -5,8 +5,8 @@
 
 from radishd.connection import http_client
 from radishd.process import clock
-from radishstack.process import crash_evidence
 from radishstack.process import incarnation
+from radishstack.process import suspicion
 from radishstack.request import event_stream
 from radishstack.request import fingerprint as fingerprint_lib
 from radishstack.request import response_end
@@ -155,10 +155,10 @@
                 "POST", platform_site.HOST, b"/chat/x", b""
             )
             now_ms = clock.boot_ms()
-            suspect = crash_evidence.Record(
+            suspect = suspicion.Record(
                 fingerprint,
                 (
-                    crash_evidence.Observation(
+                    suspicion.Observation(
                         incarnation.IncarnationId("i-gone", 1),
                         now_ms - 900,
                         now_ms - 500,
--- a/tests/fleet/test_store_restored.py
+++ b/tests/fleet/test_store_restored.py
@@ -6,9 +6,9 @@
 from radishd.process import clock
 from radishd.process import crash_record
 from radishstack import result
-from radishstack.process import crash_evidence
 from radishstack.process import incarnation
 from radishstack.process import roster as roster_lib
+from radishstack.process import suspicion
 from standins import platform_site
 from standins import platform_store
 
@@ -238,10 +238,10 @@
             gateway = fleet.gateway
             snapshot = fleet.store.snapshot()
             now_ms = clock.boot_ms()
-            record = crash_evidence.Record(
+            record = suspicion.Record(
                 "0" * 32,
                 tuple(
-                    crash_evidence.Observation(
+                    suspicion.Observation(
                         incarnation.IncarnationId(f"i-{number}", 1),
                         now_ms - 1_000 * number - 100,
                         now_ms - 1_000 * number,
