--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -593,7 +593,8 @@
     Mutant(
         "each event once",
         "radishstack/request/event_stream.py",
-        '        self._pending = b""\n\n    def feed',
+        '        self._pending = b""\n        self._searched_bytes = 0\n\n'
+        "    def feed",
         "        pass\n\n    def feed",
         _test("fleet.test_forwarding_decisions"),
     ),
