--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -114,7 +114,8 @@
         RULES,
         "    if (\n"
         "        crash_count < MIN_CRASHES + extra\n"
-        "        or suspicion.count_consecutive(record) < MIN_CONSECUTIVE + extra\n"
+        "        or suspicion.count_consecutive(record) < "
+        "MIN_CONSECUTIVE + extra\n"
         "    ):\n",
         "    if False:\n",
         _seeds(400, Kind.POISON, Kind.TARGET_RESTART),
