Reject requests that share a prompt block which crashes targets

What callers saw: engines ended one after the other, each with up to 28 answers of other callers, under requests that were equal in nothing but one block of their prompts.

Cause: the evidence on crashes knew whole requests only, so that requests that share a block were strangers to each other, at every gateway and for good.

Change: a request has several features, itself and the blocks of its prompt but the last, and crash evidence, reports, records in the store, quarantines and trials deal with features alike. A block is quarantined after three crashes, two in a row, without a whole answer on it that began since; one that was served lately after five over three seconds. Blocks at whose crashes a likelier feature ran each time (served less recently, at more crashes, or a request that is repeated) are not: the first block of a route stays in service. A trial comes after five minutes, or ten seconds where the block was served lately, then six times as late. An answer clears a block by when it began; an error clears none. A report of a crash carries the last success of each block, so that clearances of popular blocks need not be told one by one. Requests are checked again just before they are sent, waiting ones when another gateway's report convicts them, and a second send waits until it is known whether the first one crashed its target.

--- a/packages/radishd/src/radishd/connection/crash_watch.py
+++ b/packages/radishd/src/radishd/connection/crash_watch.py
@@ -63,12 +63,19 @@
         self._on_crash = on_crash
         self._aborted: dict[incarnation.IncarnationId, _AbortedSends] = {}
         self._wake = anyio.Event()
+        self._running_count = 0
+        self._settled = anyio.Event()
 
     @property
     def is_investigating(self) -> bool:
         """Whether an aborted send has yet to be investigated."""
         return bool(self._aborted)
 
+    async def wait_settled(self) -> None:
+        """Waits until all aborted sends have been investigated."""
+        while self._aborted or self._running_count:
+            await self._settled.wait()
+
     def record_abort(
         self, member: roster_lib.Member, suspects: tuple[crash_lib.Suspect, ...]
     ) -> None:
@@ -88,8 +95,10 @@
         for suspect in suspects:
             if suspect.kind is crash_lib.FeatureKind.PROMPT_BLOCK:
                 aborted.blocks[suspect.fingerprint] += 1
-                continue
-            aborted.suspects[suspect.fingerprint] = suspect
+            known = aborted.suspects.get(suspect.fingerprint, suspect)
+            aborted.suspects[suspect.fingerprint] = min(
+                known, suspect, key=lambda one: one.began_at_ms
+            )
         self._wake.set()
 
     async def run(self) -> None:
@@ -101,7 +110,18 @@
                 await anyio.sleep(COALESCE_MS / MS_PER_S)
                 aborted, self._aborted = self._aborted, {}
                 for incarnation_id, sends in aborted.items():
-                    tasks.start_soon(self._investigate, incarnation_id, sends)
+                    self._running_count += 1
+                    tasks.start_soon(self._run_one, incarnation_id, sends)
+
+    async def _run_one(
+        self, incarnation_id: incarnation.IncarnationId, aborted: _AbortedSends
+    ) -> None:
+        try:
+            await self._investigate(incarnation_id, aborted)
+        finally:
+            self._running_count -= 1
+            settled, self._settled = self._settled, anyio.Event()
+            settled.set()
 
     async def _investigate(
         self, incarnation_id: incarnation.IncarnationId, aborted: _AbortedSends
@@ -109,6 +129,9 @@
         reason = await self._termination_reason(aborted.address)
         ended = bool(reason)
         suspects = tuple(aborted.suspects.values())
+        requests = [
+            one for one in suspects if one.kind is crash_lib.FeatureKind.REQUEST
+        ]
         self._metrics.crashes.inc({"ended": "yes" if ended else "no"})
         self._log.write(
             "target_broke_off",
@@ -117,9 +140,9 @@
             ended=ended,
             reason=reason or "it can be connected to",
             age_ms=clock.boot_ms() - aborted.at_ms,
-            suspects=len(suspects),
+            suspects=len(requests),
             fingerprints=[
-                one.fingerprint for one in suspects[:MAX_LOGGED_FINGERPRINTS]
+                one.fingerprint for one in requests[:MAX_LOGGED_FINGERPRINTS]
             ],
             # With the number of requests whose prompts have the block.
             prompt_blocks=dict(
--- a/packages/radishd/src/radishd/gateway.py
+++ b/packages/radishd/src/radishd/gateway.py
@@ -189,6 +189,7 @@
             metrics,
             random_source,
             self._quarantined,
+            self.notifier.notify_all,
         )
         self.kept_crashes = kept_crashes_lib.KeptCrashes(
             self.store,
--- a/packages/radishd/src/radishd/process/crash_gossip.py
+++ b/packages/radishd/src/radishd/process/crash_gossip.py
@@ -40,6 +40,8 @@
 MAX_REQUEST_RECEIVERS = 3
 # Number of gateways that rewrite each record after a restore of the store.
 REWRITER_COUNT = 2
+# Average number of gateways that report a success of a popular prompt block.
+CLEARANCE_REPORTERS = 8
 EXPIRE_INTERVAL_MS = 10_000
 
 Send = Callable[
@@ -63,6 +65,7 @@
         metrics: metrics_lib.Metrics,
         random_source: random.Random,
         on_quarantined: Callable[[suspicion.Record], None],
+        notify_waiting: Callable[[], None],
     ) -> None:
         """Starts without evidence.
 
@@ -75,6 +78,8 @@
             random_source: Chooses the receivers of gossip.
             on_quarantined: Called with the record of a request whose
                 quarantine begins or changes with a crash observed here.
+            notify_waiting: Wakes waiting requests, since one of them may be
+                quarantined now.
         """
         self.evidence = crash_evidence.CrashEvidence()
         self._own_host = own_host
@@ -84,6 +89,7 @@
         self._metrics = metrics
         self._random = random_source
         self._on_quarantined = on_quarantined
+        self._notify_waiting = notify_waiting
         self._pending: list[suspicion.Record] = []
         self._requesters: set[fleet_socket.Address] = set()
         self._missed_records: dict[
@@ -103,13 +109,39 @@
             if self._update_quarantine(record.fingerprint, source=""):
                 self._on_quarantined(self.evidence.record(record.fingerprint))
 
-    def succeeded(self, fingerprint: str) -> None:
-        """Records that a request completed without a crash."""
-        record = self.evidence.succeeded(fingerprint, clock.boot_ms())
-        if record is not None:
-            self._log.write("suspect_cleared", fingerprint=fingerprint)
+    def succeeded(
+        self,
+        fingerprint: str,
+        at_ms: int,
+        kind: crash_lib.FeatureKind = crash_lib.FeatureKind.REQUEST,
+    ) -> None:
+        """Records that a request with a feature completed without a crash.
+
+        Args:
+            fingerprint: Fingerprint of the feature.
+            at_ms: When it completed; for a prompt block, when its answer began.
+            kind: Kind of the feature.
+        """
+        is_quarantined = fingerprint in self._quarantined
+        record = self.evidence.succeeded(fingerprint, at_ms, kind)
+        if record is None:
+            return
+        self._log.write(
+            "suspect_cleared", fingerprint=fingerprint, kind=kind.value
+        )
+        if is_quarantined or self._may_report_clearance(kind):
             self._report_soon([record])
 
+    def _may_report_clearance(self, kind: crash_lib.FeatureKind) -> bool:
+        """Whether to report a success, as not all gateways need to.
+
+        A popular prompt block succeeds at all gateways within a moment.
+        """
+        if kind is crash_lib.FeatureKind.REQUEST:
+            return True
+        others = len(self._others())
+        return self._random.random() * others < CLEARANCE_REPORTERS
+
     def _report_soon(self, records: list[suspicion.Record]) -> None:
         self._pending.extend(records)
         self._wake.set()
@@ -120,6 +152,12 @@
         """Returns the quarantine of a request, None if there is none."""
         return self.evidence.quarantine(fingerprint, clock.boot_ms())
 
+    def is_quarantined(self, fingerprints: Iterable[str]) -> bool:
+        """Whether one of the features is quarantined."""
+        return bool(len(self.evidence)) and any(
+            self.quarantine(one) is not None for one in fingerprints
+        )
+
     @property
     def has_trial(self) -> bool:
         """Whether the trial of a quarantined request is running."""
@@ -175,10 +213,13 @@
             self._log.must("quarantine_ended", fingerprint=fingerprint)
             return False
         self._quarantined[fingerprint] = moments
+        record = self.evidence.record(fingerprint)
         self._log.must(
             "request_quarantined",
             fingerprint=fingerprint,
+            kind=record.kind.value,
             crashes=moments,
+            targets=[one.incarnation_id.name for one in record.observations],
             last_ago_ms=clock.boot_ms() - quarantine.last_at_ms,
             refused_for_ms=quarantine.left_ms,
             source=source or "own",
@@ -209,9 +250,14 @@
         self, records: Iterable[suspicion.Record], *, source: str
     ) -> None:
         """Merges records of other gateways or of the store."""
+        is_any_new = False
         for record in records:
             if self.evidence.take(record):
-                self._update_quarantine(record.fingerprint, source=source)
+                is_any_new |= self._update_quarantine(
+                    record.fingerprint, source=source
+                )
+        if is_any_new:
+            self._notify_waiting()
 
     async def _send_records(
         self,
--- a/packages/radishd/src/radishd/process/crash_record.py
+++ b/packages/radishd/src/radishd/process/crash_record.py
@@ -2,9 +2,11 @@
 
 from typing import Annotated
 from typing import Any
+from typing import Literal
 
 import pydantic
 from radishstack import result
+from radishstack.process import crash
 from radishstack.process import incarnation
 from radishstack.process import suspicion
 
@@ -25,6 +27,7 @@
 class _CrashRecord(checked.StrictModel):
     fingerprint: Annotated[str, pydantic.Field(pattern=r"^[0-9a-f]{32}$")]
     observations: Annotated[list[_Observation], pydantic.Field(max_length=64)]
+    kind: Literal["request", "prompt_block"] = "request"
 
 
 def encode(
@@ -46,7 +49,11 @@
         }
         for one in record.observations
     ]
-    return {"fingerprint": record.fingerprint, "observations": observations}
+    return {
+        "fingerprint": record.fingerprint,
+        "observations": observations,
+        "kind": record.kind.value,
+    }
 
 
 def decode(
@@ -77,4 +84,5 @@
             )
             for one in entry.observations
         ),
+        kind=crash.FeatureKind(entry.kind),
     )
--- a/packages/radishd/src/radishd/request/callers_port.py
+++ b/packages/radishd/src/radishd/request/callers_port.py
@@ -172,8 +172,8 @@
             await self._handle_exception(forward, group)
         finally:
             forward.release()
-            if forward.pending.is_trial:
-                gateway.crash_gossip.end_trial(forward.pending.fingerprint())
+            for fingerprint in forward.pending.trials:
+                gateway.crash_gossip.end_trial(fingerprint)
             self._log_request(forward, left=left)
 
     async def _handle_exception(
--- a/packages/radishd/src/radishd/request/forward.py
+++ b/packages/radishd/src/radishd/request/forward.py
@@ -13,6 +13,7 @@
 import anyio
 from radishstack import invariant
 from radishstack import result
+from radishstack.process import crash
 from radishstack.process import placement as placement_lib
 from radishstack.process import roster as roster_lib
 from radishstack.process import stream_origins
@@ -156,6 +157,9 @@
             outcome = await self._send_to_target(chosen)
             if outcome is None:
                 return
+            if outcome is Outcome.WITHHELD:
+                # The next selection rejects it.
+                continue
             instance = member.listing.instance
             self.send_history.append(f"{instance}:{outcome.value}")
             self._gateway.metrics.sends.inc({"outcome": outcome.value})
@@ -163,6 +167,9 @@
             if step is forwarding.Step.GIVE_UP:
                 await self._fail(self.pending.sends.failure)
                 return
+            if outcome in _POSSIBLE_CRASH:
+                # If the request crashed its target, it may not be sent again.
+                await self._gateway.evidence.wait_for_crash_check()
             if step is forwarding.Step.SEND_LATER:
                 pause_ms = self._gateway.random_delay_ms(SHED_RETRY_MS)
                 await anyio.sleep(pause_ms / MS_PER_S)
@@ -199,9 +206,22 @@
             begun=self.pending.response_started,
         )
 
-    def _record_completion(self) -> None:
-        """Records that the request completed without a crash."""
-        self._gateway.crash_gossip.succeeded(self.pending.fingerprint())
+    def _record_completion(self, answer_began_at_ms: int | None = None) -> None:
+        """Records that the request completed without a crash.
+
+        Args:
+            answer_began_at_ms: When its target began the answer, None if it
+                answered nothing. Only an answer shows that the blocks of its
+                prompt are harmless.
+        """
+        crash_gossip = self._gateway.crash_gossip
+        crash_gossip.succeeded(self.pending.fingerprint(), clock.boot_ms())
+        if answer_began_at_ms is None:
+            return
+        for fingerprint in self.pending.block_fingerprints:
+            crash_gossip.succeeded(
+                fingerprint, answer_began_at_ms, crash.FeatureKind.PROMPT_BLOCK
+            )
 
     async def _send_to_target(
         self, selection: target_selection.Selection
@@ -224,6 +244,11 @@
             if not self._may_send_to(software_version):
                 connection.close()
                 return Outcome.UNSENT
+            if self._targets.is_quarantined():
+                gateway.pool.release(
+                    listing.address, connection, keep_alive_s=0
+                )
+                return Outcome.WITHHELD
             send = self._write_request(selection, connection, software_version)
             member.health.unanswered[self] = send.sent_at_ms
             return await self._handle_response(send)
@@ -515,7 +540,7 @@
         if not await self._is_complete(send, head):
             return Outcome.LOST
         self._record_success(send)
-        self._record_completion()
+        self._record_completion(send.sent_at_ms)
         self._gateway.release(send.member.listing.address, send.connection)
         await self._reply_buffered(head, b"".join(pieces))
         return None
@@ -554,7 +579,7 @@
         """Forwards complete events as they arrive."""
         self.pending.events.restart()
         health = send.member.health
-        success_recorded = False
+        answer_began_at_ms: int | None = None
         last_read_at_ms = clock.boot_ms()
         while True:
             piece = await self._read_with_timeout(send, send.connection.chunk)
@@ -563,7 +588,7 @@
             if isinstance(piece, http_client.Lost):
                 return self._record_cut(send, head, _outcome_of(piece))
             if not piece:
-                return await self._finish_stream(send, head)
+                return await self._finish_stream(send, head, answer_began_at_ms)
             now_ms = clock.boot_ms()
             health.record_progress(now_ms - last_read_at_ms, now_ms)
             last_read_at_ms = now_ms
@@ -572,8 +597,8 @@
                 return self._record_cut(send, head, Outcome.SPOILED)
             if not events:
                 continue
-            if not success_recorded:
-                success_recorded = True
+            if answer_began_at_ms is None:
+                answer_began_at_ms = now_ms
                 self._record_success(send)
                 await self._record_stream_target(send)
             await self._send_stream_head(head)
@@ -630,11 +655,14 @@
         )
 
     async def _finish_stream(
-        self, send: Send, head: http_client.Head
+        self,
+        send: Send,
+        head: http_client.Head,
+        answer_began_at_ms: int | None,
     ) -> Outcome | None:
         if not await self._is_complete(send, head, self.pending.events):
             return Outcome.LOST
-        self._record_completion()
+        self._record_completion(answer_began_at_ms)
         self._gateway.release(send.member.listing.address, send.connection)
         await self._send_stream_head(head)
         rest = self.pending.events.rest()
--- a/packages/radishd/src/radishd/request/pending_request.py
+++ b/packages/radishd/src/radishd/request/pending_request.py
@@ -31,7 +31,7 @@
         stream_targets: The targets that wrote the events that the caller
             received, in order, each as ``target@software version``.
         response_started: Whether the caller received a part of the response.
-        is_trial: Whether it is the trial of a quarantined request.
+        trials: Fingerprints of the quarantined features that it tries.
         cached_fingerprint: Its fingerprint, empty until first used.
         block_fingerprints: Fingerprints of the blocks of its prompt that other
             requests may share, the broadest first.
@@ -72,7 +72,7 @@
         self.software_version: str | None = None
         self.stream_targets: list[str] = []
         self.response_started = False
-        self.is_trial = False
+        self.trials: list[str] = []
         self.cached_fingerprint = ""
         self.block_fingerprints = fingerprint_lib.of_shared_blocks(
             request.prompt_blocks
@@ -99,6 +99,10 @@
             )
         return self.cached_fingerprint
 
+    def features(self) -> tuple[str, ...]:
+        """Returns the fingerprints of the request and of its prompt blocks."""
+        return (self.fingerprint(), *self.block_fingerprints)
+
     def suspects(self, began_at_ms: int) -> tuple[crash.Suspect, ...]:
         """Returns the features that a crash of its target may be due to.
 
--- a/packages/radishd/src/radishd/request/target_selection.py
+++ b/packages/radishd/src/radishd/request/target_selection.py
@@ -126,23 +126,44 @@
         If it were forwarded, it would crash the next target too, and all other
         requests that run there would be lost.
         """
-        crash_gossip = self._gateway.crash_gossip
-        if not len(crash_gossip.evidence):
-            return None
-        if self._pending.is_trial and not self._pending.sends.may_have_run:
+        pending = self._pending
+        if not len(self._gateway.crash_gossip.evidence):
             return None
-        quarantine = crash_gossip.quarantine(self._pending.fingerprint())
+        for position, fingerprint in enumerate(pending.features()):
+            quarantine = self._quarantine_without_trial(fingerprint)
+            if quarantine is None:
+                continue
+            feature = "this request"
+            if position:
+                feature = f"block {position} of its prompt"
+            return result.Failure(
+                result.REQUEST_ENDS_TARGETS,
+                f"targets ended at {quarantine.moments} times under {feature}",
+                max(quarantine.left_ms, quarantine_rules.TRIAL_DELAY_MS),
+            )
+        return None
+
+    def _quarantine_without_trial(
+        self, fingerprint: str
+    ) -> quarantine_rules.Quarantine | None:
+        """Returns the quarantine of a feature, unless the request tries it."""
+        pending = self._pending
+        crash_gossip = self._gateway.crash_gossip
+        quarantine = crash_gossip.quarantine(fingerprint)
         if quarantine is None:
             return None
-        if not self._pending.is_trial and crash_gossip.begin_trial(
-            self._pending.fingerprint()
-        ):
-            self._pending.is_trial = True
+        if fingerprint in pending.trials:
+            return quarantine if pending.sends.may_have_run else None
+        if crash_gossip.begin_trial(fingerprint):
+            pending.trials.append(fingerprint)
             return None
-        return result.Failure(
-            result.REQUEST_ENDS_TARGETS,
-            f"targets ended at {quarantine.moments} times under this request",
-            max(quarantine.left_ms, quarantine_rules.TRIAL_DELAY_MS),
+        return quarantine
+
+    def is_quarantined(self) -> bool:
+        """Whether the request must not be sent, as it may crash its target."""
+        pending = self._pending
+        return self._gateway.crash_gossip.is_quarantined(
+            one for one in pending.features() if one not in pending.trials
         )
 
     def _allowed_targets(self, now_ms: int) -> list[roster_lib.Member]:
--- a/packages/radishd/src/radishd/target_evidence.py
+++ b/packages/radishd/src/radishd/target_evidence.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+import anyio
 from radishstack.process import crash
 from radishstack.process import incarnation
 from radishstack.process import placement as placement_lib
@@ -15,6 +16,10 @@
 from radishd.process import decision_log
 
 HTTP_SERVER_ERROR = 500
+MS_PER_S = 1_000
+# Limit of the wait for a crash check before a request is sent again. The check
+# of a target that can be reached, or refuses connections, takes a round trip.
+MAX_CRASH_CHECK_MS = 100
 
 Outcome = forwarding.Outcome
 
@@ -84,6 +89,11 @@
         if self._roster.is_active(member, clock.boot_ms()):
             self._crash_watch.record_abort(member, suspects)
 
+    async def wait_for_crash_check(self) -> None:
+        """Waits until it is known whether targets crashed under lost sends."""
+        with anyio.move_on_after(MAX_CRASH_CHECK_MS / MS_PER_S):
+            await self._crash_watch.wait_settled()
+
     def record_error_response(
         self, member: roster_lib.Member, status: int
     ) -> None:
--- a/packages/radishstack/src/radishstack/connection/fleet.capnp
+++ b/packages/radishstack/src/radishstack/connection/fleet.capnp
@@ -99,6 +99,8 @@
   # Whether an equal request succeeded, and how long ago.
   isCleared @2 :Bool;
   clearedAgoMs @3 :UInt64;
+  # Whether the feature is a block of the prompt, not the whole request.
+  isPromptBlock @4 :Bool;
 }
 
 struct CrashReport {
--- a/packages/radishstack/src/radishstack/connection/fleet_wire.py
+++ b/packages/radishstack/src/radishstack/connection/fleet_wire.py
@@ -16,6 +16,7 @@
 
 from radishstack import result
 from radishstack.process import adapter_keeper
+from radishstack.process import crash
 from radishstack.process import incarnation
 from radishstack.process import stream_origins
 from radishstack.process import suspicion
@@ -97,18 +98,20 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReportedRecord:
-    """The evidence about one request, in a report between gateways.
+    """The evidence about one feature, in a report between gateways.
 
     Attributes:
-        fingerprint: Fingerprint of the request.
+        fingerprint: Fingerprint of the feature.
         observations: Crashes at which it was running.
-        cleared_ago_ms: Time since an equal request succeeded, None if none
+        cleared_ago_ms: Time since a request with it succeeded, None if none
             did.
+        kind: Kind of the feature.
     """
 
     fingerprint: str
     observations: tuple[ReportedObservation, ...]
     cleared_ago_ms: int | None = None
+    kind: crash.FeatureKind = crash.FeatureKind.REQUEST
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -196,6 +199,7 @@
             for one in record.observations
         ),
         max(0, now_ms - cleared_at_ms) if is_cleared else None,
+        record.kind,
     )
 
 
@@ -217,6 +221,7 @@
             for one in reported.observations
         ),
         cleared_at_ms,
+        reported.kind,
     )
 
 
@@ -308,6 +313,7 @@
                 ],
                 "isCleared": record.cleared_ago_ms is not None,
                 "clearedAgoMs": record.cleared_ago_ms or 0,
+                "isPromptBlock": record.kind is crash.FeatureKind.PROMPT_BLOCK,
             }
             for record in datagram.records
         ],
@@ -498,6 +504,9 @@
                 for one in record.observations
             ),
             record.clearedAgoMs if record.isCleared else None,
+            crash.FeatureKind.PROMPT_BLOCK
+            if record.isPromptBlock
+            else crash.FeatureKind.REQUEST,
         )
         for record in body.records
     )
--- a/packages/radishstack/src/radishstack/process/crash_evidence.py
+++ b/packages/radishstack/src/radishstack/process/crash_evidence.py
@@ -1,10 +1,10 @@
 """Detects requests that crash the targets that run them.
 
 All requests on a crashing target fail with it: up to a full batch, of which at
-most one caused the crash. That one is identified because it was running at
-every crash and no equal request has succeeded since. Gateways merge their
-observations, so a request is also recognized at a gateway that did not see the
-crashes.
+most one caused the crash. Its feature, the request as a whole or a block of its
+prompt, is identified because it was running at every crash and no request with
+it has succeeded since. Gateways merge their observations, so a feature is also
+recognized at a gateway that did not see the crashes.
 
 Load pattern: a request that is repeated about every second, at any gateway,
 alone or as two concurrent copies, and crashes each target a few hundred
@@ -19,7 +19,12 @@
 from radishstack.process import quarantine_rules
 from radishstack.process import suspicion
 
+# Number of remembered successes, for requests and for prompt blocks each.
 MAX_SUCCESSES = 4_096
+# A success of a prompt block is reported only if it clears this many crashes.
+# Reports of crashes carry the time of the last success, so that a popular block
+# rarely has more than one.
+MIN_REPORTED_CRASHES = 2
 # How long a suspect is kept after its last crash. A single crash is weak
 # evidence, and a site has a few every hour.
 SINGLE_CRASH_RETENTION_MS = 3_600_000
@@ -36,19 +41,21 @@
         self._suspects_by_incarnation: dict[
             incarnation.IncarnationId, set[str]
         ] = {}
-        self._succeeded_at_ms: dict[str, int] = {}
+        self._succeeded_at_ms: dict[crash_lib.FeatureKind, dict[str, int]] = {
+            kind: {} for kind in crash_lib.FeatureKind
+        }
 
     @property
     def success_count(self) -> int:
-        """Number of remembered requests that succeeded."""
-        return len(self._succeeded_at_ms)
+        """Number of remembered features that succeeded."""
+        return sum(map(len, self._succeeded_at_ms.values()))
 
     def __len__(self) -> int:
         """Returns the number of suspects."""
         return len(self._records)
 
     def record(self, fingerprint: str) -> suspicion.Record:
-        """Returns the evidence about a request."""
+        """Returns the evidence about a feature."""
         return self._records.get(fingerprint, suspicion.Record(fingerprint))
 
     def crashed(self, crash: crash_lib.Crash) -> list[suspicion.Record]:
@@ -65,6 +72,7 @@
                         crash.incarnation_id, one.began_at_ms, crash.at_ms
                     ),
                 ),
+                kind=one.kind,
             )
             for one in crash.suspects
         ]
@@ -78,23 +86,40 @@
         return report
 
     def succeeded(
-        self, fingerprint: str, now_ms: int
+        self,
+        fingerprint: str,
+        at_ms: int,
+        kind: crash_lib.FeatureKind = crash_lib.FeatureKind.REQUEST,
     ) -> suspicion.Record | None:
-        """Records that a request completed without a crash.
+        """Records that a request with a feature completed without a crash.
+
+        Args:
+            fingerprint: Fingerprint of the feature.
+            at_ms: When it completed; for a prompt block, when its answer began.
+            kind: Kind of the feature.
 
         Returns:
-            The record to report to others, None if it was not a suspect.
+            The record to report to others, None if there is nothing to report.
         """
-        # Moves the request to the end, so that the oldest one is dropped.
-        self._succeeded_at_ms.pop(fingerprint, None)
-        self._succeeded_at_ms[fingerprint] = now_ms
-        if len(self._succeeded_at_ms) > MAX_SUCCESSES:
-            del self._succeeded_at_ms[next(iter(self._succeeded_at_ms))]
+        successes = self._succeeded_at_ms[kind]
+        # Moves the feature to the end, so that the oldest one is dropped.
+        before_ms = successes.pop(fingerprint, at_ms)
+        successes[fingerprint] = max(before_ms, at_ms)
+        if len(successes) > MAX_SUCCESSES:
+            del successes[next(iter(successes))]
         known = self._records.get(fingerprint)
         if known is None or not known.observations:
             return None
-        record = suspicion.Record(fingerprint, (), now_ms)
-        self.take(record)
+        record = suspicion.Record(fingerprint, (), at_ms, kind)
+        if not self.take(record):
+            return None
+        left_count = len(self._records[fingerprint].observations)
+        cleared_count = len(known.observations) - left_count
+        if (
+            kind is crash_lib.FeatureKind.PROMPT_BLOCK
+            and cleared_count < MIN_REPORTED_CRASHES
+        ):
+            return None
         return record
 
     def take(self, record: suspicion.Record) -> bool:
@@ -104,10 +129,12 @@
             if not record.observations:
                 return False
             self._evict_if_full()
-            served_at_ms = self._succeeded_at_ms.get(
+            served_at_ms = self._succeeded_at_ms[record.kind].get(
                 record.fingerprint, suspicion.NEVER_MS
             )
-            known = suspicion.Record(record.fingerprint, (), served_at_ms)
+            known = suspicion.Record(
+                record.fingerprint, (), served_at_ms, record.kind
+            )
         merged = suspicion.merge(known, record)
         if merged == self._records.get(record.fingerprint):
             return False
@@ -145,7 +172,9 @@
             quarantine_rules.succeeded_recently(with_clearance)
             and not knows_of_success
         ):
-            return suspicion.Record(report.fingerprint, (), cleared_at_ms)
+            return suspicion.Record(
+                report.fingerprint, (), cleared_at_ms, report.kind
+            )
         return None
 
     def _evict_if_full(self) -> None:
@@ -168,7 +197,7 @@
     def quarantine(
         self, fingerprint: str, now_ms: int
     ) -> quarantine_rules.Quarantine | None:
-        """Returns the quarantine of a request, None if there is none."""
+        """Returns the quarantine of a feature, None if there is none."""
         record = self._records.get(fingerprint)
         if record is None:
             return None
@@ -182,15 +211,15 @@
             yield self._records[name]
 
     def may_send_trial(self, fingerprint: str, now_ms: int, rank: int) -> bool:
-        """Whether a gateway may send a quarantined request as a trial.
+        """Whether a gateway may send a request with a feature as a trial.
 
         If all gateways sent a popular request at once, it could crash one
         target per gateway. The gateways therefore take turns in an order that
         they all know. All of them get a turn, because the first one may be down
-        or may not receive the request.
+        or may not receive such a request.
 
         Args:
-            fingerprint: Fingerprint of the request.
+            fingerprint: Fingerprint of the feature.
             now_ms: Now.
             rank: Position of the gateway in that order.
         """
@@ -209,7 +238,7 @@
     def quarantined(
         self, now_ms: int
     ) -> dict[str, quarantine_rules.Quarantine]:
-        """Returns the quarantined requests by fingerprint."""
+        """Returns the quarantines of features by fingerprint."""
         quarantines = {
             record.fingerprint: self.quarantine(record.fingerprint, now_ms)
             for record in self.recurring()
--- a/packages/radishstack/src/radishstack/process/quarantine_rules.py
+++ b/packages/radishstack/src/radishstack/process/quarantine_rules.py
@@ -1,13 +1,19 @@
 """Decides which features of requests are quarantined, and for how long.
 
 A feature that crashes targets runs at every crash and never succeeds. Others
-run beside it, most of them at one crash only.
+run beside it, most of them at one crash only. Popular blocks of prompts run
+beside it each time, but succeed between the crashes.
+
+Load pattern of blocks: requests that share one block, and are equal in nothing
+else, arrive about every second at any gateway; sound ones share their other
+blocks, several of them a second.
 """
 
 from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
 
+from radishstack.process import crash
 from radishstack.process import incarnation
 from radishstack.process import suspicion
 
@@ -22,6 +28,14 @@
 # because a new version can turn it into one that crashes targets.
 RECENT_SUCCESS_MS = 60_000
 MIN_CRASHES_IF_SERVED = 10
+# Crashes after which a block of the prompt is quarantined although it succeeded
+# recently, and the least time between the first and the last of them. A popular
+# block succeeds within this time if it is harmless and any target runs.
+MIN_CRASHES_IF_BLOCK_SERVED = 5
+MIN_UNSERVED_MS = 3_000
+# Crashes of a block from which on each further one lengthens its quarantine.
+# Requests that were under way when it began may crash targets, too.
+GROWTH_FREE_CRASHES = 5
 # Additional crashes that are required if another request was running at the
 # last crash and at as many crashes in total. One more crash either
 # distinguishes the two or quarantines both.
@@ -74,6 +88,22 @@
     if not record.observations:
         return None
     crash_count = suspicion.count_crashes(record)
+    if record.kind is crash.FeatureKind.PROMPT_BLOCK:
+        duration_ms = _block_duration_ms(record, crash_count, suspects_at)
+    else:
+        duration_ms = _request_duration_ms(record, crash_count, suspects_at)
+    if duration_ms is None:
+        return None
+    last_at_ms = record.observations[-1].ended_at_ms
+    until_ms = last_at_ms + duration_ms
+    left_ms = max(0, until_ms - now_ms)
+    return Quarantine(crash_count, last_at_ms, until_ms, left_ms)
+
+
+def _request_duration_ms(
+    record: suspicion.Record, crash_count: int, suspects_at: SuspectsAt
+) -> int | None:
+    """Returns how long a request is quarantined, None if it is not."""
     extra = 0
     if _is_ambiguous(record, crash_count, suspects_at):
         extra = AMBIGUOUS_EXTRA_CRASHES
@@ -84,11 +114,66 @@
         or suspicion.count_consecutive(record) < MIN_CONSECUTIVE + extra
     ):
         return None
-    duration_ms = _duration_ms(record, crash_count - extra, suspects_at)
-    last_at_ms = record.observations[-1].ended_at_ms
-    until_ms = last_at_ms + duration_ms
-    left_ms = max(0, until_ms - now_ms)
-    return Quarantine(crash_count, last_at_ms, until_ms, left_ms)
+    return _duration_ms(record, crash_count - extra, suspects_at)
+
+
+def _block_duration_ms(
+    record: suspicion.Record, crash_count: int, suspects_at: SuspectsAt
+) -> int | None:
+    """Returns how long a prompt block is quarantined, None if it is not."""
+    was_served = succeeded_recently(record)
+    required = MIN_CRASHES_IF_BLOCK_SERVED if was_served else MIN_CRASHES
+    if (
+        crash_count < required
+        or suspicion.count_consecutive(record) < MIN_CONSECUTIVE
+        or (was_served and _unserved_ms(record) < MIN_UNSERVED_MS)
+        or _is_explained(record, crash_count, suspects_at)
+    ):
+        return None
+    # Trials crash targets, so a block that is not known to have been sound has
+    # few of them.
+    first_ms = TRIAL_DELAY_MS if was_served else QUARANTINE_MS
+    growth = max(0, crash_count - GROWTH_FREE_CRASHES)
+    return first_ms * QUARANTINE_GROWTH**growth
+
+
+def _unserved_ms(record: suspicion.Record) -> int:
+    """Returns for how long crashes were observed without a success."""
+    first, last = record.observations[0], record.observations[-1]
+    return last.ended_at_ms - first.ended_at_ms
+
+
+def _is_explained(
+    record: suspicion.Record, crash_count: int, suspects_at: SuspectsAt
+) -> bool:
+    """Whether other features explain all crashes of a prompt block.
+
+    At each of them a feature was running that is the more likely cause.
+    """
+    return all(
+        any(
+            _is_likelier(other, record, crash_count)
+            for other in _others(record, suspects_at(one.incarnation_id))
+        )
+        for one in record.observations
+    )
+
+
+def _is_likelier(
+    other: suspicion.Record, record: suspicion.Record, crash_count: int
+) -> bool:
+    """Whether a feature is a likelier cause of a crash than a prompt block.
+
+    It was served less recently, ran at more crashes, or is narrower: a request
+    that is repeated has all blocks of its prompt with it.
+    """
+    other_count = suspicion.count_crashes(other)
+    if other_count < MIN_CRASHES:
+        return False
+    if other.cleared_at_ms != record.cleared_at_ms:
+        return other.cleared_at_ms < record.cleared_at_ms
+    is_narrower = other.kind is crash.FeatureKind.REQUEST
+    return other_count > crash_count - is_narrower
 
 
 def succeeded_recently(record: suspicion.Record) -> bool:
@@ -117,13 +202,23 @@
     return (one for one in suspects if one.fingerprint != record.fingerprint)
 
 
+def _other_requests(
+    record: suspicion.Record, suspects: Iterable[suspicion.Record]
+) -> Iterable[suspicion.Record]:
+    return (
+        one
+        for one in _others(record, suspects)
+        if one.kind is crash.FeatureKind.REQUEST
+    )
+
+
 def _was_alone(
     record: suspicion.Record,
     incarnation_id: incarnation.IncarnationId,
     suspects_at: SuspectsAt,
 ) -> bool:
     """Whether no other suspect of several crashes ran at a crash."""
-    others = _others(record, suspects_at(incarnation_id))
+    others = _other_requests(record, suspects_at(incarnation_id))
     return not any(len(one.observations) > 1 for one in others)
 
 
@@ -132,5 +227,5 @@
 ) -> bool:
     """Whether another suspect of the last crash ran at as many crashes."""
     last = record.observations[-1]
-    others = _others(record, suspects_at(last.incarnation_id))
+    others = _other_requests(record, suspects_at(last.incarnation_id))
     return any(suspicion.count_crashes(one) >= crash_count for one in others)
--- a/packages/radishstack/src/radishstack/process/suspicion.py
+++ b/packages/radishstack/src/radishstack/process/suspicion.py
@@ -1,7 +1,12 @@
-"""Evidence about one feature of requests that may crash targets."""
+"""Evidence about one feature of requests that may crash targets.
+
+A feature is a whole request, which may be repeated, or a block of the prompt,
+which requests may share that are equal in nothing else.
+"""
 
 import dataclasses
 
+from radishstack.process import crash
 from radishstack.process import incarnation
 
 # Maximum number of crashes that are remembered of a feature.
@@ -19,11 +24,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Observation:
-    """A crash at which a request was running.
+    """A crash at which a request with the feature was running.
 
     Attributes:
         incarnation_id: The incarnation of a target that crashed.
-        began_at_ms: When the request was sent to the target.
+        began_at_ms: When the first of these requests was sent to the target.
         ended_at_ms: When the target crashed.
     """
 
@@ -34,18 +39,22 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Record:
-    """The evidence about one request.
+    """The evidence about one feature.
 
     Attributes:
-        fingerprint: Fingerprint of the request.
+        fingerprint: Fingerprint of the feature.
         observations: Crashes at which it was running, in order.
-        cleared_at_ms: When an equal request last succeeded, ``NEVER_MS`` if
-            unknown. Crashes up to that time do not count.
+        cleared_at_ms: When a request with it last succeeded, ``NEVER_MS`` if
+            unknown. Crashes up to that time do not count. For a block of the
+            prompt, when the last whole answer began: one that began before the
+            block turned harmful proves nothing.
+        kind: Kind of the feature.
     """
 
     fingerprint: str
     observations: tuple[Observation, ...] = ()
     cleared_at_ms: int = NEVER_MS
+    kind: crash.FeatureKind = crash.FeatureKind.REQUEST
 
 
 def last_ms(record: Record) -> int:
@@ -64,9 +73,14 @@
     }
     for observation in other.observations:
         known = by_incarnation.get(observation.incarnation_id, observation)
-        # Crashes are observed late, so the earliest time is the most accurate.
-        by_incarnation[observation.incarnation_id] = min(
-            known, observation, key=lambda seen: seen.ended_at_ms
+        by_incarnation[observation.incarnation_id] = Observation(
+            observation.incarnation_id,
+            # Several requests may have the feature. If one was sent before an
+            # earlier crash, the two crashes may have the same cause.
+            min(known.began_at_ms, observation.began_at_ms),
+            # Crashes are observed late, so the earliest time is the most
+            # accurate.
+            min(known.ended_at_ms, observation.ended_at_ms),
         )
     cleared_at_ms = max(one.cleared_at_ms, other.cleared_at_ms)
     relevant = sorted(
@@ -78,7 +92,10 @@
         key=lambda seen: (seen.ended_at_ms, seen.incarnation_id.name),
     )
     return Record(
-        one.fingerprint, tuple(relevant[-MAX_OBSERVATIONS:]), cleared_at_ms
+        one.fingerprint,
+        tuple(relevant[-MAX_OBSERVATIONS:]),
+        cleared_at_ms,
+        one.kind,
     )
 
 
--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -68,12 +68,105 @@
     "self.pending.events):\n"
     "            return Outcome.LOST\n"
 )
-_CLEAR_SUSPECT = "        self._record_completion()\n"
+_CLEAR_SUSPECT = "        self._record_completion(answer_began_at_ms)\n"
 
 _ROSTER_PATH = "radishstack/process/roster.py"
 _RESTORED_PROMISE = "a restored store revives no outdated entries"
 
+_RULES_PATH = "radishstack/process/quarantine_rules.py"
+_BLOCK_PROMISE = "a poison prompt block is refused"
+_SOUND_BLOCK_PROMISE = "sound prompt blocks are served"
+_BLOCK_TEST = _test("fleet.test_poison_blocks")
+_EVIDENCE_TEST = _test("fleet.test_crash_evidence")
+
 MUTANTS = (
+    Mutant(
+        _BLOCK_PROMISE,
+        "radishd/request/pending_request.py",
+        "        return (whole, *blocks)",
+        "        return (whole,)",
+        _BLOCK_TEST,
+    ),
+    Mutant(
+        _BLOCK_PROMISE,
+        "radishd/request/pending_request.py",
+        "        return (self.fingerprint(), *self.block_fingerprints)",
+        "        return (self.fingerprint(),)",
+        _BLOCK_TEST,
+    ),
+    Mutant(
+        _BLOCK_PROMISE,
+        "radishd/request/forward.py",
+        "            if self._targets.is_quarantined():",
+        "            if False:",
+        _BLOCK_TEST,
+    ),
+    Mutant(
+        _BLOCK_PROMISE,
+        "radishd/request/forward.py",
+        "            if outcome in _POSSIBLE_CRASH:\n"
+        "                # If the request",
+        "            if False:\n                # If the request",
+        _BLOCK_TEST,
+    ),
+    Mutant(
+        _BLOCK_PROMISE,
+        "radishd/request/forward.py",
+        "        if answer_began_at_ms is None:\n            return\n"
+        "        for fingerprint",
+        "        answer_began_at_ms = answer_began_at_ms or clock.boot_ms()\n"
+        "        for fingerprint",
+        _BLOCK_TEST,
+    ),
+    Mutant(
+        _BLOCK_PROMISE,
+        _RULES_PATH,
+        "    first_ms = TRIAL_DELAY_MS if was_served else QUARANTINE_MS\n",
+        "    first_ms = TRIAL_DELAY_MS\n",
+        _EVIDENCE_TEST,
+    ),
+    Mutant(
+        _BLOCK_PROMISE,
+        _RULES_PATH,
+        "MIN_CRASHES_IF_BLOCK_SERVED = 5\n",
+        "MIN_CRASHES_IF_BLOCK_SERVED = 10\n",
+        _EVIDENCE_TEST,
+    ),
+    Mutant(
+        _SOUND_BLOCK_PROMISE,
+        _RULES_PATH,
+        "        or _is_explained(record, crash_count, suspects_at)\n",
+        "",
+        _EVIDENCE_TEST,
+    ),
+    Mutant(
+        _SOUND_BLOCK_PROMISE,
+        _RULES_PATH,
+        "    return other_count > crash_count - is_narrower\n",
+        "    return other_count > crash_count\n",
+        _EVIDENCE_TEST,
+    ),
+    Mutant(
+        _SOUND_BLOCK_PROMISE,
+        _RULES_PATH,
+        "        or (was_served and _unserved_ms(record) < MIN_UNSERVED_MS)\n",
+        "",
+        _EVIDENCE_TEST,
+    ),
+    Mutant(
+        _SOUND_BLOCK_PROMISE,
+        "radishstack/process/suspicion.py",
+        "            min(known.began_at_ms, observation.began_at_ms),\n",
+        "            max(known.began_at_ms, observation.began_at_ms),\n",
+        _EVIDENCE_TEST,
+    ),
+    Mutant(
+        "reports of prompt blocks are bounded",
+        "radishstack/process/crash_evidence.py",
+        "            and cleared_count < MIN_REPORTED_CRASHES\n",
+        "            and False\n",
+        _EVIDENCE_TEST,
+    ),
     Mutant(
         _CUT_PROMISE,
         _RESPONSE_END_PATH,
@@ -1057,7 +1150,7 @@
     Mutant(
         "evidence of crashes is bounded",
         "radishstack/process/crash_evidence.py",
-        "        if len(self._succeeded_at_ms) > MAX_SUCCESSES:",
+        "        if len(successes) > MAX_SUCCESSES:",
         "        if False:",
         _test("fleet.test_crash_evidence"),
     ),
@@ -1085,8 +1178,7 @@
     Mutant(
         "a quarantine ends with one that is tried",
         "radishd/request/callers_port.py",
-        "                gateway.crash_gossip.end_trial("
-        "forward.pending.fingerprint())",
+        "                gateway.crash_gossip.end_trial(fingerprint)",
         "                pass",
         _test("fleet.test_crashes"),
     ),
--- a/tests/fleet/test_crash_evidence.py
+++ b/tests/fleet/test_crash_evidence.py
@@ -354,3 +354,197 @@
     assert fingerprint_lib.of_shared_blocks(()) == ()
     many = tuple(b"%x" % number for number in range(100))
     assert len(fingerprint_lib.of_shared_blocks(many)) <= 8
+
+
+BLOCK = crash_lib.FeatureKind.PROMPT_BLOCK
+FIRST_BLOCK = "f1" * fingerprint_lib.SIZE_BYTES
+
+
+def _block_crash(
+    number: int, at_ms: int, *blocks: str, run_ms: int = RUN_MS
+) -> crash_lib.Crash:
+    """Returns a crash under a request that is equal to no other one."""
+    began_at_ms = at_ms - run_ms
+    return crash_lib.Crash(
+        incarnation.IncarnationId(f"i{number}", 1),
+        at_ms,
+        (
+            crash_lib.Suspect(f"{number:032x}", began_at_ms),
+            *(crash_lib.Suspect(one, began_at_ms, BLOCK) for one in blocks),
+        ),
+    )
+
+
+def _serve(
+    evidence: crash_evidence.CrashEvidence, block: str, *began_at_ms: int
+) -> None:
+    for at_ms in began_at_ms:
+        evidence.succeeded(block, at_ms, BLOCK)
+
+
+def test_a_poison_block_is_quarantined_and_popular_blocks_are_not() -> None:
+    """Guards against rejecting all requests that share the first block.
+
+    The first block runs at each crash, too. An answer on it that began after a
+    crash clears it, and the narrower block explains the crashes in between.
+    """
+    evidence = crash_evidence.CrashEvidence()
+    _serve(evidence, FIRST_BLOCK, 100)
+    for number, at_ms in enumerate((1_000, 4_500, 5_100, 5_600, 6_000, 6_400)):
+        evidence.crashed(_block_crash(number, at_ms, FIRST_BLOCK, HARMFUL))
+        if number == 0:
+            _serve(evidence, FIRST_BLOCK, 1_200)
+        assert evidence.quarantine(FIRST_BLOCK, at_ms) is None
+        is_rejected = evidence.quarantine(HARMFUL, at_ms) is not None
+        assert is_rejected is (number >= 2)
+    quarantine = evidence.quarantine(HARMFUL, 6_400)
+    assert quarantine.left_ms >= quarantine_rules.QUARANTINE_MS
+
+
+def test_a_popular_block_beside_several_poison_blocks_is_served() -> None:
+    """Guards against a popular block that more crashes hit than each cause."""
+    evidence = crash_evidence.CrashEvidence()
+    _serve(evidence, FIRST_BLOCK, 100)
+    poison = (HARMFUL, OTHER)
+    for number in range(12):
+        at_ms = 1_000 + 500 * number
+        evidence.crashed(
+            _block_crash(number, at_ms, FIRST_BLOCK, poison[number % 2])
+        )
+    assert evidence.quarantine(FIRST_BLOCK, 8_000) is None
+    for block in poison:
+        assert evidence.quarantine(block, 8_000) is not None
+
+
+def test_a_block_that_turns_harmful_is_quarantined() -> None:
+    """Guards against trusting the answers on a block from before.
+
+    An answer that began before the first crash ends after it and proves
+    nothing. Five crashes in which no answer on it begins are enough.
+    """
+    evidence = crash_evidence.CrashEvidence()
+    _serve(evidence, HARMFUL, 500)
+    for number in range(5):
+        at_ms = 1_000 + 900 * number
+        assert evidence.quarantine(HARMFUL, at_ms) is None
+        evidence.crashed(_block_crash(number, at_ms, HARMFUL))
+        _serve(evidence, HARMFUL, 900)
+    quarantine = evidence.quarantine(HARMFUL, 4_700)
+    assert quarantine.moments == 5
+    assert 0 < quarantine.left_ms <= quarantine_rules.TRIAL_DELAY_MS
+
+
+def test_trials_of_a_block_become_rare() -> None:
+    """Guards against trials that crash one target after another.
+
+    At most three requests with the block may reach targets after the first five
+    crashes, also if it was served before.
+    """
+    for was_served in (False, True):
+        evidence = crash_evidence.CrashEvidence()
+        if was_served:
+            _serve(evidence, HARMFUL, 900)
+        at_ms = 1_000
+        crash_count = 0
+        while evidence.quarantine(HARMFUL, at_ms) is None:
+            evidence.crashed(_block_crash(crash_count, at_ms, HARMFUL))
+            crash_count += 1
+            at_ms += 1_000
+        assert crash_count <= 5
+        quarantined_at_ms = at_ms
+        trial_count = 0
+        while trial_count < 3:
+            at_ms = evidence.quarantine(HARMFUL, at_ms).until_ms
+            evidence.crashed(_block_crash(100 + trial_count, at_ms, HARMFUL))
+            trial_count += 1
+        next_at_ms = evidence.quarantine(HARMFUL, at_ms).until_ms
+        assert next_at_ms - quarantined_at_ms > 30 * 60_000
+
+
+def test_a_power_cut_quarantines_no_block() -> None:
+    """Guards against counting a power cut once per target for a popular block.
+
+    New requests with it are sent while the targets end one after the other.
+    """
+    for was_served in (False, True):
+        evidence = crash_evidence.CrashEvidence()
+        if was_served:
+            _serve(evidence, FIRST_BLOCK, 4_000)
+        for number in range(12):
+            at_ms = 5_000 + 20 * number
+            for run_ms in (3, 300 + 20 * number):
+                evidence.crashed(
+                    _block_crash(number, at_ms, FIRST_BLOCK, run_ms=run_ms)
+                )
+        assert evidence.quarantine(FIRST_BLOCK, 5_300) is None
+
+
+def test_crashes_in_a_burst_quarantine_no_popular_block() -> None:
+    """Guards against crashes that come faster than answers can end.
+
+    The block was served, and none of its answers ends within the burst.
+    """
+    evidence = crash_evidence.CrashEvidence()
+    _serve(evidence, FIRST_BLOCK, 900)
+    for number in range(9):
+        at_ms = 1_000 + 370 * number
+        evidence.crashed(_block_crash(number, at_ms, FIRST_BLOCK, run_ms=300))
+        assert evidence.quarantine(FIRST_BLOCK, at_ms) is None
+    # Later than any answer would take, the block is the likely cause.
+    evidence.crashed(_block_crash(9, 4_400, FIRST_BLOCK))
+    assert evidence.quarantine(FIRST_BLOCK, 4_400) is not None
+
+
+def test_a_repeated_request_takes_no_blocks_with_it() -> None:
+    """Guards against rejecting a block for one request that is repeated."""
+    evidence = crash_evidence.CrashEvidence()
+    for number in range(4):
+        at_ms = 1_000 * (number + 1)
+        evidence.crashed(
+            crash_lib.Crash(
+                incarnation.IncarnationId(f"i{number}", 1),
+                at_ms,
+                (
+                    crash_lib.Suspect(HARMFUL, at_ms - RUN_MS),
+                    crash_lib.Suspect(FIRST_BLOCK, at_ms - RUN_MS, BLOCK),
+                ),
+            )
+        )
+    assert evidence.quarantine(HARMFUL, 4_100) is not None
+    assert evidence.quarantine(FIRST_BLOCK, 4_100) is None
+
+
+def test_clearances_of_blocks_are_reported_only_if_needed() -> None:
+    """Guards against a report to all gateways at each success of a block."""
+    evidence = crash_evidence.CrashEvidence()
+    evidence.crashed(_block_crash(0, 1_000, FIRST_BLOCK))
+    assert evidence.succeeded(FIRST_BLOCK, 1_100, BLOCK) is None
+    evidence.crashed(_block_crash(1, 2_000, FIRST_BLOCK))
+    evidence.crashed(_block_crash(2, 3_000, FIRST_BLOCK))
+    assert evidence.succeeded(FIRST_BLOCK, 3_100, BLOCK) is not None
+    # The report of a crash tells the others of the successes before it.
+    uninformed = _evidence(
+        _block_crash(1, 2_000, FIRST_BLOCK), _block_crash(2, 3_000, FIRST_BLOCK)
+    )
+    for record in evidence.crashed(_block_crash(3, 4_000, FIRST_BLOCK)):
+        uninformed.take(record)
+    assert len(uninformed.record(FIRST_BLOCK).observations) == 1
+
+
+def test_the_kind_of_a_feature_is_reported_and_stored() -> None:
+    """Guards against a prompt block that is taken for a whole request."""
+    evidence = _evidence(
+        *(_block_crash(one, 1_000 * one, HARMFUL) for one in range(3))
+    )
+    record = evidence.record(HARMFUL)
+    assert record.kind is BLOCK
+    sent = fleet_wire.CrashReport(
+        (fleet_wire.to_reported_record(record, 2_100),)
+    )
+    (report,) = fleet_wire.decode(fleet_wire.encode(sent)).records
+    assert fleet_wire.from_reported_record(report, 2_100) == record
+    spec = crash_record.encode(record, 2_100, 1_000_000)
+    assert crash_record.decode(spec, 2_100, 1_000_000) == record
+    del spec["kind"]
+    older = crash_record.decode(spec, 2_100, 1_000_000)
+    assert older.kind is crash_lib.FeatureKind.REQUEST
--- a/tests/fleet/test_poison_blocks.py
+++ b/tests/fleet/test_poison_blocks.py
@@ -4,6 +4,12 @@
 import secrets
 
 from radishd import gateway as gateway_lib
+from radishd.connection import http_client
+from radishd.process import clock
+from radishstack.process import crash as crash_lib
+from radishstack.process import incarnation
+from radishstack.process import suspicion
+from radishstack.request import fingerprint as fingerprint_lib
 from standins import platform_engine
 
 from tests.fleet import fixtures
@@ -89,3 +95,85 @@
                 assert float(answer.headers["retry-after"]) > 0
 
     fixtures.run(play)
+
+
+def _record(crash_count: int) -> suspicion.Record:
+    """Returns evidence that the poison block crashed targets until now."""
+    now_ms = clock.boot_ms()
+    fingerprint, *_ = fingerprint_lib.of_shared_blocks(
+        (POISON_BLOCK.partition(":")[0].encode(), b"own")
+    )
+    return suspicion.Record(
+        fingerprint,
+        tuple(
+            suspicion.Observation(
+                incarnation.IncarnationId(f"i-gone{number}", 1),
+                now_ms - 1_000 * (crash_count - number) - 300,
+                now_ms - 1_000 * (crash_count - number),
+            )
+            for number in range(crash_count)
+        ),
+        kind=crash_lib.FeatureKind.PROMPT_BLOCK,
+    )
+
+
+def test_a_request_is_checked_again_when_it_is_sent() -> None:
+    """Guards against a verdict that comes while a connection is opened."""
+
+    async def play() -> None:
+        async with fixtures.running_fleet(engines=0, plain=1) as fleet:
+            gateway = fleet.gateway
+            runs = _crash_on_block(fleet)
+            acquire = gateway.pool.acquire
+
+            async def acquire_late(
+                address: str, *, fresh: bool
+            ) -> http_client.Connection | http_client.Lost:
+                connection = await acquire(address, fresh=fresh)
+                gateway.crash_gossip.merge([_record(3)], source="test")
+                return connection
+
+            gateway.pool.acquire = acquire_late
+            answer = await _call(fleet, gateway, POISON_BLOCK)
+            assert answer.status == 503 and not runs, answer
+            (member,) = gateway.roster.usable("counter", clock.boot_ms())
+            assert not member.health.failure_share
+            sound = await _call(fleet, gateway, SOUND_BLOCK)
+            assert sound.status == 200, sound
+
+    fixtures.run(play)
+
+
+def test_a_request_is_not_sent_again_after_the_crash_that_convicts_it() -> None:
+    """Guards against a second send that crashes one more target."""
+
+    async def play() -> None:
+        async with fixtures.running_fleet(engines=0, plain=3) as fleet:
+            gateway = fleet.gateway
+            runs = _crash_on_block(fleet)
+            gateway.crash_gossip.merge([_record(2)], source="test")
+            answer = await fleet.call("/look/1", **_prompt(POISON_BLOCK))
+            # The crash shows that it ran, so it is not rejected as not run.
+            assert answer.status == 504, answer
+            assert len(runs) == 1, runs
+
+    fixtures.run(play)
+
+
+def test_an_error_of_a_target_clears_no_block() -> None:
+    """Guards against clearing a block by an error that read no prompt."""
+
+    async def play() -> None:
+        async with fixtures.running_fleet(engines=0, plain=1) as fleet:
+            gateway = fleet.gateway
+            record = _record(2)
+            gateway.crash_gossip.merge([record], source="test")
+            (target,) = fleet.targets.values()
+            evidence = gateway.crash_gossip.evidence
+            for fault, is_cleared in ((Fault.ERROR, False), (Fault.NONE, True)):
+                target.fault = lambda seen, fault=fault: fault
+                await _call(fleet, gateway, POISON_BLOCK)
+                known = evidence.record(record.fingerprint)
+                assert (not known.observations) is is_cleared, fault
+
+    fixtures.run(play)
