--- a/packages/radishd/src/radishd/request/forward.py
+++ b/packages/radishd/src/radishd/request/forward.py
@@ -65,6 +65,12 @@
     IDLE = "silent"
 
 
+class Withheld(enum.Enum):
+    """A sentinel: the request was quarantined after its target was selected."""
+
+    QUARANTINED = "quarantined"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Send:
     """One send to one incarnation of a target.
@@ -157,7 +163,7 @@
             outcome = await self._send_to_target(chosen)
             if outcome is None:
                 return
-            if outcome is Outcome.WITHHELD:
+            if outcome is Withheld.QUARANTINED:
                 # The next selection rejects it.
                 continue
             instance = member.listing.instance
@@ -225,7 +231,7 @@
 
     async def _send_to_target(
         self, selection: target_selection.Selection
-    ) -> Outcome | None:
+    ) -> Outcome | Withheld | None:
         """Sends to one target; returns None if the caller got the response."""
         gateway = self._gateway
         member = selection.member
@@ -248,7 +254,7 @@
                 gateway.pool.release(
                     listing.address, connection, keep_alive_s=0
                 )
-                return Outcome.WITHHELD
+                return Withheld.QUARANTINED
             send = self._write_request(selection, connection, software_version)
             member.health.unanswered[self] = send.sent_at_ms
             return await self._handle_response(send)
--- a/packages/radishstack/src/radishstack/request/forwarding.py
+++ b/packages/radishstack/src/radishstack/request/forwarding.py
@@ -32,8 +32,6 @@
         SPOILED: The response was invalid or too large.
         SILENT: The response stalled.
         FAILED: The target answered with a failure.
-        WITHHELD: The request was not sent, as it was quarantined after its
-            target had been selected.
     """
 
     UNSENT = "unsent"
@@ -44,7 +42,6 @@
     SPOILED = "spoiled"
     SILENT = "silent"
     FAILED = "failed"
-    WITHHELD = "withheld"
 
 
 _MAY_HAVE_RUN = frozenset(
