Soak: prompt blocks that crash targets, beside sound ones

Callers' prompts share their first block and one of six others; requests that share a poison block, with bodies of their own, come to any gateway. The judge allows three after the fifth crash and 3 s, and no sound request may be rejected. Two soak mutants.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -10,6 +10,7 @@
 
 from soak import accounts
 from soak import history as history_lib
+from soak import prompts
 from soak import streams
 
 REQUEST_TIMEOUT_MS = 3_000
@@ -127,7 +128,9 @@
     ) -> history_lib.Attempt:
         connection = self._connection
         attempt_id = secrets.token_hex(8)
-        further = list(credential.headers())
+        block_number = self._random.randrange(prompts.SOUND_BLOCK_COUNT)
+        prompt = prompts.header(prompts.sound_block(block_number))
+        further = [*credential.headers(), prompt]
         if resumes:
             further.append(("Resumes", resumes))
             further.append(("Last-Event-Id", str(after_event)))
--- a/soak/history.py
+++ b/soak/history.py
@@ -115,7 +115,8 @@
     """One attempt of a request that crashes each target that runs it.
 
     Attributes:
-        path: Path of the request, which identifies it across attempts.
+        path: What identifies it across attempts: the path of a request that is
+            repeated, the prompt block that requests share.
         gateway: Number of the gateway.
         sent_at_ms: When it was sent.
     """
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -13,6 +13,7 @@
 from soak import accounts
 from soak import callers
 from soak import history as history_lib
+from soak import prompts
 from soak import streams
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -32,6 +33,8 @@
 # it may still reach a target after that.
 MAX_CRASHES = 3
 MAX_REPEATS = 3
+# Targets that requests which share a prompt block may crash before.
+MAX_BLOCK_CRASHES = 5
 # Requests that may still reach a target during its backoff, after a slack in
 # which its response reaches the gateway.
 MAX_DURING_BACKOFF = 2
@@ -301,7 +304,7 @@
 
 
 def _quarantine(evidence: Evidence) -> Iterator[Violation]:
-    """A request that crashed three targets may reach at most three more."""
+    """What crashed enough targets may reach at most three more."""
     history = evidence.history
     runs_ms: dict[str, list[int]] = collections.defaultdict(list)
     late_runs: collections.Counter[str] = collections.Counter()
@@ -310,8 +313,10 @@
         if attempt is None or not arrival.ran:
             continue
         known_ms = runs_ms[attempt.path]
-        if len(known_ms) >= MAX_CRASHES:
-            since_ms = known_ms[MAX_CRASHES - 1] + UNDISTURBED_MS
+        is_block = attempt.path.startswith(prompts.POISON_PREFIX)
+        max_crashes = MAX_BLOCK_CRASHES if is_block else MAX_CRASHES
+        if len(known_ms) >= max_crashes:
+            since_ms = known_ms[max_crashes - 1] + UNDISTURBED_MS
             late_runs[attempt.path] += attempt.sent_at_ms > since_ms and (
                 evidence.is_undisturbed(
                     attempt.gateway, attempt.sent_at_ms, arrival.at_ms
--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -109,6 +109,20 @@
         "        del crash\n",
         _seeds(390, Kind.POISON),
     ),
+    mutants.Mutant(
+        "what ends targets is refused",
+        "radishd/request/pending_request.py",
+        "        return (whole, *blocks)",
+        "        return (whole,)",
+        _seeds(530, Kind.POISON_BLOCK),
+    ),
+    mutants.Mutant(
+        "nobody else is refused",
+        RULES,
+        "        or _is_explained(record, crash_count, suspects_at)\n",
+        "",
+        _seeds(540, Kind.POISON_BLOCK),
+    ),
     mutants.Mutant(
         "nobody else is refused",
         RULES,
--- a/soak/poison.py
+++ b/soak/poison.py
@@ -1,4 +1,8 @@
-"""A request that crashes each target that runs it, sent to any gateway."""
+"""Requests that crash each target that runs them, sent to any gateway.
+
+One request is repeated, or requests share a block of their prompts and are
+equal in nothing else.
+"""
 
 import asyncio
 from collections.abc import Callable
@@ -12,6 +16,7 @@
 from soak import accounts
 from soak import callers
 from soak import history as history_lib
+from soak import prompts
 
 BODY = b"what is asked here ends whatever runs it"
 ROUTES = ("chat", "book")
@@ -26,13 +31,15 @@
 
 
 class PoisonRequest:
-    """One request that is sent repeatedly."""
+    """One request that is sent repeatedly, or requests that share a block."""
 
     def __init__(
         self,
         history: history_lib.History,
         source: random.Random,
         choose: Callable[[], tuple[int, str] | None],
+        *,
+        by_block: bool = False,
     ) -> None:
         """Creates the request without sending it.
 
@@ -41,6 +48,7 @@
             source: Random source.
             choose: Chooses a gateway; returns its number and address, or None
                 if no gateway accepts connections.
+            by_block: Whether requests share only a block of their prompts.
         """
         self._history = history
         self._random = source
@@ -48,6 +56,7 @@
         self._route = source.choice(ROUTES)
         # The random path makes it distinct from other such requests.
         self._path = f"/{self._route}/{secrets.token_hex(4)}"
+        self._block = prompts.new_poison_block() if by_block else ""
 
     async def run(self, for_s: float) -> None:
         """Sends the request repeatedly for a time."""
@@ -76,17 +85,22 @@
         )
         sent_at_ms = history_lib.now_ms()
         self._history.poison_attempts[attempt_id] = history_lib.PoisonAttempt(
-            self._path, number, sent_at_ms
+            self._block or self._path, number, sent_at_ms
         )
+        further = list(credential.headers())
+        body = BODY
+        if self._block:
+            further.append(prompts.header(self._block))
+            body = secrets.token_bytes(16)
         connection.send(
             platform_site.request(
                 "POST",
                 self._path,
                 attempt_id,
                 adapter=ADAPTER if self._route in callers.ENGINE_ROUTES else "",
-                body=BODY,
+                body=body,
                 left_ms=REQUEST_TIMEOUT_MS,
-                further=credential.headers(),
+                further=further,
             )
         )
         with contextlib.suppress(TimeoutError):
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -39,6 +39,7 @@
     RELEASE = "release"
     SOFTWARE = "software"
     CRASH_AT_CLOSE = "crash_at_close"
+    POISON_BLOCK = "poison_block"
 
 
 # Kinds by affected component; other kinds affect the store or the whole site.
@@ -68,6 +69,7 @@
 SITE_VICTIMS = {
     Kind.ALL_KILL: "all",
     Kind.POISON: "callers",
+    Kind.POISON_BLOCK: "callers",
     Kind.RUSH: "callers",
     Kind.KEYS: "operator",
     Kind.CONFIGURATION: "operator",
--- a/soak/world.py
+++ b/soak/world.py
@@ -22,6 +22,7 @@
 from soak import judge
 from soak import poison
 from soak import processes
+from soak import prompts
 from soak import relay
 from soak import schedule
 
@@ -148,7 +149,7 @@
         writer: asyncio.StreamWriter,
         fault: platform_engine.Fault,
     ) -> None:
-        if request.body == poison.BODY:
+        if request.body == poison.BODY or prompts.is_poison(request.headers):
             fault = platform_engine.Fault.CRASH
         elif self.backoff_s:
             fault = platform_engine.Fault.SHED
@@ -548,10 +549,13 @@
                 await accounts_lib.send_burst(
                     self.history, self._choose_gateway, for_s
                 )
-            case Kind.POISON:
+            case Kind.POISON | Kind.POISON_BLOCK:
                 source = random.Random(self.random.random())
                 await poison.PoisonRequest(
-                    self.history, source, self._choose_gateway
+                    self.history,
+                    source,
+                    self._choose_gateway,
+                    by_block=kind is Kind.POISON_BLOCK,
                 ).run(for_s + MIN_POISON_S)
 
     async def _restore_store(self, for_s: float) -> None:
