Soak: a link with a fault may deliver late what was sent in time

Its trace: the request was sent in time, held by link_silent on that target and delivered after the bound, which the platform's rules exempt ('Held up': the link was harmed in the last stable window). The judge counted only faults of gateways and the store. It now asks for the link to that target as well; a late send over a sound link, beside a fault of another link, of another kind, or of another time, is still found (new test).

--- a/soak/history.py
+++ b/soak/history.py
@@ -19,6 +19,12 @@
     return time.monotonic_ns() // NS_PER_MS
 
 
+def vm_of(target: str) -> str:
+    """Returns the VM of a target instance, as events name it."""
+    parts = target.split("-")
+    return f"target-{parts[1]}" if len(parts) > 1 else target
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Attempt:
     """One request as observed by its caller.
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -22,6 +22,8 @@
 # for this long. Until then the users' pages exempt it.
 UNDISTURBED_MS = 3_000
 DRAINING_SETTLING_MS = 2_000
+# Faults of the link to a target.
+LINK_FAULTS = frozenset({"link_silent", "link_reset", "link_slow"})
 # Time after a disconnect until no request of the caller may reach a target.
 DISCONNECT_SETTLING_MS = 500
 RECOVERY_MS = 12_000
@@ -108,6 +110,20 @@
             for event in self.history.events
         )
 
+    def is_link_sound(self, target: str, at_ms: int) -> bool:
+        """Whether the link to a target had no fault until a time.
+
+        A link with a fault may hold up what was sent in time. It counts as
+        sound again ``UNDISTURBED_MS`` after the end of the fault.
+        """
+        return not any(
+            event.kind in LINK_FAULTS
+            and event.victim == history_lib.vm_of(target)
+            and event.at_ms <= at_ms
+            and event.until_ms >= at_ms - UNDISTURBED_MS
+            for event in self.history.events
+        )
+
 
 def _at_most_once(evidence: Evidence) -> Iterator[Violation]:
     for attempt in evidence.history.attempts:
@@ -169,7 +185,7 @@
             continue
         if evidence.is_undisturbed(
             attempt.gateway, draining_since_ms, arrival.at_ms
-        ):
+        ) and evidence.is_link_sound(arrival.target, arrival.at_ms):
             yield Violation(
                 "a leaving target gets no work",
                 arrival.attempt_id,
--- a/tests/fleet/test_soak.py
+++ b/tests/fleet/test_soak.py
@@ -68,6 +68,35 @@
     return {one.promise for one in judge.judge(history)}
 
 
+def test_a_late_send_to_a_draining_target_is_found_over_a_sound_link() -> None:
+    """Guards against excusing late sends by faults of other links or times.
+
+    A silent link delivers what was sent in time after the bound.
+    """
+    bound_ms = judge.DRAINING_SETTLING_MS
+    arrival = history_lib.Arrival("c1", "i-3-1", bound_ms + 1_480, True)
+
+    def broken(*events: history_lib.Event) -> set[str]:
+        history = _history()
+        history.leaving["i-3-1"] = 0
+        history.arrivals[0] = arrival
+        history.events.extend(events)
+        return _broken(history)
+
+    late = {"a leaving target gets no work"}
+    assert broken() == late
+    at_ms = arrival.at_ms
+    silent = history_lib.Event("link_silent", "target-3", 500, at_ms - 10)
+    assert not broken(silent)
+    other_link = dataclasses.replace(silent, victim="target-2")
+    other_fault = dataclasses.replace(silent, kind="target_faults")
+    later = dataclasses.replace(silent, at_ms=at_ms + 1, until_ms=at_ms + 9)
+    ended_ms = at_ms - judge.UNDISTURBED_MS - 1
+    earlier = dataclasses.replace(silent, at_ms=ended_ms, until_ms=ended_ms)
+    for event in (other_link, other_fault, later, earlier):
+        assert broken(event) == late, event
+
+
 def test_the_judge_finds_each_broken_promise() -> None:
     """Guards against a check that passes whatever the history contains."""
     assert not _broken(_history())
