Soak: most new connections at one gateway

connections_skewed sends all new connections to one gateway, to the next one once that is out, for 8 s and more, and callers open one per request. The judge compares the share of served requests from 3 s on with that of the 4 s before (three quarters at least), unless another fault overlaps. With ten callers this finds limits that are shared out equally, not the capacity of a VM.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -43,6 +43,7 @@
         choose: Callable[[], tuple[int, str] | None],
         added_routes: Callable[[], list[str]],
         draw_credential: Callable[[], accounts.Credential],
+        reconnects: Callable[[], bool] = lambda: False,
     ) -> None:
         """Creates a caller.
 
@@ -53,12 +54,14 @@
                 if no gateway accepts connections.
             added_routes: Returns the routes that must be in effect by now.
             draw_credential: Draws the credential of the next request.
+            reconnects: Whether to open a connection for each request.
         """
         self._history = history
         self._random = source
         self._choose = choose
         self._added_routes = added_routes
         self._draw_credential = draw_credential
+        self._reconnects = reconnects
         self._connection: http_client.Connection | None = None
         self._gateway = 0
 
@@ -71,7 +74,9 @@
 
     async def _connected(self) -> bool:
         if self._connection is not None and self._connection.is_open:
-            return True
+            if not self._reconnects():
+                return True
+            self._connection.close()
         chosen = self._choose()
         if chosen is None:
             return False
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -44,6 +44,13 @@
 # Result code with which a gateway rejects a quarantined request.
 QUARANTINE_CODE = "request_ends_targets"
 MS_PER_S = 1_000
+# Time before all new connections go to one gateway, in which the share of
+# served requests is taken, the least number of requests, and the least part of
+# that share once ``UNDISTURBED_MS`` have passed.
+SKEW_KIND = "connections_skewed"
+SKEW_BEFORE_MS = 4_000
+MIN_SKEW_REQUESTS = 20
+MIN_SKEW_SERVED_FRACTION = 0.75
 # Once a rate limit has been advertised for the settling time, its target may
 # receive the limit times the factor, plus the tolerance, in any window. A
 # gateway's requests count only after the grace period that follows its first
@@ -551,6 +558,67 @@
         yield Violation("streams that callers resume continue", "site", detail)
 
 
+def _skewed_connections(evidence: Evidence) -> Iterator[Violation]:
+    for from_ms, until_ms in _skew_periods(evidence):
+        before_ms = from_ms - SKEW_BEFORE_MS
+        if any(
+            one.kind != SKEW_KIND
+            and one.at_ms <= until_ms
+            and one.until_ms >= before_ms - UNDISTURBED_MS
+            for one in evidence.history.events
+        ):
+            # Another fault may be the reason that requests are not served.
+            continue
+        before = _served_share(evidence, before_ms, from_ms)
+        during = _served_share(evidence, from_ms + UNDISTURBED_MS, until_ms)
+        if before is None or during is None:
+            continue
+        if during < MIN_SKEW_SERVED_FRACTION * before:
+            yield Violation(
+                "one gateway serves all new connections",
+                "site",
+                f"{during:.2f} after {before:.2f}",
+            )
+
+
+def _skew_periods(evidence: Evidence) -> Iterator[tuple[int, int]]:
+    """Yields the periods in which all new connections went to one gateway."""
+    from_ms = until_ms = 0
+    spans_ms = sorted(
+        (one.at_ms, one.until_ms)
+        for one in evidence.history.events
+        if one.kind == SKEW_KIND
+    )
+    for at_ms, ended_ms in spans_ms:
+        if until_ms and at_ms > until_ms + SKEW_BEFORE_MS:
+            yield from_ms, until_ms
+            until_ms = 0
+        if not until_ms:
+            from_ms = at_ms
+        until_ms = max(until_ms, ended_ms)
+    if until_ms:
+        yield from_ms, until_ms
+
+
+def _served_share(
+    evidence: Evidence, from_ms: int, until_ms: int
+) -> float | None:
+    """Returns the share of served requests, None if there are too few."""
+    asked = [
+        one
+        for one in evidence.history.attempts
+        if from_ms <= one.sent_at_ms < until_ms
+        and not one.left
+        and not one.resumes
+        and _must_be_served(evidence, one)
+    ]
+    if len(asked) < MIN_SKEW_REQUESTS:
+        return None
+    return sum(one.status == SUCCESS and one.whole for one in asked) / len(
+        asked
+    )
+
+
 CHECKS: tuple[Callable[[Evidence], Iterator[Violation]], ...] = (
     _at_most_once,
     _not_run_is_true,
@@ -573,6 +641,7 @@
     _rate_limits,
     _software_versions,
     _resumed_streams,
+    _skewed_connections,
 )
 
 
--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -197,6 +197,15 @@
         "        return None",
         _seeds(500, Kind.GATEWAY_KILL, engines=4),
     ),
+    mutants.Mutant(
+        "one gateway serves all new connections",
+        "radishd/request/callers_port.py",
+        "        request = front.decode(scope)\n",
+        "        if self._gateway.in_flight > 3:\n"
+        "            return\n"
+        "        request = front.decode(scope)\n",
+        _seeds(550, Kind.CONNECTIONS_SKEWED),
+    ),
     mutants.Mutant(
         "a graceful stop cuts nothing",
         GATEWAY,
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -40,6 +40,7 @@
     SOFTWARE = "software"
     CRASH_AT_CLOSE = "crash_at_close"
     POISON_BLOCK = "poison_block"
+    CONNECTIONS_SKEWED = "connections_skewed"
 
 
 # Kinds by affected component; other kinds affect the store or the whole site.
@@ -70,6 +71,7 @@
     Kind.ALL_KILL: "all",
     Kind.POISON: "callers",
     Kind.POISON_BLOCK: "callers",
+    Kind.CONNECTIONS_SKEWED: "callers",
     Kind.RUSH: "callers",
     Kind.KEYS: "operator",
     Kind.CONFIGURATION: "operator",
--- a/soak/world.py
+++ b/soak/world.py
@@ -76,6 +76,8 @@
 BACKOFF_S = 2.5
 # Minimum time over which a request that crashes targets is repeated.
 MIN_POISON_S = 12.0
+# Minimum time for which one gateway gets all new connections.
+MIN_SKEW_S = 8.0
 # Time after which a crashed target is restarted.
 CRASH_RESTART_S = 0.4
 FAULTS_WITHOUT_RUN = frozenset(
@@ -221,6 +223,8 @@
         ]
         self.gateways = [self._gateway(n) for n in range(size.gateways)]
         self.stopping_since_ms: dict[int, int] = {}
+        # Skews of the load balancer that are in effect.
+        self.skew_count = 0
         self.restarts: list[asyncio.Task[None]] = []
         self.routes: list[tuple[str, int]] = []
         self.version = 1
@@ -558,6 +562,11 @@
                     by_block=kind is Kind.POISON_BLOCK,
                 ).run(for_s + MIN_POISON_S)
 
+            case Kind.CONNECTIONS_SKEWED:
+                self.skew_count += 1
+                await asyncio.sleep(for_s + MIN_SKEW_S)
+                self.skew_count -= 1
+
     async def _restore_store(self, for_s: float) -> None:
         """Restores the store from an older copy, then rewrites lost objects."""
         snapshot = self.store.snapshot()
@@ -638,7 +647,11 @@
         ]
         if not accepting:
             return None
+        # While connections are skewed, the next gateway gets them once the
+        # first one is out.
         number = self.random.choice(accepting)
+        if self.skew_count:
+            number = accepting[0]
         return number, f"{self._gateway_host(number)}:{GATEWAY_PORT}"
 
     def _added_routes(self) -> list[str]:
@@ -682,6 +695,7 @@
                     self._choose_gateway,
                     self._added_routes,
                     self.accounts.draw,
+                    lambda: bool(self.skew_count),
                 ).run()
             )
             for _ in range(CALLER_COUNT)
--- a/tests/fleet/test_soak.py
+++ b/tests/fleet/test_soak.py
@@ -68,6 +68,29 @@
     return {one.promise for one in judge.judge(history)}
 
 
+def test_the_judge_compares_requests_while_connections_are_skewed() -> None:
+    """Guards against a gateway that fails what it reads of all connections."""
+    history = _history()
+    book = history.attempts[1]
+    skew = history_lib.Event("connections_skewed", "callers", 30_000, 38_000)
+    history.events.append(skew)
+    history.attempts += [
+        dataclasses.replace(
+            book,
+            attempt_id=f"s{number}",
+            body=f'{{"attempt": "s{number}"}}',
+            sent_at_ms=26_000 + 100 * number,
+            status=200 if number < 60 or number % 2 else 429,
+        )
+        for number in range(120)
+    ]
+    assert _broken(history) == {"one gateway serves all new connections"}
+    history.events.append(
+        history_lib.Event("gateway_kill", "gateway-1", 29_000, 29_100)
+    )
+    assert not _broken(history)
+
+
 def test_a_late_send_to_a_draining_target_is_found_over_a_sound_link() -> None:
     """Guards against excusing late sends by faults of other links or times.
 
