Excuse a prompt block only by features whose crashes began before its own

Rare blocks that ran beside the cause three times, and were served longer ago, passed for the likelier cause of its crashes. Change: a feature that was served less recently excuses a block only if its own crashes began earlier, or, if they began together or it was never served, if it ran at half as many. New test for the rare blocks.

--- a/packages/radishstack/src/radishstack/process/quarantine_rules.py
+++ b/packages/radishstack/src/radishstack/process/quarantine_rules.py
@@ -167,15 +167,18 @@
 ) -> bool:
     """Whether a feature is a likelier cause of a crash than a prompt block.
 
-    It was served less recently or, if that tells nothing, is narrower or ran at
-    more crashes. A request that is repeated has all blocks of its prompt with
-    it, and so has a block those before it.
+    It was served less recently and crashed targets earlier; a rare block that
+    ran beside the cause a few times did not. If that tells nothing, it is
+    narrower or ran at more crashes: a request that is repeated has all blocks
+    of its prompt with it, and so has a block those before it.
     """
     other_count = suspicion.count_crashes(other)
     if other_count < MIN_CRASHES:
         return False
-    if other.cleared_at_ms != record.cleared_at_ms:
-        return other.cleared_at_ms < record.cleared_at_ms
+    if other.cleared_at_ms < record.cleared_at_ms:
+        return _crashed_earlier(other, other_count, record, crash_count)
+    if other.cleared_at_ms > record.cleared_at_ms:
+        return False
     is_narrower = (
         other.kind is crash.FeatureKind.REQUEST
         or other.block_position > record.block_position
@@ -183,6 +186,25 @@
     return is_narrower or other_count > crash_count
 
 
+def _crashed_earlier(
+    other: suspicion.Record,
+    other_count: int,
+    record: suspicion.Record,
+    crash_count: int,
+) -> bool:
+    """Whether the crashes of a feature began before those of a block.
+
+    If they began with the same crash, or the feature was never served, it must
+    have run at half as many.
+    """
+    other_began_ms = other.observations[0].ended_at_ms
+    began_ms = record.observations[0].ended_at_ms
+    was_served = other.cleared_at_ms != suspicion.NEVER_MS
+    if other_began_ms == began_ms or not was_served:
+        return 2 * other_count >= crash_count
+    return other_began_ms < began_ms
+
+
 def succeeded_recently(record: suspicion.Record) -> bool:
     """Whether the feature succeeded shortly before its first crash."""
     first_ms = record.observations[0].ended_at_ms
--- a/tests/fleet/test_crash_evidence.py
+++ b/tests/fleet/test_crash_evidence.py
@@ -405,18 +405,45 @@
 
 
 def test_a_popular_block_beside_several_poison_blocks_is_served() -> None:
-    """Guards against a popular block that more crashes hit than each cause."""
+    """Guards against a popular block that more crashes hit than each cause.
+
+    No answer on it ends for three and a half seconds, in which seven targets
+    crash, and the poison blocks were served before, too.
+    """
+    for was_served in (False, True):
+        evidence = crash_evidence.CrashEvidence()
+        poison = (HARMFUL, OTHER)
+        for block in poison if was_served else ():
+            _serve(evidence, block, 900)
+        for number in range(22):
+            at_ms = 1_000 + 500 * number
+            if number % 7 == 0:
+                _serve(evidence, FIRST_BLOCK, at_ms - 10)
+            evidence.crashed(
+                _block_crash(number, at_ms, FIRST_BLOCK, poison[number % 2])
+            )
+            assert evidence.quarantine(FIRST_BLOCK, at_ms) is None, number
+            for block in poison:
+                is_rejected = evidence.quarantine(block, at_ms) is not None
+                assert is_rejected or number < 10, (number, block)
+
+
+def test_rare_blocks_beside_a_poison_block_do_not_excuse_it() -> None:
+    """Guards against a cause that hides behind victims without a success.
+
+    Rare blocks that were served long ago ran at three of its crashes each.
+    """
     evidence = crash_evidence.CrashEvidence()
-    _serve(evidence, FIRST_BLOCK, 100)
-    poison = (HARMFUL, OTHER)
+    _serve(evidence, HARMFUL, 900)
+    rare = [f"aa{number:030x}" for number in range(4)]
+    for block in rare:
+        _serve(evidence, block, 100)
     for number in range(12):
-        at_ms = 1_000 + 500 * number
-        evidence.crashed(
-            _block_crash(number, at_ms, FIRST_BLOCK, poison[number % 2])
-        )
-    assert evidence.quarantine(FIRST_BLOCK, 8_000) is None
-    for block in poison:
-        assert evidence.quarantine(block, 8_000) is not None
+        at_ms = 1_000 + 700 * number
+        beside = [rare[number // 3]] if number else []
+        evidence.crashed(_block_crash(number, at_ms, HARMFUL, *beside))
+        if number >= 5:
+            assert evidence.quarantine(HARMFUL, at_ms) is not None, number
 
 
 def test_a_block_that_turns_harmful_is_quarantined() -> None:
