--- a/packages/radishd/src/radishd/request/forward.py
+++ b/packages/radishd/src/radishd/request/forward.py
@@ -4,11 +4,8 @@
 and ``forwarding`` what follows a failed send.
 """
 
-from collections.abc import Awaitable
-from collections.abc import Callable
 import dataclasses
 import enum
-from typing import TypeVar
 
 import anyio
 from radishstack import invariant
@@ -20,7 +17,6 @@
 from radishstack.process import usage_books
 from radishstack.request import event_stream
 from radishstack.request import forwarding
-from radishstack.request import silence
 
 from radishd.connection import http_client
 from radishd.platform import front
@@ -29,6 +25,7 @@
 from radishd.request import gateway_interface
 from radishd.request import pending_request
 from radishd.request import response_ends
+from radishd.request import response_reader
 from radishd.request import target_selection
 
 MS_PER_S = 1_000
@@ -45,49 +42,18 @@
 _NOT_RUN = frozenset(
     {Outcome.UNSENT, Outcome.SHED, Outcome.MISMATCH, Outcome.GONE}
 )
-_Part = TypeVar("_Part")
 
 
 class ResponseAbortedError(Exception):
     """Aborts a response that has started, so that it looks incomplete."""
 
 
-def _outcome_of(lost: http_client.Lost) -> Outcome:
-    """Returns the outcome of a send whose connection was lost."""
-    if lost.malformed:
-        return Outcome.SPOILED
-    return Outcome.SILENT if lost.timed_out else Outcome.LOST
-
-
-class ReadTimeout(enum.Enum):
-    """A sentinel: the target sent nothing for its idle timeout."""
-
-    IDLE = "silent"
-
-
 class Withheld(enum.Enum):
     """A sentinel: the request was quarantined after its target was selected."""
 
     QUARANTINED = "quarantined"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Send:
-    """One send to one incarnation of a target.
-
-    Attributes:
-        member: The target.
-        software_version: Version of its software, empty if unknown.
-        connection: The connection that carries the request.
-        sent_at_ms: When it was sent.
-    """
-
-    member: roster_lib.Member
-    software_version: str
-    connection: http_client.Connection
-    sent_at_ms: int
-
-
 class Forward:
     """One request of a caller, until its response is complete."""
 
@@ -116,6 +82,9 @@
         self.sent = False
         self._gateway = gateway
         self._targets = target_selection.TargetSelection(gateway, pending)
+        self._reader = response_reader.ResponseReader(
+            gateway, pending, self._targets
+        )
         self._reservation = reservation
         self._sent_at_ms = 0
         self._send = send
@@ -308,7 +277,7 @@
         selection: target_selection.Selection,
         connection: http_client.Connection,
         software_version: str,
-    ) -> Send:
+    ) -> response_reader.Send:
         listing = selection.member.listing
         left_ms = self.pending.left_ms()
         invariant.require(
@@ -343,18 +312,20 @@
         self._targets.use_reservation()
         self._sent_at_ms = clock.boot_ms()
         connection.send(data)
-        return Send(
+        return response_reader.Send(
             selection.member, software_version, connection, self._sent_at_ms
         )
 
-    async def _handle_response(self, send: Send) -> Outcome | None:
-        head = await self._read_head(send)
+    async def _handle_response(
+        self, send: response_reader.Send
+    ) -> Outcome | None:
+        head = await self._reader.read_head(send)
         if isinstance(head, http_client.Head):
             send.member.health.unanswered.pop(self, None)
-        if head is ReadTimeout.IDLE:
+        if head is response_reader.ReadTimeout.IDLE:
             return Outcome.SILENT
         if isinstance(head, http_client.Lost):
-            return _outcome_of(head)
+            return response_reader.outcome_of(head)
         instance = send.member.listing.instance
         match front.classify(head, self.pending.request.attempt_id, instance):
             case front.Kind.SHED:
@@ -374,7 +345,10 @@
         return await self._forward_buffered(send, head)
 
     def _record_cut(
-        self, send: Send, head: http_client.Head, outcome: Outcome
+        self,
+        send: response_reader.Send,
+        head: http_client.Head,
+        outcome: Outcome,
     ) -> Outcome:
         """Records a response that is not complete; returns the outcome."""
         self.response_ends.record_cut(
@@ -387,7 +361,7 @@
 
     async def _is_complete(
         self,
-        send: Send,
+        send: response_reader.Send,
         head: http_client.Head,
         events: event_stream.EventStream | None = None,
     ) -> bool:
@@ -402,88 +376,9 @@
             listing.instance, listing.address, head, events
         )
 
-    async def _read_head(
-        self, send: Send
-    ) -> http_client.Head | http_client.Lost | ReadTimeout:
-        """Waits for the head of the response to this attempt."""
-        connection = send.connection
-        instance = send.member.listing.instance
-        while True:
-            head = await self._read_with_timeout(send, connection.head)
-            if not isinstance(head, http_client.Head):
-                return head
-            signals = front.target_signals(head, instance)
-            if signals != front.NO_SIGNALS:
-                self._gateway.evidence.apply_target_signals(
-                    send.member, signals, self.pending.request.attempt_id
-                )
-            kind = front.classify(
-                head, self.pending.request.attempt_id, instance
-            )
-            is_late = kind is front.Kind.FOREIGN
-            limit_per_s = front.rate_limit_per_s(head, instance)
-            if limit_per_s is not None:
-                self._gateway.rate_limits.record_response(
-                    send.member,
-                    limit_per_s,
-                    sent_at_ms=0 if is_late else send.sent_at_ms,
-                    attempt_id=self.pending.request.attempt_id,
-                )
-            if not is_late:
-                return head
-            # A late second response to the previous request on this connection;
-            # the response to this one follows.
-            lost = await connection.skip()
-            if lost is not None:
-                return lost
-
-    async def _read_with_timeout(
-        self, send: Send, read: Callable[[], Awaitable[_Part]]
-    ) -> _Part | ReadTimeout:
-        """Reads from a target with an idle timeout.
-
-        The timeout is computed again when it expires, from the present state
-        of all targets.
-        """
-        began_ms = clock.boot_ms()
-        while True:
-            idle_timeout_ms = self._idle_timeout_ms(send)
-            left_ms = began_ms + idle_timeout_ms - clock.boot_ms()
-            if left_ms <= 0:
-                return ReadTimeout.IDLE
-            with anyio.move_on_after(left_ms / MS_PER_S):
-                return await read()
-
-    def _idle_timeout_ms(self, send: Send) -> float:
-        """Returns how long a target may send nothing before it is abandoned."""
-        left_ms = max(0, self.pending.left_ms())
-        can_reroute = (
-            self.pending.route.repeatable
-            and self.pending.sends.may_use_another
-            and self._targets.has_other(send.member)
-        )
-        if self.pending.response_started and self.pending.needs_adapter:
-            # The target may resume after a short pause, so a stall alone is no
-            # reason to abandon a stream that has started. Another target must
-            # also be able to continue it at once.
-            can_reroute = can_reroute and self._targets.can_continue_elsewhere(
-                send.member
-            )
-        if not can_reroute:
-            # No idle timeout: the deadline of the request passes first.
-            return self.pending.route.timeout_ms + MS_PER_S
-        silence_ms = silence.allowed_ms(
-            self.pending.route,
-            send.member.health,
-            begun=self.pending.response_started,
-            now_ms=clock.boot_ms(),
-        )
-        if left_ms < 2 * silence_ms:
-            # Too little time for another target to respond.
-            return self.pending.route.timeout_ms + MS_PER_S
-        return silence_ms
-
-    async def _read_rejection(self, send: Send, outcome: Outcome) -> Outcome:
+    async def _read_rejection(
+        self, send: response_reader.Send, outcome: Outcome
+    ) -> Outcome:
         """Reads a rejection to its end, so that its connection is reusable."""
         body = await http_client.read_body(send.connection)
         if not isinstance(body, http_client.Lost):
@@ -491,12 +386,14 @@
         return outcome
 
     async def _handle_failure_response(
-        self, send: Send, head: http_client.Head
+        self, send: response_reader.Send, head: http_client.Head
     ) -> Outcome | None:
         """Forwards a target's error response, unless another may be tried."""
         body = await http_client.read_body(send.connection)
         if isinstance(body, http_client.Lost):
-            return self._record_cut(send, head, _outcome_of(body))
+            return self._record_cut(
+                send, head, response_reader.outcome_of(body)
+            )
         if not await self._is_complete(send, head):
             return Outcome.LOST
         self._gateway.release(send.member.listing.address, send.connection)
@@ -522,7 +419,7 @@
         return None
 
     async def _forward_buffered(
-        self, send: Send, head: http_client.Head
+        self, send: response_reader.Send, head: http_client.Head
     ) -> Outcome | None:
         """Forwards a response once it is complete.
 
@@ -532,11 +429,13 @@
         pieces: list[bytes] = []
         size_bytes = 0
         while True:
-            piece = await self._read_with_timeout(send, send.connection.chunk)
-            if piece is ReadTimeout.IDLE:
+            piece = await self._reader.read(send, send.connection.chunk)
+            if piece is response_reader.ReadTimeout.IDLE:
                 return self._record_cut(send, head, Outcome.SILENT)
             if isinstance(piece, http_client.Lost):
-                return self._record_cut(send, head, _outcome_of(piece))
+                return self._record_cut(
+                    send, head, response_reader.outcome_of(piece)
+                )
             if not piece:
                 break
             pieces.append(piece)
@@ -551,7 +450,7 @@
         await self._reply_buffered(head, b"".join(pieces))
         return None
 
-    def _record_success(self, send: Send) -> None:
+    def _record_success(self, send: response_reader.Send) -> None:
         now_ms = clock.boot_ms()
         instance = send.member.listing.instance
         took_ms = now_ms - send.sent_at_ms
@@ -580,7 +479,7 @@
         await web.reply(self._send, status, headers, body)
 
     async def _forward_stream(
-        self, send: Send, head: http_client.Head
+        self, send: response_reader.Send, head: http_client.Head
     ) -> Outcome | None:
         """Forwards complete events as they arrive."""
         self.pending.events.restart()
@@ -588,11 +487,13 @@
         answer_began_at_ms: int | None = None
         last_read_at_ms = clock.boot_ms()
         while True:
-            piece = await self._read_with_timeout(send, send.connection.chunk)
-            if piece is ReadTimeout.IDLE:
+            piece = await self._reader.read(send, send.connection.chunk)
+            if piece is response_reader.ReadTimeout.IDLE:
                 return self._record_cut(send, head, Outcome.SILENT)
             if isinstance(piece, http_client.Lost):
-                return self._record_cut(send, head, _outcome_of(piece))
+                return self._record_cut(
+                    send, head, response_reader.outcome_of(piece)
+                )
             if not piece:
                 return await self._finish_stream(send, head, answer_began_at_ms)
             now_ms = clock.boot_ms()
@@ -616,7 +517,7 @@
                 }
             )
 
-    async def _record_stream_target(self, send: Send) -> None:
+    async def _record_stream_target(self, send: response_reader.Send) -> None:
         """Records which target writes the next events of the stream.
 
         The origin of a new stream is reported before its first event is sent,
@@ -662,7 +563,7 @@
 
     async def _finish_stream(
         self,
-        send: Send,
+        send: response_reader.Send,
         head: http_client.Head,
         answer_began_at_ms: int | None,
     ) -> Outcome | None:
