Refuse new connections before a gateway runs out of descriptors

Cause: nothing bounds what a gateway accepts. When most new connections of a region come to one gateway and callers keep them open, its descriptors run out (4,100 on a VM), accepting stops for a second at a time, and requests that it has read fail since no connection to a target can be opened.

Change: callers' connections may use seven tenths of the descriptors; beyond that a new one is closed unread at once, so that its caller can try another gateway, and open ones are served on. The limit comes from the process. Counted by connections_refused_total.

Evidence: two new tests; the mutant without the bound is caught. Not shown by a run of a gateway that is out of descriptors. The capacity of a VM's processor at such a time is still unbounded.

--- a/packages/radishd/src/radishd/gateway.py
+++ b/packages/radishd/src/radishd/gateway.py
@@ -510,7 +510,9 @@
             gateway.callers.app,
             *settings_lib.split_address(own.listen),
             backlog=1_024,
-            http=web.ForwardingProtocol,
+            http=web.caller_protocol(
+                lambda: metrics.connections_refused.inc({})
+            ),
             timeout_keep_alive=route_table.EMPTY.limits.idle_timeout_ms
             // MS_PER_S,
         )
--- a/packages/radishd/src/radishd/process/metrics.py
+++ b/packages/radishd/src/radishd/process/metrics.py
@@ -72,6 +72,10 @@
             "control_lost_total", "Datagrams that could not be sent"
         )
         self.sends = counter("sends_total", "Sends to targets by outcome")
+        self.connections_refused = counter(
+            "connections_refused_total",
+            "Callers' connections that were closed unread as too many are open",
+        )
         self.response_ends = counter(
             "response_ends_total",
             "Ends of targets' responses, by framing and by how they ended",
--- a/packages/radishd/src/radishd/process/web.py
+++ b/packages/radishd/src/radishd/process/web.py
@@ -1,8 +1,11 @@
 """Uvicorn servers that the daemon starts and stops."""
 
+import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import MutableMapping
+import functools
+import resource
 from typing import Any
 
 import anyio
@@ -19,6 +22,10 @@
 # The Date header has a resolution of one second.
 DATE_REFRESH_S = 1.0
 MS_PER_S = 1_000
+# Fraction of the process's file descriptors that callers' connections may use.
+# Without a bound, a gateway that gets most new connections of a region would
+# have none left to reach targets, and fail requests that it has read.
+MAX_CALLERS_FRACTION = 0.7
 
 
 class Server(uvicorn.Server):
@@ -85,6 +92,36 @@
 
     _headers_complete = False
 
+    def __init__(
+        self,
+        *args: Any,
+        max_connections: int,
+        on_refused: Callable[[], None],
+        **options: Any,
+    ) -> None:
+        """Creates the protocol of one connection.
+
+        Args:
+            *args: Arguments of Uvicorn's protocol.
+            max_connections: Open connections beyond which new ones are refused.
+            on_refused: Called for each connection that is refused.
+            **options: Further arguments of Uvicorn's protocol.
+        """
+        super().__init__(*args, **options)
+        self._max_connections = max_connections
+        self._on_refused = on_refused
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Accepts a connection, or closes it unread beyond the maximum.
+
+        Its caller may try another gateway, as nothing was read. Connections
+        that are kept open are preferred: a caller that loses one comes back.
+        """
+        super().connection_made(transport)
+        if len(self.connections) > self._max_connections:
+            self._on_refused()
+            transport.abort()
+
     def on_message_begin(self) -> None:
         """Resets the state for a new request."""
         self._headers_complete = False
@@ -106,6 +143,26 @@
         self.scope[TARGET] = self.url
 
 
+def caller_protocol(
+    on_refused: Callable[[], None], max_connections: int = 0
+) -> Callable[..., ForwardingProtocol]:
+    """Returns a factory of protocols for callers' connections.
+
+    Args:
+        on_refused: Called for each connection that is refused.
+        max_connections: Open connections beyond which new ones are refused; by
+            default a fraction of the process's file descriptors.
+    """
+    if not max_connections:
+        max_files, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        max_connections = round(MAX_CALLERS_FRACTION * max_files)
+    return functools.partial(
+        ForwardingProtocol,
+        max_connections=max_connections,
+        on_refused=on_refused,
+    )
+
+
 def make_server(app: App, host: str, port: int, **options: Any) -> Server:
     """Creates a server that has not started.
 
--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -83,6 +83,13 @@
 _EVIDENCE_TEST = _test("fleet.test_crash_evidence")
 
 MUTANTS = (
+    Mutant(
+        "descriptors are left for targets",
+        "radishd/process/web.py",
+        "        if len(self.connections) > self._max_connections:",
+        "        if False:",
+        _test("fleet.test_connections"),
+    ),
     Mutant(
         _BLOCK_PROMISE,
         "radishd/request/pending_request.py",
--- /dev/null
+++ b/tests/fleet/test_connections.py
@@ -0,0 +1,83 @@
+"""Connections of callers, more than a gateway can serve."""
+
+import functools
+import resource
+
+import anyio
+from radishd.connection import http_client
+from radishd.process import web
+
+from tests.fleet import fixtures
+
+MAX_CONNECTIONS = 3
+REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+async def _answer(
+    scope: web.Scope, receive: web.Receive, send: web.Send
+) -> None:
+    del scope, receive
+    await web.reply(send, 200, [(b"content-length", b"2")], b"ok")
+
+
+async def _connect(address: str) -> http_client.Connection:
+    connection = await http_client.open_connection(address, 1_000)
+    assert isinstance(connection, http_client.Connection), connection
+    return connection
+
+
+async def _ask(
+    connection: http_client.Connection,
+) -> http_client.Answer | http_client.Lost:
+    connection.send(REQUEST)
+    answer = await http_client.read_answer(connection)
+    if isinstance(answer, http_client.Answer):
+        connection.finish()
+    return answer
+
+
+def test_connections_beyond_the_maximum_are_closed_unread() -> None:
+    """Guards against a process without descriptors for its targets.
+
+    Most new connections of a region come to one gateway. Those that are open
+    are served on; a new one is accepted once another one has ended.
+    """
+
+    async def play() -> None:
+        refused = []
+        protocol = web.caller_protocol(
+            lambda: refused.append(1), MAX_CONNECTIONS
+        )
+        host = "127.39.0.1"
+        async with anyio.create_task_group() as tasks:
+            server = web.make_server(
+                _answer, host, fixtures.FRONT_PORT, http=protocol
+            )
+            await tasks.start(functools.partial(web.serve, server))
+            address = f"{host}:{fixtures.FRONT_PORT}"
+            opened = [await _connect(address) for _ in range(MAX_CONNECTIONS)]
+            for connection in opened:
+                assert isinstance(await _ask(connection), http_client.Answer)
+            excess = await _connect(address)
+            assert isinstance(await _ask(excess), http_client.Lost)
+            assert len(refused) == 1
+            for connection in opened:
+                assert isinstance(await _ask(connection), http_client.Answer)
+            opened.pop().close()
+            with anyio.fail_after(fixtures.LIMIT_S):
+                while len(server.server_state.connections) == MAX_CONNECTIONS:
+                    await anyio.sleep(fixtures.POLL_S)
+            last = await _connect(address)
+            assert isinstance(await _ask(last), http_client.Answer)
+            for connection in (*opened, last):
+                connection.close()
+            tasks.cancel_scope.cancel()
+
+    fixtures.run(play)
+
+
+def test_callers_leave_descriptors_for_targets() -> None:
+    """Guards against a maximum above the process's limit."""
+    max_files, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    protocol = web.caller_protocol(lambda: None)
+    assert 0 < protocol.keywords["max_connections"] < max_files
