--- a/tests/fleet/fixtures.py
+++ b/tests/fleet/fixtures.py
@@ -21,6 +21,7 @@
 from radishd import gateway as gateway_lib
 from radishd import sidecar as sidecar_lib
 from radishd.connection import http_client
+from radishd.process import clock
 from radishd.process import settings as settings_lib
 from radishd.process import signals
 from radishstack.request import forwarding
@@ -274,6 +275,50 @@
         raise TimeoutError(f"still not: {description}")
 
 
+def count_aborted_responses(
+    gateway: gateway_lib.Gateway, *, ended: bool
+) -> int:
+    """Returns the number of aborted responses, with or without a crash."""
+    label = "yes" if ended else "no"
+    samples = gateway.metrics.crashes.get_all()
+    return sum(
+        round(count) for labels, count in samples if labels["ended"] == label
+    )
+
+
+async def add_gateways(fleet: Fleet, count: int) -> list[gateway_lib.Gateway]:
+    """Starts more gateways, which apply changes of targets quickly."""
+    seeds = (fleet.gateway.own.peers,)
+    gateways = [
+        await fleet.add_gateway(seeds, leaving_ms=100) for _ in range(count)
+    ]
+    await fleet.until(
+        lambda: all(not one.ready() for one in gateways), "all are up"
+    )
+    await fleet.until(
+        lambda: all(len(one.peers.addresses) >= count for one in gateways),
+        "they know each other",
+    )
+    return gateways
+
+
+def usable_plain(gateway: gateway_lib.Gateway) -> set[str]:
+    """Returns the plain targets that a gateway may use."""
+    members = gateway.roster.usable(platform_site.PLAIN, clock.boot_ms())
+    return {member.listing.instance for member in members}
+
+
+async def wait_until_all_usable(
+    fleet: Fleet, gateways: list[gateway_lib.Gateway]
+) -> None:
+    """Waits until all gateways may use all plain targets."""
+    plain = {name for name, one in fleet.targets.items() if not one.model}
+    await fleet.until(
+        lambda: all(usable_plain(one) == plain for one in gateways),
+        "gateways know all targets",
+    )
+
+
 async def read_answer(connection: http_client.Connection) -> Answer:
     """Reads an answer until its end or the loss of the connection."""
     head = await connection.head()
--- a/tests/fleet/test_crashes.py
+++ b/tests/fleet/test_crashes.py
@@ -23,17 +23,6 @@
     return Fault.CRASH if seen.body == POISON else Fault.NONE
 
 
-def _count_aborted_responses(
-    gateway: gateway_lib.Gateway, *, ended: bool
-) -> int:
-    """Returns the number of aborted responses, with or without a crash."""
-    label = "yes" if ended else "no"
-    samples = gateway.metrics.crashes.get_all()
-    return sum(
-        round(count) for labels, count in samples if labels["ended"] == label
-    )
-
-
 def test_a_crash_is_told_apart_from_a_broken_connection() -> None:
     """An operator sees 502 both for a crash and for a broken connection.
 
@@ -48,65 +37,37 @@
                 target.fault = lambda seen: Fault.RESET_AFTER_RUN
             await fleet.call("/book/1", body=b"a booking")
             await fleet.until(
-                lambda: _count_aborted_responses(gateway, ended=False) == 1,
+                lambda: (
+                    fixtures.count_aborted_responses(gateway, ended=False) == 1
+                ),
                 "one is looked into",
             )
-            assert not _count_aborted_responses(gateway, ended=True)
+            assert not fixtures.count_aborted_responses(gateway, ended=True)
             for target in fleet.targets.values():
                 target.fault = _crash_on_poison
             answer = await fleet.call("/book/1", body=POISON)
             assert answer.status == 502, answer
             await fleet.until(
-                lambda: _count_aborted_responses(gateway, ended=True) == 1,
+                lambda: (
+                    fixtures.count_aborted_responses(gateway, ended=True) == 1
+                ),
                 "one has ended",
             )
 
     fixtures.run(play)
 
 
-async def _add_gateways(
-    fleet: fixtures.Fleet, count: int
-) -> list[gateway_lib.Gateway]:
-    """Starts more gateways, which apply changes of targets quickly."""
-    seeds = (fleet.gateway.own.peers,)
-    gateways = [
-        await fleet.add_gateway(seeds, leaving_ms=100) for _ in range(count)
-    ]
-    await fleet.until(
-        lambda: all(not one.ready() for one in gateways), "all are up"
-    )
-    await fleet.until(
-        lambda: all(len(one.peers.addresses) >= count for one in gateways),
-        "they know each other",
-    )
-    return gateways
-
-
-def _usable(gateway: gateway_lib.Gateway) -> set[str]:
-    members = gateway.roster.usable(platform_site.PLAIN, clock.boot_ms())
-    return {member.listing.instance for member in members}
-
-
-async def _wait_until_all_usable(
-    fleet: fixtures.Fleet, gateways: list[gateway_lib.Gateway]
-) -> None:
-    """Waits until all gateways may use all plain targets."""
-    plain = {name for name, one in fleet.targets.items() if not one.model}
-    await fleet.until(
-        lambda: all(_usable(one) == plain for one in gateways),
-        "gateways know all targets",
-    )
-
-
 async def _crash_once(
     fleet: fixtures.Fleet, gateway: gateway_lib.Gateway
 ) -> fixtures.Answer:
     """Sends the request once and restarts the target that it crashed."""
-    before = _count_aborted_responses(gateway, ended=True)
+    before = fixtures.count_aborted_responses(gateway, ended=True)
     answer = await fleet.call("/book/1", body=POISON, gateway=gateway)
     if any(target.ended for target in fleet.targets.values()):
         await fleet.until(
-            lambda: _count_aborted_responses(gateway, ended=True) > before,
+            lambda: (
+                fixtures.count_aborted_responses(gateway, ended=True) > before
+            ),
             "it is noticed",
         )
         await fleet.restart_exited()
@@ -142,12 +103,12 @@
 
     async def play() -> None:
         async with fixtures.running_fleet(engines=1, plain=3) as fleet:
-            gateways = await _add_gateways(fleet, 3)
+            gateways = await fixtures.add_gateways(fleet, 3)
             runs = _crash_on_every_run(fleet)
             answers = []
             for gateway in itertools.islice(itertools.cycle(gateways), 12):
                 answers.append(await _crash_once(fleet, gateway))
-                await _wait_until_all_usable(fleet, gateways)
+                await fixtures.wait_until_all_usable(fleet, gateways)
             assert len(runs) <= 3 + 3, runs
             for answer in answers[-3:]:
                 assert answer.status == 503, answer
@@ -162,7 +123,7 @@
     """Sends the request until all gateways quarantine it."""
     for gateway in itertools.cycle(gateways):
         await _crash_once(fleet, gateway)
-        await _wait_until_all_usable(fleet, gateways)
+        await fixtures.wait_until_all_usable(fleet, gateways)
         if all(
             one.crash_gossip.evidence.quarantined(clock.boot_ms())
             for one in gateways
@@ -179,10 +140,10 @@
 
     async def play() -> None:
         async with fixtures.running_fleet(engines=1, plain=3) as fleet:
-            gateways = await _add_gateways(fleet, 2)
+            gateways = await fixtures.add_gateways(fleet, 2)
             runs = _crash_on_every_run(fleet)
             await _quarantine_everywhere(fleet, gateways)
-            (new_gateway,) = await _add_gateways(fleet, 1)
+            (new_gateway,) = await fixtures.add_gateways(fleet, 1)
             await fleet.until(
                 lambda: bool(
                     new_gateway.crash_gossip.evidence.quarantined(
@@ -209,11 +170,11 @@
 
     async def play() -> None:
         async with fixtures.running_fleet(engines=1, plain=3) as fleet:
-            gateways = await _add_gateways(fleet, 2)
+            gateways = await fixtures.add_gateways(fleet, 2)
             _crash_on_every_run(fleet)
             for _ in range(2):
                 await _crash_once(fleet, gateways[0])
-                await _wait_until_all_usable(fleet, gateways)
+                await fixtures.wait_until_all_usable(fleet, gateways)
             for target in fleet.targets.values():
                 target.fault = lambda seen: Fault.NONE
             answer = await fleet.call(
@@ -275,7 +236,7 @@
 
     async def play() -> None:
         async with fixtures.running_fleet(engines=1, plain=1) as fleet:
-            cleared, uncleared = await _add_gateways(fleet, 2)
+            cleared, uncleared = await fixtures.add_gateways(fleet, 2)
             now_ms = clock.boot_ms()
             incarnation_ids = [
                 incarnation.IncarnationId(f"i{number}", 1)
@@ -312,7 +273,7 @@
 
     async def play() -> None:
         async with fixtures.running_fleet(engines=1, plain=2) as fleet:
-            gateways = [fleet.gateway, *await _add_gateways(fleet, 2)]
+            gateways = [fleet.gateway, *await fixtures.add_gateways(fleet, 2)]
             await fleet.until(
                 lambda: all(len(one.peers.addresses) == 2 for one in gateways),
                 "all know the same gateways",
@@ -376,7 +337,7 @@
 
     async def play() -> None:
         async with fixtures.running_fleet(engines=0, plain=3) as fleet:
-            gateways = await _add_gateways(fleet, 1)
+            gateways = await fixtures.add_gateways(fleet, 1)
             runs = _crash_on_every_run(fleet)
             # The answer to the write is lost, so its outcome is unknown.
             fleet.store.faults.loses_answers = True
@@ -413,11 +374,11 @@
 
     async def play() -> None:
         async with fixtures.running_fleet(engines=0, plain=3) as fleet:
-            gateways = await _add_gateways(fleet, 1)
+            gateways = await fixtures.add_gateways(fleet, 1)
             _crash_on_every_run(fleet)
             for _ in range(2):
                 await _crash_once(fleet, gateways[0])
-                await _wait_until_all_usable(fleet, gateways)
+                await fixtures.wait_until_all_usable(fleet, gateways)
             fleet.store.faults.refuses = True
             await fleet.call("/book/1", body=POISON, gateway=gateways[0])
             await fleet.until(
--- a/tests/fleet/test_poison_blocks.py
+++ b/tests/fleet/test_poison_blocks.py
@@ -12,7 +12,6 @@
 from standins import platform_engine
 
 from tests.fleet import fixtures
-from tests.fleet import test_crashes
 
 Fault = platform_engine.Fault
 FIRST_BLOCK = "5c1e07a2:800"
@@ -66,19 +65,17 @@
 
     async def play() -> None:
         async with fixtures.running_fleet(engines=1, plain=3) as fleet:
-            gateways = await test_crashes._add_gateways(fleet, 3)
+            gateways = await fixtures.add_gateways(fleet, 3)
             runs = _crash_on_block(fleet)
             sound, poison = [], []
             for gateway in itertools.islice(itertools.cycle(gateways), 14):
                 sound.append(await _call(fleet, gateway, SOUND_BLOCK))
-                before = test_crashes._count_aborted_responses(
-                    gateway, ended=True
-                )
+                before = fixtures.count_aborted_responses(gateway, ended=True)
                 poison.append(await _call(fleet, gateway, POISON_BLOCK))
                 if any(target.ended for target in fleet.targets.values()):
                     await fleet.until(
                         lambda before=before, gateway=gateway: (
-                            test_crashes._count_aborted_responses(
+                            fixtures.count_aborted_responses(
                                 gateway, ended=True
                             )
                             > before
@@ -86,7 +83,7 @@
                         "the crash is noticed",
                     )
                     await fleet.restart_exited()
-                await test_crashes._wait_until_all_usable(fleet, gateways)
+                await fixtures.wait_until_all_usable(fleet, gateways)
             assert [one.status for one in sound] == 14 * [200], sound
             assert len(runs) <= MAX_CRASHES + MAX_REPEATS, runs
             for answer in poison[-3:]:
