--- a/packages/radishstack/src/radishstack/process/quarantine_rules.py
+++ b/packages/radishstack/src/radishstack/process/quarantine_rules.py
@@ -59,13 +59,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Quarantine:
-    """A request that is rejected because it presumably crashes targets.
+    """A feature that presumably crashes targets; requests with it are rejected.
 
     Attributes:
         moments: Number of crashes; simultaneous ones count as one.
         last_at_ms: When the last of them happened.
-        until_ms: Until when all copies are rejected. After that, one is sent
-            as a trial, see ``may_send_trial``.
+        until_ms: Until when all of them are rejected. After that, one is sent
+            as a trial, see ``CrashEvidence.may_send_trial``.
         left_ms: Time from now until then, 0 if it has passed.
     """
 
@@ -114,7 +114,7 @@
         or suspicion.count_consecutive(record) < MIN_CONSECUTIVE + extra
     ):
         return None
-    return _duration_ms(record, crash_count - extra, suspects_at)
+    return _request_trial_delay_ms(record, crash_count - extra, suspects_at)
 
 
 def _block_duration_ms(
@@ -211,10 +211,10 @@
     return first_ms - record.cleared_at_ms <= RECENT_SUCCESS_MS
 
 
-def _duration_ms(
+def _request_trial_delay_ms(
     record: suspicion.Record, crash_count: int, suspects_at: SuspectsAt
 ) -> int:
-    """Returns the time from the last crash to the first trial."""
+    """Returns the time from the last crash of a request to its first trial."""
     alone = [
         observation
         for observation in record.observations
