--- a/packages/radishstack/src/radishstack/process/suspicion.py
+++ b/packages/radishstack/src/radishstack/process/suspicion.py
@@ -65,10 +65,10 @@
 
 def last_ms(record: Record) -> int:
     """Returns when its last crash or success happened."""
-    last_ms = (
+    crashed_at_ms = (
         record.observations[-1].ended_at_ms if record.observations else NEVER_MS
     )
-    return max(last_ms, record.cleared_at_ms)
+    return max(crashed_at_ms, record.cleared_at_ms)
 
 
 def merge(one: Record, other: Record) -> Record:
