--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -109,7 +109,7 @@
         """
         self.record = record
         self.fleet = fleet_lib.Fleet(gateways)
-        self.store = store_lib.Store()
+        self.store = store_lib.Store(record)
         self.store.put("config", "main", manifest(adapters, slots))
         self.engines = [
             engine_lib.Engine(f"i-{one + 1:04x}", MODEL, slots, record)
@@ -154,12 +154,16 @@
             if not self.store.refuses:
                 self._check_in()
 
-    def write_version(self, adapter: str, version: int) -> None:
-        """Names a version of an adapter, as the operator does."""
+    def write_version(self, adapter: str, version: int) -> int:
+        """Names a version of an adapter, as the operator does.
+
+        Returns:
+            The store's revision of the change.
+        """
         for engine in self.engines:
             engine.newest[adapter] = version
         spec = {"model": MODEL, "adapter": adapter, "version": version}
-        self.store.put("versions", f"{MODEL}.{adapter}", spec)
+        return self.store.put("versions", f"{MODEL}.{adapter}", spec)
 
     async def ask(
         self, connection: http.Client, gateway: int, adapter: str
--- a/review/standins/engine.py
+++ b/review/standins/engine.py
@@ -11,8 +11,6 @@
 from standins import record as record_lib
 
 FIRST_EVENT_S = 0.03
-EVENT_S = 0.012
-EVENT_COUNT = 6
 ADAPTER_LOAD_S = 0.25
 # Adapters that a runner held recently load ten times as fast.
 ADAPTER_RELOAD_S = 0.025
@@ -48,6 +46,8 @@
             0 for none.
         answers: Answers to requests since ``extra_share`` was last set.
         extras: How many of them it sent a second time.
+        event_count: Number of events of each stream.
+        event_s: Time between two of them.
     """
 
     def __init__(
@@ -65,6 +65,8 @@
         self.extra_share = 0.0
         self.answers = 0
         self.extras = 0
+        self.event_count = 6
+        self.event_s = 0.012
         self._record = record
         self._incoming: dict[str, int] = {}
         self._held: set[str] = set()
@@ -182,6 +184,8 @@
     def _order_unload(self, adapter: str) -> int:
         if adapter not in self.adapters:
             return 200
+        if adapter in self._unloading:
+            return 409
         self.sequence += 1
         if not self._running[adapter]:
             del self.adapters[adapter]
@@ -277,10 +281,10 @@
                 "Transfer-Encoding": "chunked",
             }
             await channel.write(http.encode_head(200, headers, None))
-            for number in range(1, EVENT_COUNT + 1):
+            for number in range(1, self.event_count + 1):
                 event = f"id: {number}\ndata: {attempt} {number}\n\n".encode()
                 await channel.write(b"%x\r\n%b\r\n" % (len(event), event))
-                await asyncio.sleep(EVENT_S)
+                await asyncio.sleep(self.event_s)
                 if channel.is_closed():
                     return
             await channel.write(b"0\r\n\r\n")
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -7,6 +7,7 @@
 from urllib import parse
 
 from standins import http
+from standins import record as record_lib
 
 # The pages of the protocol allow about 500 objects in one answer.
 PAGE_SIZE = 500
@@ -23,8 +24,9 @@
         revision: Its revision counter.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, record: record_lib.Record) -> None:
         """Creates an empty store."""
+        self._record = record
         self.answer_s = 0.004
         self.revision = 100
         self.refuses = False
@@ -123,6 +125,10 @@
         names = sorted(name for name in kinds if name > after)
         page = names[:PAGE_SIZE]
         more = len(names) > len(page)
+        if after or more:
+            self._record.write(
+                "page", kind=kind, after=after, more=more, at=self.revision
+            )
         return {
             "items": [kinds[name] for name in page],
             "hasMore": more,
