Review case 3: a silent channel to the store keeps a runner that left in use

All open channels to the store fall silent, new ones work; the watch is noticed by its timeout, the pause is taken for an outage, and a runner whose entry was removed after it is kept for the grace period, longer than drainMs.

--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -33,6 +33,8 @@
         self._objects: dict[str, dict[str, dict[str, Any]]] = {}
         self._events: list[tuple[int, str, dict[str, Any]]] = []
         self._changed = asyncio.Event()
+        self._channels: set[http.Channel] = set()
+        self._silent: set[http.Channel] = set()
 
     def put(self, kind: str, name: str, spec: dict[str, Any]) -> int:
         """Writes an object; returns the revision of the change."""
@@ -69,6 +71,10 @@
         """Answers calls again."""
         self.refuses = False
 
+    def silence(self) -> None:
+        """Lets all open channels fall silent for good; new ones work."""
+        self._silent |= self._channels
+
     def _wake(self) -> None:
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
@@ -84,6 +90,7 @@
         self, request: http.Request, channel: http.Channel
     ) -> None:
         """Answers one call."""
+        self._channels.add(channel)
         url = parse.urlsplit(request.target)
         query = dict(parse.parse_qsl(url.query))
         kind, _, name = url.path.removeprefix(PREFIX).partition("/")
@@ -106,6 +113,8 @@
         else:
             body = self._page(kind, query.get("after", ""))
         await asyncio.sleep(self.answer_s / 2)
+        if channel in self._silent:
+            await asyncio.Event().wait()
         headers = {"Content-Type": "application/json"}
         data = json.dumps(body).encode()
         await channel.write(http.encode(status, headers, data))
