Log which send of which connection each response head was taken for

A request's log line named its sends and their outcomes, but not the connection that carried each send nor the responses that were skipped, so a late second response that was taken for the response to a later send of the same attempt could not be told from a rejection of that send. The line now has `responses`, each head as target:connection/request:status; `target_connections_total` counts sends on reused and on new connections.

--- a/packages/radishd/src/radishd/connection/http_client.py
+++ b/packages/radishd/src/radishd/connection/http_client.py
@@ -10,6 +10,7 @@
 import collections
 import dataclasses
 import enum
+import itertools
 import socket
 import struct
 
@@ -32,6 +33,8 @@
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
+_numbers = itertools.count(1)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Head:
@@ -106,10 +109,18 @@
 
 
 class Connection(asyncio.Protocol):
-    """A connection that carries one request at a time."""
+    """A connection that carries one request at a time.
+
+    Attributes:
+        number: Number of the connection, unique in this process.
+        request_count: Number of requests that were sent on it.
+        tainted: Whether it must not be reused.
+    """
 
     def __init__(self) -> None:
         """Starts unconnected; ``open_connection`` connects it."""
+        self.number = next(_numbers)
+        self.request_count = 0
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._incoming: collections.deque[_Incoming] = collections.deque()
@@ -235,6 +246,11 @@
             and not self._transport.is_closing()
         )
 
+    @property
+    def label(self) -> str:
+        """The connection and its current request, as ``number/request``."""
+        return f"{self.number}/{self.request_count}"
+
     @property
     def is_busy(self) -> bool:
         """Whether a request is in progress."""
@@ -247,6 +263,7 @@
     def send(self, data: bytes) -> None:
         """Sends a whole request."""
         self._busy = True
+        self.request_count += 1
         self._transport.write(data)
 
     async def head(self) -> Head | Lost:
--- a/packages/radishd/src/radishd/process/metrics.py
+++ b/packages/radishd/src/radishd/process/metrics.py
@@ -72,6 +72,10 @@
             "control_lost_total", "Datagrams that could not be sent"
         )
         self.sends = counter("sends_total", "Sends to targets by outcome")
+        self.target_connections = counter(
+            "target_connections_total",
+            "Connections used for sends to targets, by whether reused",
+        )
         self.connections_refused = counter(
             "connections_refused_total",
             "Callers' connections that were closed unread as too many are open",
--- a/packages/radishd/src/radishd/request/callers_port.py
+++ b/packages/radishd/src/radishd/request/callers_port.py
@@ -224,6 +224,8 @@
         if forward.pending.request.last_event_id:
             event_id = forward.pending.request.last_event_id
             fields["after_event"] = event_id.decode("latin-1")
+        if forward.reader.history:
+            fields["responses"] = forward.reader.history
         if forward.response_ends.history:
             fields["response_ends"] = forward.response_ends.history
         if forward.pending.stream_targets:
--- a/packages/radishd/src/radishd/request/forward.py
+++ b/packages/radishd/src/radishd/request/forward.py
@@ -82,7 +82,7 @@
         self.sent = False
         self._gateway = gateway
         self._targets = target_selection.TargetSelection(gateway, pending)
-        self._reader = response_reader.ResponseReader(
+        self.reader = response_reader.ResponseReader(
             gateway, pending, self._targets
         )
         self._reservation = reservation
@@ -311,6 +311,9 @@
         self.sent = True
         self._targets.use_reservation()
         self._sent_at_ms = clock.boot_ms()
+        self._gateway.metrics.target_connections.inc(
+            {"reused": "yes" if connection.request_count else "no"}
+        )
         connection.send(data)
         return response_reader.Send(
             selection.member, software_version, connection, self._sent_at_ms
@@ -319,7 +322,7 @@
     async def _handle_response(
         self, send: response_reader.Send
     ) -> Outcome | None:
-        head = await self._reader.read_head(send)
+        head = await self.reader.read_head(send)
         if isinstance(head, http_client.Head):
             send.member.health.unanswered.pop(self, None)
         if head is response_reader.ReadTimeout.IDLE:
@@ -429,7 +432,7 @@
         pieces: list[bytes] = []
         size_bytes = 0
         while True:
-            piece = await self._reader.read(send, send.connection.chunk)
+            piece = await self.reader.read(send, send.connection.chunk)
             if piece is response_reader.ReadTimeout.IDLE:
                 return self._record_cut(send, head, Outcome.SILENT)
             if isinstance(piece, http_client.Lost):
@@ -487,7 +490,7 @@
         answer_began_at_ms: int | None = None
         last_read_at_ms = clock.boot_ms()
         while True:
-            piece = await self._reader.read(send, send.connection.chunk)
+            piece = await self.reader.read(send, send.connection.chunk)
             if piece is response_reader.ReadTimeout.IDLE:
                 return self._record_cut(send, head, Outcome.SILENT)
             if isinstance(piece, http_client.Lost):
--- a/packages/radishd/src/radishd/request/response_reader.py
+++ b/packages/radishd/src/radishd/request/response_reader.py
@@ -55,7 +55,12 @@
 
 
 class ResponseReader:
-    """Reads each response for as long as its target is worth waiting for."""
+    """Reads each response for as long as its target is worth waiting for.
+
+    Attributes:
+        history: Each response head as ``target:connection/request:status``,
+            followed by ``:skipped`` if it belongs to another request.
+    """
 
     def __init__(
         self,
@@ -70,6 +75,7 @@
             pending: The request.
             targets: Tells whether another target could take the request.
         """
+        self.history: list[str] = []
         self._gateway = gateway
         self._pending = pending
         self._targets = targets
@@ -93,6 +99,8 @@
                 head, self._pending.request.attempt_id, instance
             )
             is_late = kind is front.Kind.FOREIGN
+            entry = f"{instance}:{connection.label}:{head.status}"
+            self.history.append(entry + ":skipped" if is_late else entry)
             limit_per_s = front.rate_limit_per_s(head, instance)
             if limit_per_s is not None:
                 self._gateway.rate_limits.record_response(
