Log why the store was taken as unavailable

`store_outage_ended` said how long the store may have been away, not which call said so; `target_unlisted` said how long a missing entry is kept, not after which outage. Both now name the reason of the first call that failed.

--- a/packages/radishd/src/radishd/platform/store.py
+++ b/packages/radishd/src/radishd/platform/store.py
@@ -210,7 +210,7 @@
             {"outcome": "failed" if failed else "answered", "kind": kind}
         )
         if failed:
-            self._availability.failed()
+            self._availability.failed(outcome.message)
             return outcome
         now_ms = clock.boot_ms()
         late = now_ms - began_ms > late_ms
--- a/packages/radishd/src/radishd/process/discovery.py
+++ b/packages/radishd/src/radishd/process/discovery.py
@@ -124,6 +124,7 @@
         self._on_limits = on_limits
         self._on_store_back = on_store_back
         self._on_store_restored = on_store_restored
+        self._outage_reason = ""
         self._era = 0
         store.on_outage_ended = self._store_back
         store.on_restored = self._store_restored
@@ -205,11 +206,13 @@
         may_have_expired = self._roster.outage_ended(
             clock.boot_ms(), away_ms=absence.away_ms
         )
+        self._outage_reason = absence.reason or "late answer"
         self._log.must(
             "store_outage_ended",
             kind=kind,
             away_ms=absence.away_ms,
             failed=absence.failed,
+            reason=absence.reason,
             read_revision=self._known_position(wire.KIND_TARGETS).revision,
             era=self._store.era,
             may_have_lapsed=may_have_expired,
@@ -410,6 +413,7 @@
             now=dropped,
             revision=known.listing.changed_at if known else 0,
             kept_ms=kept.expires_at_ms - now_ms if kept else 0,
+            outage=self._outage_reason if kept else "",
         )
 
     def _apply_version(self, record: stored.Record) -> None:
--- a/packages/radishstack/src/radishstack/process/availability.py
+++ b/packages/radishstack/src/radishstack/process/availability.py
@@ -10,10 +10,12 @@
     Attributes:
         away_ms: How long it lasted at most.
         failed: Whether a call failed; otherwise a call was only answered late.
+        reason: Why the first call failed, empty if none failed.
     """
 
     away_ms: int
     failed: bool
+    reason: str = ""
 
 
 class Availability:
@@ -23,9 +25,15 @@
         """Creates the state of a dependency that has not answered yet."""
         self._last_answer_at_ms = 0
         self._failed = False
+        self._reason = ""
 
-    def failed(self) -> None:
-        """Records a call that was rejected or not answered in time."""
+    def failed(self, reason: str = "") -> None:
+        """Records a call that was rejected or not answered in time.
+
+        Args:
+            reason: Why it failed.
+        """
+        self._reason = self._reason or reason
         self._failed = True
 
     def connection_broken(self, now_ms: int) -> None:
@@ -50,6 +58,7 @@
             The outage that ended with it, or None if there was none.
         """
         away_ms, failed = now_ms - self._last_answer_at_ms, self._failed
+        reason, self._reason = self._reason, ""
         self._last_answer_at_ms = now_ms
         self._failed = False
-        return Outage(away_ms, failed) if failed or late else None
+        return Outage(away_ms, failed, reason) if failed or late else None
