Attribute a response to one send of its attempt

Cause: after a 421 the gateway has the adapter loaded and sends the attempt again, on the connection that the rejection came on. The engine's late second 421 arrives there in place of the response to the second send. Both echo the attempt's id, so it passed for a rejection of the second send, "not run", and the attempt was sent a third time while the second send ran.

Change: a connection carries one send of an attempt (Forwarding, code 9016), the pool is told which connections a send may not use, and a response without an id proves nothing on a connection that was used before. This holds since a second response comes on the connection of the first.

Ruled out: sends without a response (outcomes were mismatch), a second response left unread at the release (single sends never ran twice).

Weighed: closing the connection after each rejection.

--- a/packages/radishd/src/radishd/connection/pool.py
+++ b/packages/radishd/src/radishd/connection/pool.py
@@ -4,6 +4,7 @@
 request fails, and a request that must not run twice cannot be retried.
 """
 
+from collections.abc import Set
 import dataclasses
 
 from radishd.connection import http_client
@@ -41,7 +42,11 @@
         self._connect_timeout_ms = connect_timeout_ms
 
     async def acquire(
-        self, address: str, *, fresh: bool
+        self,
+        address: str,
+        *,
+        fresh: bool,
+        excluded: Set[int] = frozenset(),
     ) -> http_client.Connection | http_client.Lost:
         """Returns a pooled connection, or opens one.
 
@@ -49,14 +54,28 @@
             address: Address to connect to.
             fresh: Whether to reuse only a recently used connection, for a
                 request that must not run twice.
+            excluded: Numbers of connections not to reuse.
 
         Returns:
             The connection, or why none could be opened.
         """
+        connection = self._take_idle(address, excluded, fresh=fresh)
+        if connection is not None:
+            return connection
+        return await http_client.open_connection(
+            address, self._connect_timeout_ms
+        )
+
+    def _take_idle(
+        self, address: str, excluded: Set[int], *, fresh: bool
+    ) -> http_client.Connection | None:
+        """Takes the usable connection that was used last, closes stale ones."""
         now_ms = clock.boot_ms()
         idle = self._idle.get(address, [])
-        while idle:
-            one = idle.pop()
+        for one in reversed(idle.copy()):
+            if one.connection.number in excluded:
+                continue
+            idle.remove(one)
             usable_until_ms = one.expires_at_ms
             if fresh:
                 fresh_until_ms = one.idle_since_ms + MAX_FRESH_IDLE_MS
@@ -64,9 +83,7 @@
             if one.connection.is_open and now_ms < usable_until_ms:
                 return one.connection
             one.connection.close()
-        return await http_client.open_connection(
-            address, self._connect_timeout_ms
-        )
+        return None
 
     def release(
         self,
--- a/packages/radishd/src/radishd/platform/front.py
+++ b/packages/radishd/src/radishd/platform/front.py
@@ -6,6 +6,7 @@
 
 from radishstack import result
 from radishstack.process import target_rate_limits
+from radishstack.request import attribution
 from radishstack.version import client_account
 
 from radishd.connection import http_client
@@ -219,7 +220,11 @@
 
 
 class Kind(enum.Enum):
-    """Kind of a target's response."""
+    """Kind of a target's response.
+
+    ``UNPROVEN_PROMISE`` is a response that a caller would take as proof that
+    the request did not run, or that may belong to an earlier request.
+    """
 
     SUCCESS = "success"
     FAILURE = "failure"
@@ -231,17 +236,40 @@
     SPOILED = "spoiled"
 
 
-def classify(head: http_client.Head, attempt_id: str, instance: str) -> Kind:
+def _echoed_id(head: http_client.Head) -> str | None:
+    value = head.get(_ATTEMPT)
+    return value.decode("latin-1") if value is not None else None
+
+
+def is_foreign(head: http_client.Head, attempt_id: str) -> bool:
+    """Whether a response belongs to another attempt than the one sent last."""
+    return _echoed_id(head) not in (None, attempt_id)
+
+
+def classify(
+    head: http_client.Head,
+    attempt_id: str,
+    instance: str,
+    *,
+    is_first_request: bool,
+) -> Kind:
     """Classifies a response by its status and headers.
 
     Args:
         head: Status and headers.
         attempt_id: The attempt that was sent.
         instance: The incarnation of the target that it was meant for.
+        is_first_request: Whether its connection carried no other request.
     """
-    answered = head.get(_ATTEMPT)
-    if answered is not None and answered.decode("latin-1") != attempt_id:
+    echoed_id = _echoed_id(head)
+    attributed = attribution.attribute(
+        echoed_id, attempt_id, is_first_request=is_first_request
+    )
+    if attributed is attribution.Attribution.OTHER:
         return Kind.FOREIGN
+    if attributed is attribution.Attribution.UNKNOWN:
+        is_success = head.status in HTTP_SUCCESS
+        return Kind.SPOILED if is_success else Kind.UNPROVEN_PROMISE
     if head.status == HTTP_MISDIRECTED:
         actual = head.get(_INSTANCE)
         if actual is not None and actual.decode("latin-1") != instance:
@@ -251,7 +279,7 @@
         return Kind.SHED
     if head.status in HTTP_SUCCESS:
         whole = (
-            answered is not None
+            echoed_id is not None
             and head.get(_SIGNATURE) is not None
             and head.get(_ENCODING) is None
         )
--- a/packages/radishd/src/radishd/request/forward.py
+++ b/packages/radishd/src/radishd/request/forward.py
@@ -211,7 +211,9 @@
         connection: http_client.Connection | http_client.Lost | None = None
         try:
             connection = await gateway.pool.acquire(
-                listing.address, fresh=not self.pending.route.repeatable
+                listing.address,
+                fresh=not self.pending.route.repeatable,
+                excluded=self.pending.sends.used_connections,
             )
             if isinstance(connection, http_client.Lost):
                 return Outcome.UNSENT
@@ -292,7 +294,7 @@
             result.DEADLINE_GREW,
             f"{left_ms} of {self.pending.request.left_ms} ms",
         )
-        self.pending.sends.record_send(listing.instance)
+        self.pending.sends.record_send(listing.instance, connection.number)
         priority = None
         if self.pending.needs_adapter:
             priority = min(PRIORITY_MAX, self.pending.admission.priority + 1)
@@ -330,7 +332,13 @@
         if isinstance(head, http_client.Lost):
             return response_reader.outcome_of(head)
         instance = send.member.listing.instance
-        match front.classify(head, self.pending.request.attempt_id, instance):
+        kind = front.classify(
+            head,
+            self.pending.request.attempt_id,
+            instance,
+            is_first_request=send.connection.request_count == 1,
+        )
+        match kind:
             case front.Kind.SHED:
                 return await self._read_rejection(send, Outcome.SHED)
             case front.Kind.MISMATCH:
--- a/packages/radishd/src/radishd/request/response_reader.py
+++ b/packages/radishd/src/radishd/request/response_reader.py
@@ -95,10 +95,7 @@
                 self._gateway.evidence.apply_target_signals(
                     send.member, signals, self._pending.request.attempt_id
                 )
-            kind = front.classify(
-                head, self._pending.request.attempt_id, instance
-            )
-            is_late = kind is front.Kind.FOREIGN
+            is_late = front.is_foreign(head, self._pending.request.attempt_id)
             entry = f"{instance}:{connection.label}:{head.status}"
             self.history.append(entry + ":skipped" if is_late else entry)
             limit_per_s = front.rate_limit_per_s(head, instance)
--- a/packages/radishstack/src/radishstack/request/forwarding.py
+++ b/packages/radishstack/src/radishstack/request/forwarding.py
@@ -78,6 +78,9 @@
         sends: How many times the request was sent to a target.
         reached: Instances that the request was sent to.
         excluded: Instances not to be chosen again.
+        used_connections: Numbers of the connections that carried a send. None
+            of them carries another one, since a late second response to the
+            first send would look like the response to the second.
         failure: Why the request failed, None as long as it has not.
     """
 
@@ -87,10 +90,16 @@
     sends: int = 0
     reached: set[str] = dataclasses.field(default_factory=set)
     excluded: set[str] = dataclasses.field(default_factory=set)
+    used_connections: set[int] = dataclasses.field(default_factory=set)
     failure: result.Failure | None = None
 
-    def record_send(self, instance: str) -> None:
-        """Records a send, just before its first byte is sent."""
+    def record_send(self, instance: str, connection_number: int) -> None:
+        """Records a send, just before its first byte is sent.
+
+        Args:
+            instance: Instance that the request is sent to.
+            connection_number: Number of the connection that carries it.
+        """
         invariant.require(
             self.allows(instance),
             result.SENT_AFTER_POSSIBLE_RUN,
@@ -101,6 +110,12 @@
             result.SENT_AFTER_POSSIBLE_RUN,
             f"{self.route.name} to {instance}",
         )
+        invariant.require(
+            connection_number not in self.used_connections,
+            result.CONNECTION_REUSED,
+            f"{self.route.name} to {instance} on {connection_number}",
+        )
+        self.used_connections.add(connection_number)
         self.sends += 1
         self.reached.add(instance)
 
--- a/packages/radishstack/src/radishstack/result.py
+++ b/packages/radishstack/src/radishstack/result.py
@@ -159,6 +159,7 @@
 OTHER_SOFTWARE_VERSION = Code(
     9015, "other_software_version", 500, Executed.UNKNOWN
 )
+CONNECTION_REUSED = Code(9016, "connection_reused", 500, Executed.UNKNOWN)
 INTERNAL = Code(9011, "internal", 500, Executed.UNKNOWN)
 
 BY_NUMBER: dict[int, Code] = {
--- a/packages/standins/src/standins/platform_engine.py
+++ b/packages/standins/src/standins/platform_engine.py
@@ -143,6 +143,9 @@
         leaving: Whether its responses announce that it is draining.
         marks_events: Whether its events name the version of its software.
         swallow_orders: Number of further orders to leave unanswered.
+        answers_twice: Whether a response, by its request and status, is sent
+            once more in place of the response to the next request on its
+            connection.
     """
 
     def __init__(
@@ -191,6 +194,10 @@
             Fault.NONE
         )
         self.swallow_orders = 0
+        self.answers_twice: Callable[[ReceivedRequest, int], bool] = (
+            lambda request, status: False
+        )
+        self._due_responses: dict[asyncio.StreamWriter, bytes] = {}
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -265,6 +272,7 @@
             writer.transport.abort()
         finally:
             self._writers.discard(writer)
+            self._due_responses.pop(writer, None)
             self._tasks.discard(task)
             with contextlib.suppress(ConnectionError):
                 writer.close()
@@ -272,6 +280,7 @@
     async def _answer(
         self, request: ReceivedRequest, writer: asyncio.StreamWriter
     ) -> None:
+        writer.write(self._due_responses.pop(writer, b""))
         if request.target == "/-/report":
             await self._reply(writer, 200, self._report())
             return
@@ -384,7 +393,10 @@
             lines.append(f"X-Attempt-Id: {request.attempt_id}")
         for name, value in (headers or {}).items():
             lines.append(f"{name}: {value}")
-        writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + data)
+        response = "\r\n".join(lines).encode() + b"\r\n\r\n" + data
+        writer.write(response)
+        if request is not None and self.answers_twice(request, status):
+            self._due_responses[writer] = response
         await writer.drain()
 
     async def _run(
@@ -489,7 +501,10 @@
         framed = fault not in _UNFRAMED
         if framed:
             headers["Transfer-Encoding"] = "chunked"
-        writer.write(self._response_head(request, headers))
+        head = self._response_head(request, headers)
+        writer.write(head)
+        if framed and self.answers_twice(request, 200):
+            self._due_responses[writer] = head + b"0\r\n\r\n"
         if fault is Fault.ENDLESS_EVENT:
             for _ in range(ENDLESS_EVENT_BYTES // ENDLESS_PIECE_BYTES):
                 self._write_body(
--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -82,7 +82,39 @@
 _BLOCK_TEST = _test("fleet.test_poison_blocks")
 _EVIDENCE_TEST = _test("fleet.test_crash_evidence")
 
+_SECOND_TEST = _test("fleet.test_second_responses")
+_ATTRIBUTION_PROMISE = "a response belongs to one send"
+
 MUTANTS = (
+    Mutant(
+        _ATTRIBUTION_PROMISE,
+        "radishstack/request/forwarding.py",
+        "        self.used_connections.add(connection_number)\n",
+        "",
+        _SECOND_TEST,
+    ),
+    Mutant(
+        _ATTRIBUTION_PROMISE,
+        "radishd/request/forward.py",
+        "                excluded=self.pending.sends.used_connections,\n",
+        "",
+        _SECOND_TEST,
+    ),
+    Mutant(
+        _ATTRIBUTION_PROMISE,
+        "radishstack/request/attribution.py",
+        "        return Attribution.OWN if is_first_request "
+        "else Attribution.UNKNOWN\n",
+        "        return Attribution.OWN\n",
+        _SECOND_TEST,
+    ),
+    Mutant(
+        _ATTRIBUTION_PROMISE,
+        "radishd/platform/front.py",
+        "    return _echoed_id(head) not in (None, attempt_id)",
+        "    return False",
+        _SECOND_TEST,
+    ),
     Mutant(
         "descriptors are left for targets",
         "radishd/process/web.py",
--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -35,6 +35,13 @@
         "    if head.get(_NOT_EXECUTED) is not None or head.status == 500:",
         _seeds(300, Kind.TARGET_FAULTS),
     ),
+    mutants.Mutant(
+        "at most once",
+        "radishstack/request/forwarding.py",
+        "        self.used_connections.add(connection_number)\n",
+        "",
+        _seeds(560, Kind.SECOND_RESPONSES, engines=1),
+    ),
     mutants.Mutant(
         "not run is true",
         "radishd/platform/front.py",
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -41,6 +41,7 @@
     CRASH_AT_CLOSE = "crash_at_close"
     POISON_BLOCK = "poison_block"
     CONNECTIONS_SKEWED = "connections_skewed"
+    SECOND_RESPONSES = "second_responses"
 
 
 # Kinds by affected component; other kinds affect the store or the whole site.
@@ -64,6 +65,7 @@
         Kind.LINK_RESET,
         Kind.LINK_SLOW,
         Kind.CRASH_AT_CLOSE,
+        Kind.SECOND_RESPONSES,
     }
 )
 # Component that the other kinds affect, where it is not the store.
--- a/soak/world.py
+++ b/soak/world.py
@@ -63,6 +63,8 @@
 LAST_WINDOW_S = 3.0
 SHUTDOWN_S = 10.0
 FAULT_FRACTION = 0.3
+# Share of responses that are sent once more.
+SECOND_RESPONSE_FRACTION = 0.5
 SLOW_MS = 150
 SWALLOWED_ORDERS = 8
 # How long the load balancer still sends connections to a gateway after SIGTERM.
@@ -393,6 +395,12 @@
             return platform_engine.Fault.NONE
         return self.random.choice(FAULTS)
 
+    def _draw_second_response(
+        self, request: platform_engine.ReceivedRequest, status: int
+    ) -> bool:
+        del request, status
+        return self.random.random() < SECOND_RESPONSE_FRACTION
+
     # Faults.
 
     async def inject(self, fault: schedule.Fault) -> None:
@@ -477,6 +485,13 @@
             target.backoff_s = 0.0
         elif kind is Kind.CRASH_AT_CLOSE:
             vm.target.fault = _crash_at_close
+        elif kind is Kind.SECOND_RESPONSES:
+            target = vm.target
+            target.answers_twice = self._draw_second_response
+            # Requests are rejected until their adapters are loaded again.
+            target.adapters.clear()
+            await asyncio.sleep(for_s)
+            target.answers_twice = lambda request, status: False
         elif kind is Kind.RATE_LIMIT:
             await self._advertise_rate_limit(vm.target, for_s)
         elif kind is Kind.TARGET_FAULTS:
@@ -622,10 +637,12 @@
             self.config_version, tenants=self.accounts.to_configuration()
         )
         for route in body["routes"]:
-            # With one allowed attempt a request would never be resent, and a
-            # gateway that wrongly assumes that the first attempt did not run
-            # would go undetected.
-            route["maxAttempts"] = 2
+            # With one allowed attempt a request would never be resent to
+            # another target, and a gateway that wrongly assumes that the first
+            # attempt did not run would go undetected. In half of the runs,
+            # streams are resent to the same target only.
+            one_target = route["name"] == "chat" and self.seed % 2 == 0
+            route["maxAttempts"] = 1 if one_target else 2
         body["routes"] += [
             platform_site.route(
                 one, "non_idempotent", service=platform_site.PLAIN
--- a/tests/fleet/test_forwarding_decisions.py
+++ b/tests/fleet/test_forwarding_decisions.py
@@ -62,7 +62,7 @@
     kind = route_table.Repeat.IDEMPOTENT if repeats else route_table.Repeat.ONCE
     state = forwarding.Forwarding(_route(repeat=kind, max_targets=targets))
     may_have_run = False
-    for outcome in outcomes:
+    for number, outcome in enumerate(outcomes):
         assert repeats or not may_have_run
         allowed = [
             name
@@ -75,7 +75,7 @@
         fresh = [name for name in allowed if name not in state.reached]
         instance = (fresh or allowed)[0]
         if outcome is not Outcome.UNSENT:
-            state.record_send(instance)
+            state.record_send(instance, number)
         step = state.ended(
             instance, outcome, left_ms, retry_allowed=retry_allowed
         )
@@ -94,10 +94,10 @@
 def test_a_second_send_after_a_possible_run_breaks_the_invariant() -> None:
     """The invariant holds for every caller, and its error has the code."""
     state = forwarding.Forwarding(_route())
-    state.record_send("i0")
+    state.record_send("i0", 1)
     state.ended("i0", Outcome.LOST, 500, retry_allowed=True)
     try:
-        state.record_send("i1")
+        state.record_send("i1", 2)
     except invariant.InvariantBrokenError as error:
         assert error.code is result.SENT_AFTER_POSSIBLE_RUN
     else:
--- a/tests/fleet/test_poison_blocks.py
+++ b/tests/fleet/test_poison_blocks.py
@@ -2,6 +2,7 @@
 
 import itertools
 import secrets
+from typing import Any
 
 from radishd import gateway as gateway_lib
 from radishd.connection import http_client
@@ -123,9 +124,9 @@
             acquire = gateway.pool.acquire
 
             async def acquire_late(
-                address: str, *, fresh: bool
+                address: str, **options: Any
             ) -> http_client.Connection | http_client.Lost:
-                connection = await acquire(address, fresh=fresh)
+                connection = await acquire(address, **options)
                 gateway.crash_gossip.merge([_record(3)], source="test")
                 return connection
 
