Bound the bytes of responses in every form, at every reader

A peer in trouble may send bytes that are no response without end. Readers took them until their deadline: on the code before, an own test on loopback saw 128 MiB of a status line (the end of its probe), 49 MB of one header name and 8 MB of headers taken, and a request whose target sends them waited for its time limit. MAX_HEADERS_BYTES was named and not used, and bodies of rejections and failures were read to their end.

Change: process/response_bounds holds the bounds, below all readers. 64 KiB without a body byte, 8 MiB for a response that is held as a whole, with its framing, 64 MiB over all connections, eight responses that wait or are skipped. A body that is not passed on is read for 16 KiB and 50 ms, then its connection is closed; a rejection whose head was whole still proves that nothing ran. Readers on httpcore are bounded in size and in total time. Calls to the store move from the platform folder, which translates only and is bounded in size, to store_client.

Not bounded: radishctl, which reads status pages of our own processes.

--- a/packages/radishd/src/radishd/connection/http_client.py
+++ b/packages/radishd/src/radishd/connection/http_client.py
@@ -14,8 +14,11 @@
 import socket
 import struct
 
+import anyio
 import httptools
 
+from radishd.process import response_bounds
+
 # Linux closes the connection when sent bytes stay unacknowledged for this long,
 # and probes an idle connection every second. A peer behind a network partition
 # is thus detected within about three seconds instead of minutes.
@@ -23,13 +26,11 @@
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 3
-# Reading from the socket pauses above this many unread response bytes.
-HIGH_WATER_BYTES = 256 * 1024
-MAX_HEADERS_BYTES = 64 * 1024
 FIRST_FINAL_STATUS = 200
 # With SO_LINGER on and zero seconds, closing resets the connection.
 _RESET = struct.pack("ii", 1, 0)
 NO_CONTENT = (204, 304)
+MS_PER_S = 1_000
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
@@ -91,19 +92,18 @@
     """One response, as far as it has been parsed."""
 
     __slots__ = (
-        "chunks",
+        "body",
         "complete",
         "head",
         "header_list",
         "keeps_alive",
-        "size_bytes",
     )
 
     def __init__(self) -> None:
         self.head: Head | None = None
         self.header_list: list[tuple[bytes, bytes]] = []
-        self.chunks: collections.deque[bytes] = collections.deque()
-        self.size_bytes = 0
+        # One buffer, as each object of a few bytes would take many times that.
+        self.body = bytearray()
         self.complete = False
         self.keeps_alive = False
 
@@ -114,6 +114,7 @@
     Attributes:
         number: Number of the connection, unique in this process.
         request_count: Number of requests that were sent on it.
+        received_bytes: Number of bytes received since the last one was sent.
         tainted: Whether it must not be reused.
     """
 
@@ -121,6 +122,7 @@
         """Starts unconnected; ``open_connection`` connects it."""
         self.number = next(_numbers)
         self.request_count = 0
+        self.received_bytes = 0
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._incoming: collections.deque[_Incoming] = collections.deque()
@@ -129,6 +131,12 @@
         self._waiter: asyncio.Future[None] | None = None
         self._busy = False
         self._paused = False
+        self._unread = response_bounds.Hold()
+        # Bytes in a row that brought no byte of a body, and whether the bytes
+        # that are parsed now brought one.
+        self._bodiless_bytes = 0
+        self._has_body = False
+        self._skipped_count = 0
         self.tainted = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -153,12 +161,34 @@
             # request.
             self._fail(Lost("bytes without a request", malformed=True))
             return
+        for start in range(0, len(data), response_bounds.PARSED_BYTES):
+            reason = self._parse(
+                data[start : start + response_bounds.PARSED_BYTES]
+            )
+            if reason:
+                self._fail(Lost(reason, malformed=True))
+                return
+        self._wake()
+
+    def _parse(self, data: bytes) -> str:
+        """Parses bytes; returns why they are no response, empty if they are."""
+        self._has_body = False
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError as error:
-            self._fail(Lost(f"not an answer: {error}", malformed=True))
-            return
-        self._wake()
+        except (
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+        ) as error:
+            return f"not an answer: {error}"
+        self.received_bytes += len(data)
+        self._bodiless_bytes += len(data)
+        if self._has_body:
+            self._bodiless_bytes = 0
+        if self._bodiless_bytes > response_bounds.MAX_HEAD_BYTES:
+            return f"{self._bodiless_bytes} bytes without a body"
+        if len(self._incoming) > response_bounds.MAX_WAITING_RESPONSES:
+            return f"{len(self._incoming)} responses to one request"
+        return ""
 
     def on_message_begin(self) -> None:
         """Starts a response."""
@@ -178,10 +208,11 @@
 
     def on_body(self, body: bytes) -> None:
         """Adds a piece of the body."""
-        incoming = self._parsing
-        incoming.chunks.append(body)
-        incoming.size_bytes += len(body)
-        if incoming.size_bytes > HIGH_WATER_BYTES and not self._paused:
+        self._parsing.body += body
+        self._has_body = True
+        self._unread.resize(self._unread.size_bytes + len(body))
+        too_many = self._unread.exceeds(response_bounds.HIGH_WATER_BYTES)
+        if too_many and not self._paused:
             self._paused = True
             self._transport.pause_reading()
 
@@ -263,6 +294,8 @@
     def send(self, data: bytes) -> None:
         """Sends a whole request."""
         self._busy = True
+        self._bodiless_bytes = 0
+        self.received_bytes = 0
         self.request_count += 1
         self._transport.write(data)
 
@@ -283,10 +316,10 @@
         """
         incoming = self._incoming[0]
         while True:
-            if incoming.chunks:
-                data = b"".join(incoming.chunks)
-                incoming.chunks.clear()
-                incoming.size_bytes = 0
+            if incoming.body:
+                data = bytes(incoming.body)
+                incoming.body.clear()
+                self._unread.resize(self._unread.size_bytes - len(data))
                 if self._paused:
                     self._paused = False
                     self._transport.resume_reading()
@@ -298,7 +331,14 @@
             await self._wait()
 
     async def skip(self) -> Lost | None:
-        """Reads an unneeded response to its end and drops it."""
+        """Reads an unneeded response to its end and drops it.
+
+        Returns:
+            Why the next response cannot be read, None if it can.
+        """
+        self._skipped_count += 1
+        if self._skipped_count > response_bounds.MAX_WAITING_RESPONSES:
+            return Lost("too many responses", malformed=True)
         while True:
             data = await self.chunk()
             if isinstance(data, Lost):
@@ -307,6 +347,8 @@
                 self._incoming.popleft()
                 self.tainted = True
                 return None
+            if self.received_bytes > response_bounds.MAX_WHOLE_BYTES:
+                return Lost("a response too large to skip", malformed=True)
 
     def finish(self) -> bool:
         """Finishes a request whose response is complete.
@@ -326,6 +368,9 @@
         """Closes the connection; a request in progress is aborted."""
         if self._transport is None:
             return
+        self._unread.resize(0)
+        for incoming in self._incoming:
+            incoming.body.clear()
         if self._lost is None:
             # The end of the connection must not pass for the end of a response
             # without a length that another task still reads.
@@ -374,27 +419,62 @@
     body: bytes
 
 
-async def read_answer(connection: Connection) -> Answer | Lost:
-    """Reads a complete response that is not a stream."""
+async def read_answer(
+    connection: Connection,
+    max_bytes: int = response_bounds.MAX_WHOLE_BYTES,
+) -> Answer | Lost:
+    """Reads a complete response that is not a stream.
+
+    Args:
+        connection: The connection.
+        max_bytes: Maximum size of the body.
+    """
     head = await connection.head()
     if isinstance(head, Lost):
         return head
-    body = await read_body(connection)
+    body = await read_body(connection, max_bytes)
     if isinstance(body, Lost):
         return body
     return Answer(head, body)
 
 
-async def read_body(connection: Connection) -> bytes | Lost:
-    """Reads the rest of a body to its end."""
-    pieces = []
-    while True:
-        piece = await connection.chunk()
-        if isinstance(piece, Lost):
-            return piece
-        if not piece:
-            return b"".join(pieces)
-        pieces.append(piece)
+async def read_body(
+    connection: Connection,
+    max_bytes: int = response_bounds.MAX_WHOLE_BYTES,
+) -> bytes | Lost:
+    """Reads the rest of a body to its end.
+
+    Args:
+        connection: The connection.
+        max_bytes: Maximum size, with its head and framing; smaller while memory
+            is low.
+    """
+    body = response_bounds.Body(max_bytes)
+    try:
+        while True:
+            piece = await connection.chunk()
+            if isinstance(piece, Lost):
+                return piece
+            if not piece:
+                return body.join()
+            too_large = connection.received_bytes > max_bytes
+            if not body.add(piece) or too_large:
+                return Lost("the body is too large", malformed=True)
+    finally:
+        body.release()
+
+
+async def discard_body(connection: Connection) -> bool:
+    """Reads a body that is not needed, if it is short and ends soon.
+
+    Returns:
+        Whether it has ended, so that the connection can be reused.
+    """
+    timeout_s = response_bounds.DISCARD_TIMEOUT_MS / MS_PER_S
+    with anyio.move_on_after(timeout_s):
+        body = await read_body(connection, response_bounds.MAX_DISCARDED_BYTES)
+        return not isinstance(body, Lost)
+    return False
 
 
 def keep_alive_s(head: Head) -> int:
--- a/packages/radishd/src/radishd/peers.py
+++ b/packages/radishd/src/radishd/peers.py
@@ -18,6 +18,9 @@
 QUERY_TIMEOUT_MS = 800
 CONNECT_TIMEOUT_MS = 300
 MAX_PEERS = 1_024
+# Maximum size of what a peer knows: thousands of targets and the versions of
+# tens of thousands of adapters.
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
 # Number of recently named gateways from which on seeds are not needed.
 MIN_RECENT_PEERS = 3
 # A gateway that no message has named for this long counts as replaced. Each
@@ -136,7 +139,9 @@
             head = f"GET {PATH} HTTP/1.1\r\nHost: {address}\r\n\r\n"
             connection.send(head.encode())
             with anyio.move_on_after(QUERY_TIMEOUT_MS / MS_PER_S):
-                answer = await http_client.read_answer(connection)
+                answer = await http_client.read_answer(
+                    connection, MAX_ANSWER_BYTES
+                )
                 if isinstance(answer, http_client.Lost):
                     return None
                 if answer.head.status != HTTP_OK:
--- a/packages/radishd/src/radishd/platform/store.py
+++ b/packages/radishd/src/radishd/platform/store.py
@@ -2,19 +2,15 @@
 
 from collections.abc import Callable
 import dataclasses
-import functools
 import json
 from typing import Any
 
-import anyio
 from radishstack import result
 from radishstack.process import availability
 
-from radishd.connection import hedged_call
+from radishd import store_client
 from radishd.connection import http_client
-from radishd.connection import pool as pool_lib
 from radishd.platform import wire
-from radishd.process import clock
 from radishd.process import metrics as metrics_lib
 from radishd.process import stored
 
@@ -23,16 +19,10 @@
 HTTP_NOT_FOUND = 404
 HTTP_CONFLICT = 409
 HTTP_GONE = 410
+PATH_PREFIX = "/-/objects/"
 _ERA_HEADER = b"store-era"
-CALL_TIMEOUT_MS = 1_500
-CONNECT_TIMEOUT_MS = 500
-# An answer this long after a watch's wait time, not the usual few milliseconds,
-# indicates that the store was paused, although no call failed. The call is then
-# repeated on a new connection, since its own may have fallen silent.
-LATE_ANSWER_MARGIN_MS = 400
 # Wait time of a watch that is repeated.
 SECOND_WAIT_MS = 50
-MS_PER_S = 1_000
 MAX_PAGES = 1_000
 
 
@@ -40,8 +30,6 @@
     """Reads and writes objects; counts every call, since each is billed.
 
     Attributes:
-        on_outage_ended: Called with the requested kind when a store outage
-            ends, before the first answer is returned.
         on_restored: Called before an answer with a later era is returned.
         era: Latest era received from the store, 0 if none.
     """
@@ -53,13 +41,8 @@
             address: ``ip:port`` of the store.
             metrics: Metrics that count the calls.
         """
-        self._address = address
-        self._pool = pool_lib.Pool(CONNECT_TIMEOUT_MS)
+        self._client = store_client.StoreClient(address, metrics)
         self._metrics = metrics
-        self._availability = availability.Availability()
-        self.on_outage_ended: Callable[[str, availability.Outage], None] = (
-            lambda kind, outage: None
-        )
         self.on_restored: Callable[[], None] = lambda: None
         self.era = 0
 
@@ -81,7 +64,10 @@
             if after:
                 fields.append(f"after={after}")
             query = "?" + "&".join(fields) if fields else ""
-            body = await self._get(kind, query, CALL_TIMEOUT_MS)
+            body = await self._client.read(
+                store_client.Read(kind, f"{PATH_PREFIX}{kind}{query}"),
+                self._interpret,
+            )
             if isinstance(body, result.Failure):
                 return body
             if isinstance(body, stored.Expired):
@@ -119,13 +105,12 @@
         Returns:
             The changes, possibly none, or that their history has expired.
         """
-        query = f"?watch={revision}&waitMs={wait_ms}"
-        body = await self._get(
-            kind,
-            query,
-            wait_ms + CALL_TIMEOUT_MS,
-            late_ms=wait_ms + LATE_ANSWER_MARGIN_MS,
-            second_query=f"?watch={revision}&waitMs={SECOND_WAIT_MS}",
+        path = f"{PATH_PREFIX}{kind}?watch={revision}&waitMs="
+        body = await self._client.read(
+            store_client.Read(
+                kind, f"{path}{wait_ms}", f"{path}{SECOND_WAIT_MS}", wait_ms
+            ),
+            self._interpret,
         )
         if isinstance(body, result.Failure | stored.Expired):
             return body
@@ -180,11 +165,9 @@
             body: JSON, if any.
             settled: Status that reports the change as already made.
         """
-        answer: result.Outcome[http_client.Answer] = result.Failure(
-            result.STORE_UNAVAILABLE, f"no answer in {CALL_TIMEOUT_MS} ms"
-        )
-        with anyio.move_on_after(CALL_TIMEOUT_MS / MS_PER_S):
-            answer = await self._write(method, path, body)
+        answer = await self._client.write(method, f"{PATH_PREFIX}{path}", body)
+        if not isinstance(answer, result.Failure):
+            answer = self._check_era(answer)
         failure = answer if isinstance(answer, result.Failure) else None
         if failure is None:
             status = answer.head.status
@@ -196,90 +179,12 @@
         self._metrics.store_calls.inc({"outcome": outcome, "kind": kind})
         return failure
 
-    async def _write(
-        self, method: str, path: str, body: bytes
-    ) -> result.Outcome[http_client.Answer]:
-        connection = await self._pool.acquire(self._address, fresh=False)
-        if isinstance(connection, http_client.Lost):
-            return result.Failure(result.STORE_UNAVAILABLE, connection.reason)
-        return await self._exchange(connection, method, path, body)
-
-    async def _get(
-        self,
-        kind: str,
-        query: str,
-        timeout_ms: int,
-        late_ms: int = LATE_ANSWER_MARGIN_MS,
-        second_query: str | None = None,
-    ) -> result.Outcome[stored.Answer] | stored.Expired:
-        """Reads objects; repeats a late call on a new connection.
-
-        Args:
-            kind: Kind of object.
-            query: Query of the call.
-            timeout_ms: Maximum duration.
-            late_ms: Duration after which the call is late.
-            second_query: Query of the second call, None for the same.
-        """
-        second = query if second_query is None else second_query
-        answer = await hedged_call.run(
-            functools.partial(self._call, f"{kind}{query}"),
-            functools.partial(self._call_anew, kind, second),
-            is_answer=lambda value: not isinstance(value, result.Failure),
-            late_ms=late_ms,
-            prompt_ms=LATE_ANSWER_MARGIN_MS,
-            timeout_ms=timeout_ms,
-        )
-        outcome = answer.value
-        if outcome is None:
-            outcome = result.Failure(
-                result.STORE_UNAVAILABLE, f"no answer in {timeout_ms} ms"
-            )
-        failed = isinstance(outcome, result.Failure)
-        self._metrics.store_calls.inc(
-            {"outcome": "failed" if failed else "answered", "kind": kind}
-        )
-        if failed:
-            self._availability.failed(outcome.message)
-            return outcome
-        outage = self._availability.answered(
-            clock.boot_ms(), late=answer.is_late, silent=answer.is_silent
-        )
-        if outage is not None:
-            self.on_outage_ended(kind, outage)
-        return outcome
-
-    async def _call_anew(
-        self, kind: str, query: str
-    ) -> result.Outcome[stored.Answer] | stored.Expired:
-        """Makes a call on a new connection.
-
-        If it is answered, idle connections from before may be silent like the
-        one whose call was late, so they are closed.
-        """
-        self._metrics.store_calls.inc({"outcome": "repeated", "kind": kind})
-        connection = await self._pool.open(self._address)
-        if isinstance(connection, http_client.Lost):
-            return result.Failure(result.STORE_UNAVAILABLE, connection.reason)
-        outcome = await self._read(connection, f"{kind}{query}")
-        if not isinstance(outcome, result.Failure):
-            self._pool.drop_older(self._address, connection.number)
-        return outcome
-
-    async def _call(
-        self, path: str
-    ) -> result.Outcome[stored.Answer] | stored.Expired:
-        connection = await self._pool.acquire(self._address, fresh=False)
-        if isinstance(connection, http_client.Lost):
-            return result.Failure(result.STORE_UNAVAILABLE, connection.reason)
-        return await self._read(connection, path)
-
-    async def _read(
-        self, connection: http_client.Connection, path: str
-    ) -> result.Outcome[stored.Answer] | stored.Expired:
-        answer = await self._exchange(connection, "GET", path)
-        if isinstance(answer, result.Failure):
-            return answer
+    def _interpret(
+        self, answer: http_client.Answer
+    ) -> result.Outcome[stored.Answer | stored.Expired]:
+        checked = self._check_era(answer)
+        if isinstance(checked, result.Failure):
+            return checked
         if answer.head.status == HTTP_GONE:
             return stored.Expired()
         if answer.head.status != HTTP_OK:
@@ -291,28 +196,9 @@
             return fields
         return stored.Answer(fields, _era(answer.head) or self.era)
 
-    async def _exchange(
-        self,
-        connection: http_client.Connection,
-        method: str,
-        path: str,
-        body: bytes = b"",
+    def _check_era(
+        self, answer: http_client.Answer
     ) -> result.Outcome[http_client.Answer]:
-        lines = [
-            f"{method} /-/objects/{path} HTTP/1.1",
-            f"Host: {self._address}",
-        ]
-        if body:
-            lines.append("Content-Type: application/json")
-            lines.append(f"Content-Length: {len(body)}")
-        head = "\r\n".join(lines) + "\r\n\r\n"
-        answer = await self._pool.exchange(
-            self._address, connection, head.encode() + body
-        )
-        if isinstance(answer, http_client.Lost):
-            if not answer.timed_out:
-                self._availability.connection_broken(clock.boot_ms())
-            return result.Failure(result.STORE_UNAVAILABLE, answer.reason)
         era = _era(answer.head) or self.era
         if era < self.era:
             # The answer was delayed from before the store was restored.
@@ -326,9 +212,18 @@
             self.on_restored()
         return answer
 
+    def listen_for_outages(
+        self, on_outage_ended: Callable[[str, availability.Outage], None]
+    ) -> None:
+        """Sets what is called with the requested kind when an outage ends.
+
+        It is called before the first answer is returned.
+        """
+        self._client.on_outage_ended = on_outage_ended
+
     def drop_connections(self) -> None:
         """Closes all idle connections, as after a process pause."""
-        self._pool.drop_all()
+        self._client.drop_connections()
 
 
 def _era(head: http_client.Head) -> int:
--- a/packages/radishd/src/radishd/process/discovery.py
+++ b/packages/radishd/src/radishd/process/discovery.py
@@ -127,7 +127,7 @@
         self._on_store_restored = on_store_restored
         self._outage_reason = ""
         self._era = 0
-        store.on_outage_ended = self._store_back
+        store.listen_for_outages(self._store_back)
         store.on_restored = self._store_restored
         self.changes: collections.deque[table_changes.Change] = (
             collections.deque(maxlen=MAX_CHANGES)
--- a/packages/radishd/src/radishd/process/engine.py
+++ b/packages/radishd/src/radishd/process/engine.py
@@ -7,6 +7,7 @@
 from radishstack import result
 
 from radishd.process import store as store_lib
+from radishd.process import whole_response
 
 MS_PER_S = 1000.0
 OK = 200
@@ -40,15 +41,15 @@
 
     async def _call(
         self, method: str, path: str, body: object, timeout_s: float
-    ) -> result.Outcome[httpcore.Response]:
-        timeouts = dict.fromkeys(store_lib.TIMEOUT_NAMES, timeout_s)
+    ) -> result.Outcome[whole_response.WholeResponse]:
         try:
-            return await self._pool.request(
+            return await whole_response.request(
+                self._pool,
                 method,
                 f"{self._url}{path}",
                 headers={"Content-Type": "application/json"},
                 content=json.dumps(body).encode(),
-                extensions={"timeout": timeouts},
+                timeout_s=timeout_s,
             )
         except store_lib.NETWORK_ERRORS as error:
             return result.Failure(
@@ -145,7 +146,7 @@
         )
 
 
-def _incarnation(response: httpcore.Response) -> str:
+def _incarnation(response: whole_response.WholeResponse) -> str:
     for name, value in response.headers:
         if name.lower() == INCARNATION_HEADER:
             return value.decode("latin-1")
--- a/packages/radishd/src/radishd/process/store.py
+++ b/packages/radishd/src/radishd/process/store.py
@@ -4,7 +4,6 @@
 import json
 import urllib.parse
 
-import anyio
 import httpcore
 from radishstack import result
 from radishstack.version import commit as commit_lib
@@ -14,13 +13,13 @@
 
 from radishd.process import metrics as metrics_lib
 from radishd.process import settings as settings_lib
+from radishd.process import whole_response
 
 MS_PER_S = 1000.0
 OK = 200
 NOT_MODIFIED = 304
 NOT_FOUND = 404
 PRECONDITION_FAILED = 412
-TIMEOUT_NAMES = ("connect", "read", "write", "pool")
 NETWORK_ERRORS = (
     OSError,
     httpcore.NetworkError,
@@ -83,19 +82,18 @@
         headers: dict[str, str] | None = None,
         body: bytes = b"",
         wait_ms: int = 0,
-    ) -> result.Outcome[httpcore.Response]:
+    ) -> result.Outcome[whole_response.WholeResponse]:
         timeout_s = (self._settings.call_timeout_ms + wait_ms) / MS_PER_S
-        timeouts = dict.fromkeys(TIMEOUT_NAMES, timeout_s)
         try:
-            with anyio.fail_after(timeout_s):
-                response = await self._pool.request(
-                    method,
-                    f"{self._settings.url}{path}",
-                    headers=headers or {},
-                    content=body,
-                    extensions={"timeout": timeouts},
-                )
-        except (*NETWORK_ERRORS, TimeoutError) as error:
+            response = await whole_response.request(
+                self._pool,
+                method,
+                f"{self._settings.url}{path}",
+                headers=headers or {},
+                content=body,
+                timeout_s=timeout_s,
+            )
+        except NETWORK_ERRORS as error:
             self._count("lost")
             return result.Failure(
                 result.STORE_UNAVAILABLE,
@@ -206,7 +204,7 @@
         return _revision(response), vms
 
 
-def _revision(response: httpcore.Response) -> int:
+def _revision(response: whole_response.WholeResponse) -> int:
     for name, value in response.headers:
         if name.lower() == b"etag":
             return int(value)
--- a/packages/radishd/src/radishd/request/engine_call.py
+++ b/packages/radishd/src/radishd/request/engine_call.py
@@ -9,6 +9,7 @@
 import httpcore
 from radishstack import attempt as attempt_lib
 from radishstack import result
+from radishstack.request import event_stream
 
 from radishd.process import store as store_lib
 
@@ -177,6 +178,12 @@
         first += piece
         if EVENT_END in first:
             break
+        if len(first) > event_stream.MAX_EVENT_BYTES:
+            yield result.Failure(
+                result.TARGET_FAILED,
+                f"an event is larger than {event_stream.MAX_EVENT_BYTES} bytes",
+            )
+            return
     if not check_model(_parse_event_model(first)):
         return
     yield head
--- a/packages/radishd/src/radishd/request/forward.py
+++ b/packages/radishd/src/radishd/request/forward.py
@@ -21,6 +21,7 @@
 from radishd.connection import http_client
 from radishd.platform import front
 from radishd.process import clock
+from radishd.process import response_bounds
 from radishd.process import web
 from radishd.request import gateway_interface
 from radishd.request import pending_request
@@ -32,7 +33,6 @@
 # Range of retry delays after a rejection by a full or restarted target. It is
 # short because another target can accept the request at once.
 SHED_RETRY_MS = (30, 150)
-MAX_BUFFERED_BYTES = 8 * 1024 * 1024
 PRIORITY_MAX = 9
 
 Outcome = forwarding.Outcome
@@ -390,9 +390,11 @@
     async def _read_rejection(
         self, send: response_reader.Send, outcome: Outcome
     ) -> Outcome:
-        """Reads a rejection to its end, so that its connection is reusable."""
-        body = await http_client.read_body(send.connection)
-        if not isinstance(body, http_client.Lost):
+        """Reads a rejection to its end, so that its connection is reusable.
+
+        Its head alone proves that the request did not run.
+        """
+        if await http_client.discard_body(send.connection):
             self._gateway.release(send.member.listing.address, send.connection)
         return outcome
 
@@ -437,8 +439,18 @@
         If a partly forwarded response is interrupted, neither the response of
         another target nor an error that states the cause can replace it.
         """
-        pieces: list[bytes] = []
-        size_bytes = 0
+        body = response_bounds.Body()
+        try:
+            return await self._forward_whole(send, head, body)
+        finally:
+            body.release()
+
+    async def _forward_whole(
+        self,
+        send: response_reader.Send,
+        head: http_client.Head,
+        body: response_bounds.Body,
+    ) -> Outcome | None:
         while True:
             piece = await self.reader.read(send, send.connection.chunk)
             if piece is response_reader.ReadTimeout.IDLE:
@@ -449,16 +461,18 @@
                 )
             if not piece:
                 break
-            pieces.append(piece)
-            size_bytes += len(piece)
-            if size_bytes > MAX_BUFFERED_BYTES:
+            if (
+                not body.add(piece)
+                or send.connection.received_bytes
+                > response_bounds.MAX_WHOLE_BYTES
+            ):
                 return self._record_cut(send, head, Outcome.SPOILED)
         if not await self._is_complete(send, head):
             return Outcome.LOST
         self._record_success(send)
         self._record_completion(send.sent_at_ms)
         self._gateway.release(send.member.listing.address, send.connection)
-        await self._reply_buffered(head, b"".join(pieces))
+        await self._reply_buffered(head, body.join())
         return None
 
     def _record_success(self, send: response_reader.Send) -> None:
@@ -493,6 +507,18 @@
         self, send: response_reader.Send, head: http_client.Head
     ) -> Outcome | None:
         """Forwards complete events as they arrive."""
+        unfinished = response_bounds.Hold()
+        try:
+            return await self._forward_events(send, head, unfinished)
+        finally:
+            unfinished.resize(0)
+
+    async def _forward_events(
+        self,
+        send: response_reader.Send,
+        head: http_client.Head,
+        unfinished: response_bounds.Hold,
+    ) -> Outcome | None:
         self.pending.events.restart()
         health = send.member.health
         answer_began_at_ms: int | None = None
@@ -511,7 +537,10 @@
             health.record_progress(now_ms - last_read_at_ms, now_ms)
             last_read_at_ms = now_ms
             events = self.pending.events.feed(piece)
-            if self.pending.events.is_oversized:
+            unfinished.resize(self.pending.events.unfinished_bytes)
+            if self.pending.events.is_oversized or unfinished.exceeds(
+                event_stream.MAX_EVENT_BYTES
+            ):
                 return self._record_cut(send, head, Outcome.SPOILED)
             if not events:
                 continue
--- a/packages/standins/src/standins/platform_engine.py
+++ b/packages/standins/src/standins/platform_engine.py
@@ -46,8 +46,50 @@
     END_IN_EVENT = "end_in_event"
     CRASH_AT_CLOSE = "crash_at_close"
     ENDLESS_EVENT = "endless_event"
-
-
+    ENDLESS_BYTES = "endless_bytes"
+    ENDLESS_REJECTION = "endless_rejection"
+
+
+# Bytes without end that are no response: what a response begins with, and what
+# follows until the caller closes the connection.
+ENDLESS_FORMS: dict[str, tuple[bytes, bytes]] = {
+    "garbage": (b"", b"x"),
+    "status_line": (b"HTTP/1.1 200 ", b"x"),
+    "header_name": (b"HTTP/1.1 200 OK\r\n", b"x"),
+    "header_value": (b"HTTP/1.1 200 OK\r\na: ", b"x"),
+    "headers": (b"HTTP/1.1 200 OK\r\n", b"a: b\r\n"),
+    "information": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    "upgrade": (b"HTTP/1.1 101 Other\r\nUpgrade: x\r\n\r\n", b"x"),
+    "chunk_size": (
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        b"0",
+    ),
+    "chunk_extension": (
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;",
+        b"x",
+    ),
+    "trailers": (
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+        b"a: b\r\n",
+    ),
+    "body_with_length": (
+        b"HTTP/1.1 500 Other\r\nContent-Length: 99999999999\r\n\r\n",
+        b"x",
+    ),
+    "body_in_chunks": (
+        b"HTTP/1.1 500 Other\r\nTransfer-Encoding: chunked\r\n\r\n",
+        b"2\r\nxx\r\n",
+    ),
+    "body_until_close": (b"HTTP/1.1 500 Other\r\n\r\n", b"x"),
+    "responses": (b"", b"HTTP/1.1 500 Other\r\nContent-Length: 0\r\n\r\n"),
+    "responses_with_body": (
+        b"",
+        b"HTTP/1.1 500 Other\r\nContent-Length: 1\r\n\r\nx",
+    ),
+}
+# Size of the pieces in which they are sent, and the maximum that is sent.
+ENDLESS_WRITE_BYTES = 64 * 1024
+MAX_ENDLESS_BYTES = 128 * 1024 * 1024
 # Size of the event that ``ENDLESS_EVENT`` does not finish, and of its pieces.
 ENDLESS_EVENT_BYTES = 4 * 1024 * 1024
 ENDLESS_PIECE_BYTES = 64 * 1024
@@ -143,6 +185,8 @@
         leaving: Whether its responses announce that it is draining.
         marks_events: Whether its events name the version of its software.
         swallow_orders: Number of further orders to leave unanswered.
+        endless_form: The form of ``Fault.ENDLESS_BYTES``.
+        endless_bytes: Bytes without end that were taken from it.
         answers_twice: Whether a response, by its request and status, is sent
             once more in place of the response to the next request on its
             connection.
@@ -194,6 +238,8 @@
             Fault.NONE
         )
         self.swallow_orders = 0
+        self.endless_form = "headers"
+        self.endless_bytes = 0
         self.answers_twice: Callable[[ReceivedRequest, int], bool] = (
             lambda request, status: False
         )
@@ -411,6 +457,13 @@
                 headers["Retry-After"] = f"{self.backoff_s:g}"
             await self._reply(writer, 503, {}, headers, request)
             return
+        if fault is Fault.ENDLESS_REJECTION:
+            head = (
+                f"HTTP/1.1 503 Unavailable\r\nX-Not-Executed: 1\r\n"
+                f"X-Attempt-Id: {request.attempt_id}\r\n\r\n"
+            )
+            await self._write_endless(writer, head.encode(), b"x")
+            return
         if fault is Fault.RESET_UNRUN:
             raise ConnectionResetError
         if fault is Fault.HANG:
@@ -434,6 +487,9 @@
         if fault is Fault.ERROR:
             await self._reply(writer, 500, {}, signature, request)
             return
+        if fault is Fault.ENDLESS_BYTES:
+            await self._write_endless(writer, *ENDLESS_FORMS[self.endless_form])
+            return
         if fault is Fault.PROMISE_AFTER_RUN:
             await self._reply(writer, 503, {}, signature, request)
             return
@@ -463,6 +519,22 @@
         if fault is Fault.TWICE:
             await self._reply(writer, 200, body, headers, request)
 
+    async def _write_endless(
+        self, writer: asyncio.StreamWriter, first: bytes, rest: bytes
+    ) -> None:
+        """Writes bytes without end until the connection is closed.
+
+        Raises:
+            ConnectionResetError: At a bound that no caller should reach.
+        """
+        writer.write(first)
+        piece = rest * (ENDLESS_WRITE_BYTES // len(rest))
+        for _ in range(MAX_ENDLESS_BYTES // ENDLESS_WRITE_BYTES):
+            writer.write(piece)
+            await writer.drain()
+            self.endless_bytes += len(piece)
+        raise ConnectionResetError
+
     def _response_head(
         self, request: ReceivedRequest, headers: dict[str, str]
     ) -> bytes:
--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -87,9 +87,72 @@
 
 _SILENT_TEST = _test("fleet.test_silent_connections")
 _SILENT_PROMISE = "a silent connection is no outage"
-_STORE_PATH = "radishd/platform/store.py"
+_STORE_PATH = "radishd/store_client.py"
+
+_ENDLESS_TEST = _test("fleet.test_endless_bytes")
+_ENDLESS_PROMISE = "bytes without end are cut"
+_CLIENT_PATH = "radishd/connection/http_client.py"
+_BOUNDS_PATH = "radishd/process/response_bounds.py"
 
 MUTANTS = (
+    Mutant(
+        _ENDLESS_PROMISE,
+        _CLIENT_PATH,
+        "        if self._bodiless_bytes > response_bounds.MAX_HEAD_BYTES:\n",
+        "        if False:\n",
+        _ENDLESS_TEST,
+    ),
+    Mutant(
+        _ENDLESS_PROMISE,
+        _CLIENT_PATH,
+        "        if self._has_body:\n            self._bodiless_bytes = 0\n",
+        "",
+        _ENDLESS_TEST,
+    ),
+    Mutant(
+        _ENDLESS_PROMISE,
+        _CLIENT_PATH,
+        "        if len(self._incoming) > "
+        "response_bounds.MAX_WAITING_RESPONSES:\n",
+        "        if False:\n",
+        _ENDLESS_TEST,
+    ),
+    Mutant(
+        _ENDLESS_PROMISE,
+        _CLIENT_PATH,
+        "            if self.received_bytes > "
+        "response_bounds.MAX_WHOLE_BYTES:\n",
+        "            if False:\n",
+        _ENDLESS_TEST,
+    ),
+    Mutant(
+        _ENDLESS_PROMISE,
+        _CLIENT_PATH,
+        "            if not body.add(piece) or too_large:\n",
+        "            if False:\n",
+        _ENDLESS_TEST,
+    ),
+    Mutant(
+        _ENDLESS_PROMISE,
+        _CLIENT_PATH,
+        "    with anyio.move_on_after(timeout_s):\n        body = await",
+        "    with anyio.move_on_after(None):\n        body = await",
+        _ENDLESS_TEST,
+    ),
+    Mutant(
+        _ENDLESS_PROMISE,
+        _BOUNDS_PATH,
+        "        return self.count >= MAX_HELD_BYTES\n",
+        "        return False\n",
+        _ENDLESS_TEST,
+    ),
+    Mutant(
+        _ENDLESS_PROMISE,
+        "radishd/process/whole_response.py",
+        "                    if not body.add(piece):\n",
+        "                    if False:\n",
+        _ENDLESS_TEST,
+    ),
     Mutant(
         _SILENT_PROMISE,
         "radishstack/process/availability.py",
@@ -973,7 +1036,7 @@
     ),
     Mutant(
         "a lapse is no departure, a departure no lapse",
-        "radishd/platform/store.py",
+        _STORE_PATH,
         "            clock.boot_ms(), late=answer.is_late, "
         "silent=answer.is_silent\n",
         "            clock.boot_ms(), late=False, silent=answer.is_silent\n",
--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -80,8 +80,8 @@
     ),
     mutants.Mutant(
         "a leaving target gets no work",
-        "radishd/platform/store.py",
-        "            late_ms=late_ms,\n",
+        "radishd/store_client.py",
+        "            late_ms=read.wait_ms + LATE_ANSWER_MARGIN_MS,\n",
         "            late_ms=timeout_ms,\n",
         _seeds(570, Kind.LEAVE_AFTER_SILENCE, engines=4),
     ),
--- a/soak/world.py
+++ b/soak/world.py
@@ -85,6 +85,7 @@
 FAULTS_WITHOUT_RUN = frozenset(
     {
         platform_engine.Fault.SHED,
+        platform_engine.Fault.ENDLESS_REJECTION,
         platform_engine.Fault.RESET_UNRUN,
         platform_engine.Fault.HANG,
     }
@@ -97,6 +98,7 @@
     for fault in platform_engine.Fault
     if fault is not platform_engine.Fault.NONE and fault not in CRASHES
 )
+ENDLESS_FORMS = tuple(platform_engine.ENDLESS_FORMS)
 Kind = schedule.Kind
 
 
@@ -518,6 +520,7 @@
             await self._advertise_rate_limit(vm.target, for_s)
         elif kind is Kind.TARGET_FAULTS:
             target = vm.target
+            target.endless_form = self.random.choice(ENDLESS_FORMS)
             target.fault = self._draw_target_fault
             await asyncio.sleep(for_s)
             target.fault = lambda request: platform_engine.Fault.NONE
