Watch a paged list from its earliest page

Cause: each page is as of its own revision, and the watch after a list began at that of the last page, so a change between two pages of an object on an earlier one was in neither. The same held for targets that report draining or are removed.

Change: process/paged_list keeps the revision of the earliest page. The watch then repeats what later pages contain, which every reader bears, and a history that has expired meanwhile leads to a new list, as before.

Tests: tests/fleet/test_paged_lists with the state machine proofs/listing; all three fail with the revision of the last page. Mutant caught.

--- a/packages/radishd/src/radishd/platform/store.py
+++ b/packages/radishd/src/radishd/platform/store.py
@@ -7,6 +7,7 @@
 
 from radishstack import result
 from radishstack.process import availability
+from radishstack.process import paged_list
 
 from radishd import store_client
 from radishd.connection import http_client
@@ -55,7 +56,7 @@
             kind: Kind of object.
             stale: Whether data that is seconds old suffices; it costs less.
         """
-        records: list[stored.Record] = []
+        pages: paged_list.PagedList[stored.Record] = paged_list.PagedList()
         nameless_count = 0
         after = ""
         era: int | None = None
@@ -81,12 +82,14 @@
             read = [_record(raw, era) for raw in body.entries("items")]
             page = [record for record in read if record is not None]
             nameless_count += len(read) - len(page)
-            records.extend(page)
+            at = body.fields.get("at")
+            if not isinstance(at, int):
+                break
+            pages.add_page(page, at)
             if not body.fields.get("hasMore") or not page:
-                at = body.fields.get("at")
-                if not isinstance(at, int):
-                    break
-                return stored.Batch(tuple(records), at, nameless_count, era)
+                return stored.Batch(
+                    tuple(pages.records), pages.revision, nameless_count, era
+                )
             after = page[-1].name
         return result.Failure(
             result.STORE_CORRUPT, f"{kind}: no end, or no revision"
--- a/packages/standins/src/standins/platform_store.py
+++ b/packages/standins/src/standins/platform_store.py
@@ -1,6 +1,7 @@
 """The object store of the users' platform: lists, watches and outages."""
 
 import collections
+from collections.abc import Callable
 import copy
 import dataclasses
 import time
@@ -47,6 +48,9 @@
 
     Attributes:
         era: Number of the store's history; each restore increments it.
+        page_size: Maximum number of objects on a page of a list.
+        on_page: Called with the kind after each page that is not the last, so
+            that a test can change objects between pages.
     """
 
     def __init__(self) -> None:
@@ -56,6 +60,8 @@
         self.oldest = 0
         self.revision = 0
         self.era = 1
+        self.page_size = PAGE_SIZE
+        self.on_page: Callable[[str], None] = lambda kind: None
         self.calls: collections.Counter[str] = collections.Counter()
         self.faults = Faults()
         self._changed = anyio.Event()
@@ -168,10 +174,13 @@
             return
         names = sorted(self.objects.get(kind, {}))
         after = request.query.get("after", "")
-        page = [name for name in names if name > after][:PAGE_SIZE]
+        page = [name for name in names if name > after][: self.page_size]
         items = [self.objects[kind][name] for name in page]
         more = bool(page) and page[-1] != names[-1]
         body = {"items": items, "hasMore": more, "at": self.revision}
+        body = copy.deepcopy(body)
+        if more:
+            self.on_page(kind)
         await request.reply(body)
 
     def _is_silent(self, request: web.Request) -> bool:
--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -94,7 +94,17 @@
 _CLIENT_PATH = "radishd/connection/http_client.py"
 _BOUNDS_PATH = "radishd/process/response_bounds.py"
 
+_PAGES_TEST = _test("fleet.test_paged_lists")
+_PAGES_PROMISE = "a change between pages is not lost"
+
 MUTANTS = (
+    Mutant(
+        _PAGES_PROMISE,
+        "radishstack/process/paged_list.py",
+        "        self.revision = min(self.revision or revision, revision)\n",
+        "        self.revision = revision\n",
+        _PAGES_TEST,
+    ),
     Mutant(
         _ENDLESS_PROMISE,
         _CLIENT_PATH,
--- a/proofs/soak.py
+++ b/proofs/soak.py
@@ -9,6 +9,7 @@
 from hypothesis import stateful
 
 from proofs import crashes
+from proofs import listing
 from proofs import publication
 from proofs import rate_limits
 from proofs import runner
@@ -33,6 +34,7 @@
         rate_limits.COUNTS,
     ),
     "streams": (streams.StreamsMachine, 60, streams.COUNTS),
+    "listing": (listing.ListingMachine, 60, listing.COUNTS),
     "publication": (publication.PublicationMachine, 60, publication.COUNTS),
 }
 
--- a/soak/world.py
+++ b/soak/world.py
@@ -39,6 +39,7 @@
 SOFTWARE_VERSIONS = ("v1", "v2")
 TARGETS_PER_VERSION = 2
 RETRY_EXTRA = 20
+PAGE_SIZE = 3
 MS_PER_S = 1_000
 # Limit from the start of the programs to the first request, on a slow machine.
 START_LIMIT_S = 60.0
@@ -218,6 +219,8 @@
         self.random = random.Random(seed)
         self.history = history_lib.History(seed, RETRY_EXTRA)
         self.store = platform_store.PlatformStore()
+        # Changes come between the pages of a list.
+        self.store.page_size = PAGE_SIZE
         self.subnet = f"127.{60 + seed // 250 % 150}.{seed % 250}"
         self.vms = [
             TargetVm(number, f"{self.subnet}.{30 + number}", engine=engine)
