Serve requests that offer an upgrade with their bodies

Callers that offer h2c with each request had them run with an empty body and answered 200; a body that came after the head and held a request was run as a request of its own (request smuggling).

Cause: the parser takes what follows the head of a request with an upgrade as another protocol and skips its body; the server library starts the request all the same and parses the next bytes as a new one.

Change: such a request is parsed again without its offer, with its body, so parser and handler agree on where it ends, however its bytes are split. CONNECT is answered 400.

--- a/packages/radishd/src/radishd/connection/hedged_call.py
+++ b/packages/radishd/src/radishd/connection/hedged_call.py
@@ -27,9 +27,9 @@
 
     Attributes:
         value: The answer, None if no call was answered in time.
-        is_late: Whether the first call was answered late, or the second one
-            neither at once: the peer itself may have paused.
-        is_silent: Whether only the second call was answered, and at once: the
+        is_late: Whether the first call was answered late, or only the second
+            one, and slowly. The peer itself may have paused.
+        is_silent: Whether only the second call was answered, and at once. The
             connection of the first one is silent.
     """
 
--- a/packages/radishd/src/radishd/process/web.py
+++ b/packages/radishd/src/radishd/process/web.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 import anyio
+import httptools
 import uvicorn
 from uvicorn.protocols.http import httptools_impl
 
@@ -62,6 +63,8 @@
 
 
 TARGET = "radishstack.target"
+# Headers that offer another protocol, also as tokens of ``Connection``.
+UPGRADE_HEADERS = frozenset({b"upgrade", b"http2-settings"})
 
 
 async def reply(
@@ -84,6 +87,11 @@
 class ForwardingProtocol(httptools_impl.HttpToolsProtocol):
     """Keeps the request target as the caller sent it, and drops trailers.
 
+    Offers to upgrade the protocol are ignored, as clients expect that make them
+    with each request. The parser takes what follows the head of such a request
+    as another protocol, so that its body would be lost, or read as a request of
+    its own. The request is therefore parsed again without the offer.
+
     ASGI splits the request target into a path and a query. Joined again, an
     empty query or an unusual escape would be changed on its way to the target.
     Uvicorn adds trailers to the headers, so a caller could set headers after
@@ -127,10 +135,56 @@
         self._headers_complete = False
         super().on_message_begin()
 
+    def data_received(self, data: bytes) -> None:
+        """Parses received bytes."""
+        self._unset_keepalive_if_required()
+        try:
+            self._parse(data)
+        except httptools.HttpParserError:
+            self.send_400_response("Invalid HTTP request received.")
+
+    def _parse(self, data: bytes) -> None:
+        while True:
+            try:
+                self.parser.feed_data(data)
+            except httptools.HttpParserUpgrade as error:
+                if self.parser.get_method() == b"CONNECT":
+                    self.send_400_response("CONNECT is not supported.")
+                    return
+                (parsed_bytes,) = error.args
+                data = self._head_without_upgrade() + data[parsed_bytes:]
+                self.parser = httptools.HttpRequestParser(self)
+            else:
+                return
+
+    def _head_without_upgrade(self) -> bytes:
+        """Returns the head of the current request without its upgrade offer."""
+        version = self.parser.get_http_version().encode()
+        method = self.parser.get_method()
+        lines = [method + b" " + self.url + b" HTTP/" + version]
+        for name, value in self.headers:
+            if name in UPGRADE_HEADERS:
+                continue
+            if name == b"connection":
+                kept = [
+                    token
+                    for token in value.split(b",")
+                    if token.strip().lower() not in UPGRADE_HEADERS
+                ]
+                value = b",".join(kept)
+            lines.append(name + b": " + value)
+        return b"\r\n".join(lines) + b"\r\n\r\n"
+
     def on_headers_complete(self) -> None:
         """Marks the headers of the request as complete."""
         self._headers_complete = True
-        super().on_headers_complete()
+        if not self.parser.should_upgrade():
+            super().on_headers_complete()
+
+    def on_message_complete(self) -> None:
+        """Marks the request as complete, unless it is parsed again."""
+        if not self.parser.should_upgrade():
+            super().on_message_complete()
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Handles a header, and drops a trailer."""
