Reject addresses that cannot be connected to

Change: address and port are checked when the entry is read, and an unexpected error at a connect counts as unreachable. Tests in tests/fleet/test_foreign_entries, mutant caught. Ports 0, -1, 1e3 and digits that are not ASCII are rejected as well.

--- a/packages/radishd/src/radishd/connection/http_client.py
+++ b/packages/radishd/src/radishd/connection/http_client.py
@@ -406,7 +406,8 @@
             )
     except TimeoutError:
         return Lost("connect timed out")
-    except OSError as error:
+    except (OSError, OverflowError, ValueError) as error:
+        # An address that is none counts as unreachable.
         return Lost(f"connect failed: {error}")
     return connection
 
--- a/packages/radishd/src/radishd/platform/wire.py
+++ b/packages/radishd/src/radishd/platform/wire.py
@@ -41,9 +41,7 @@
 _Count = Annotated[int, pydantic.Field(ge=0)]
 _Time = Annotated[float, pydantic.Field(ge=0)]
 _StartTimeMs = checked.StartTimeMs
-_Address = Annotated[
-    str, pydantic.Field(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")
-]
+_Address = Annotated[str, pydantic.AfterValidator(checked.check_address)]
 
 
 class _Model(checked.StrictModel):
--- a/packages/radishd/src/radishd/process/checked.py
+++ b/packages/radishd/src/radishd/process/checked.py
@@ -1,5 +1,6 @@
 """Validation of stored objects, which any client of the store may write."""
 
+import ipaddress
 from typing import Annotated
 
 import pydantic
@@ -8,6 +9,8 @@
 # The writer's clock may be wrong, but the value must fit the 64-bit integer
 # in which it is forwarded.
 StartTimeMs = Annotated[int, pydantic.Field(ge=0, lt=2**63)]
+MAX_PORT = 65_535
+_MAX_PORT_DIGITS = 5
 
 
 class StrictModel(pydantic.BaseModel):
@@ -22,6 +25,22 @@
     )
 
 
+def check_address(address: str) -> str:
+    """Returns an address ``ip:port`` that can be connected to.
+
+    Raises:
+        ValueError: If it is none.
+    """
+    host, _, port = address.rpartition(":")
+    ipaddress.IPv4Address(host)
+    is_number = port.isascii() and port.isdigit()
+    if not (is_number and len(port) <= _MAX_PORT_DIGITS):
+        raise ValueError("the port is no number")
+    if not 0 < int(port) <= MAX_PORT:
+        raise ValueError("the port is out of range")
+    return address
+
+
 def invalid_object(what: str, error: Exception) -> result.Failure:
     """Returns why an object is invalid, without its content.
 
--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -97,7 +97,33 @@
 _PAGES_TEST = _test("fleet.test_paged_lists")
 _PAGES_PROMISE = "a change between pages is not lost"
 
+_UPGRADE_TEST = _test("fleet.test_upgrade_requests")
+_UPGRADE_PROMISE = "a request that offers an upgrade is served whole"
+
 MUTANTS = (
+    Mutant(
+        _UPGRADE_PROMISE,
+        "radishd/process/web.py",
+        "                data = self._head_without_upgrade() + "
+        "data[parsed_bytes:]\n",
+        "                data = self._head_without_upgrade()\n",
+        _UPGRADE_TEST,
+    ),
+    Mutant(
+        _UPGRADE_PROMISE,
+        "radishd/process/web.py",
+        "        self._headers_complete = True\n"
+        "        if not self.parser.should_upgrade():\n",
+        "        self._headers_complete = True\n        if True:\n",
+        _UPGRADE_TEST,
+    ),
+    Mutant(
+        "entries of other writers are not used",
+        "radishd/process/checked.py",
+        "    if not 0 < int(port) <= MAX_PORT:\n",
+        "    if False:\n",
+        _test("fleet.test_foreign_entries"),
+    ),
     Mutant(
         _PAGES_PROMISE,
         "radishstack/process/paged_list.py",
--- a/tests/fleet/test_foreign_entries.py
+++ b/tests/fleet/test_foreign_entries.py
@@ -5,6 +5,7 @@
 
 import hypothesis
 from hypothesis import strategies
+from radishd.connection import http_client
 from radishd.platform import wire
 from radishd.process import clock
 from radishstack.process import roster as roster_lib
@@ -41,6 +42,41 @@
     assert isinstance(_target(GOOD | {"x": [1]}), roster_lib.Listing)
 
 
+def test_an_address_that_cannot_be_connected_to_is_rejected() -> None:
+    """Guards against a port whose connect fails with an unexpected error.
+
+    Its requests failed at once, so that the target looked like the fastest.
+    """
+    for port in (
+        "99999",
+        "65536",
+        "0",
+        "-1",
+        "1e3",
+        "\u0668\u0660",
+        "",
+        "080808",
+    ):
+        listing = _target(GOOD | {"address": f"10.0.0.1:{port}"})
+        assert not isinstance(listing, roster_lib.Listing), port
+    for host in ("256.0.0.1", "10.0.0", "::1", "name"):
+        listing = _target(GOOD | {"address": f"{host}:8080"})
+        assert not isinstance(listing, roster_lib.Listing), host
+    highest = _target(GOOD | {"address": "10.0.0.1:65535"})
+    assert isinstance(highest, roster_lib.Listing)
+
+
+def test_an_impossible_port_counts_as_unreachable() -> None:
+    """Guards against an error at a connect that is no ``OSError``."""
+
+    async def play() -> None:
+        for address in ("127.0.0.1:99999", "127.0.0.1:x"):
+            lost = await http_client.open_connection(address, 100)
+            assert isinstance(lost, http_client.Lost), lost
+
+    fixtures.run(play)
+
+
 @hypothesis.settings(derandomize=True, deadline=None)
 @hypothesis.given(
     field=strategies.sampled_from(sorted(GOOD)),
