--- a/packages/radishd/src/radishd/connection/hedged_call.py
+++ b/packages/radishd/src/radishd/connection/hedged_call.py
@@ -1,8 +1,8 @@
 """Calls that are repeated on a new connection while the first is unanswered.
 
-An open connection may fall silent for good while new ones work. A call that
-waits on it alone cannot tell its silence from an outage of the peer; a second
-call on a new connection can.
+A connection may be half-open: it is silent for good, while new ones work. A
+call that waits on it alone cannot tell that from an outage of the peer; a
+second call on a new connection can.
 """
 
 from collections.abc import Awaitable
--- a/packages/radishd/src/radishd/connection/http_client.py
+++ b/packages/radishd/src/radishd/connection/http_client.py
@@ -132,8 +132,8 @@
         self._busy = False
         self._paused = False
         self._unread = response_bounds.Hold()
-        # Bytes in a row that brought no byte of a body, and whether the bytes
-        # that are parsed now brought one.
+        # Consecutive bytes without body data, and whether the current slice had
+        # any.
         self._bodiless_bytes = 0
         self._has_body = False
         self._skipped_count = 0
@@ -407,7 +407,7 @@
     except TimeoutError:
         return Lost("connect timed out")
     except (OSError, OverflowError, ValueError) as error:
-        # An address that is none counts as unreachable.
+        # A malformed address counts as unreachable.
         return Lost(f"connect failed: {error}")
     return connection
 
--- a/packages/radishd/src/radishd/process/response_bounds.py
+++ b/packages/radishd/src/radishd/process/response_bounds.py
@@ -1,13 +1,13 @@
 """Bounds on the bytes of responses, whatever their form.
 
-A peer in trouble may send bytes that are no response without end: in a head, in
-informational responses, in chunk extensions, or in a body.
+A faulty peer may send an unbounded number of bytes: in a head, in informational
+responses, in chunk extensions, or in a body.
 """
 
 import dataclasses
 
-# Maximum bytes in a row without a byte of a body: a head with the informational
-# responses before it, chunk extensions, trailers.
+# Maximum number of consecutive bytes without body data: a head with the
+# informational responses before it, chunk extensions, trailers.
 MAX_HEAD_BYTES = 64 * 1024
 # Bytes that are parsed at once, so that a response of many small chunks, with a
 # few bytes of overhead each, never comes near the maximum.
--- a/packages/standins/src/standins/platform_engine.py
+++ b/packages/standins/src/standins/platform_engine.py
@@ -50,8 +50,8 @@
     ENDLESS_REJECTION = "endless_rejection"
 
 
-# Bytes without end that are no response: what a response begins with, and what
-# follows until the caller closes the connection.
+# Unbounded responses: how each begins, and what is repeated until the caller
+# closes the connection.
 ENDLESS_FORMS: dict[str, tuple[bytes, bytes]] = {
     "garbage": (b"", b"x"),
     "status_line": (b"HTTP/1.1 200 ", b"x"),
--- a/tests/fleet/test_endless_bytes.py
+++ b/tests/fleet/test_endless_bytes.py
@@ -1,4 +1,4 @@
-"""Bytes without end that are no response, in every form, at every reader."""
+"""Unbounded responses in every form, at every reader."""
 
 import asyncio
 from collections.abc import Awaitable
--- a/tests/fleet/test_silent_connections.py
+++ b/tests/fleet/test_silent_connections.py
@@ -1,4 +1,4 @@
-"""Open connections to the store that fall silent while new ones work."""
+"""Half-open connections to the store: silent for good, while new ones work."""
 
 from collections.abc import Awaitable
 from collections.abc import Callable
