--- a/review/second/site.py
+++ b/review/second/site.py
@@ -116,7 +116,7 @@
         "limits": {
             "maxHeaderBytes": 16_384,
             "maxBodyBytes": 4_194_304,
-            "headerTimeoutMs": 5_000,
+            "headerTimeoutMs": 3_000,
             "idleTimeoutMs": 15_000,
         },
     }
