--- a/review/second/runner.py
+++ b/review/second/runner.py
@@ -37,6 +37,9 @@
         self.held = [own.model] if own.model and not own.empty else []
         self.busy = False
         self.running = 0
+        self.waiting = 0
+        self._slots = asyncio.Semaphore(own.slots)
+        self._paused_until = 0.0
         self._record = pathlib.Path(own.record)
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[Any]] = set()
@@ -62,6 +65,7 @@
         drain = asyncio.Event()
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, drain.set)
+        loop.add_signal_handler(signal.SIGUSR1, self._pause)
         beats = asyncio.create_task(self._beat())
         await drain.wait()
         self.state = "draining"
@@ -78,6 +82,19 @@
         )
         self.note("exits")
 
+    def _pause(self) -> None:
+        """Pauses all streams for a while, as for a long prompt."""
+        self._paused_until = time.monotonic() + self.own.pause_s
+        self.note("pauses all its streams", for_s=self.own.pause_s)
+
+    async def _next_event(self, writer: asyncio.StreamWriter) -> None:
+        """Waits until an event is made; ends a run whose channel closed."""
+        until = time.monotonic() + self.own.gap_ms / 1000
+        while time.monotonic() < max(until, self._paused_until):
+            if writer.transport.is_closing():
+                raise ConnectionResetError
+            await asyncio.sleep(0.005)
+
     async def _beat(self) -> None:
         while True:
             with contextlib.suppress(OSError, asyncio.IncompleteReadError):
@@ -141,11 +158,23 @@
             headers = [("X-Attempt-Id", request.get("x-attempt-id"))]
             writer.write(wire.answer(421, b"", headers))
             return True
+        if self.running + self.waiting >= self.own.slots + self.own.queue:
+            headers = [("X-Attempt-Id", request.get("x-attempt-id"))]
+            headers.append(("X-Not-Executed", "1"))
+            self.note("sheds", request=request.get("x-attempt-id"))
+            writer.write(wire.answer(503, b"", headers))
+            return True
+        self.waiting += 1
+        try:
+            await self._slots.acquire()
+        finally:
+            self.waiting -= 1
         self.running += 1
         try:
             return await self._work(request, writer)
         finally:
             self.running -= 1
+            self._slots.release()
 
     def _report(self) -> dict[str, Any]:
         return {
@@ -153,7 +182,7 @@
             "models": self._models(),
             "busy": self.busy,
             "sequence": self.sequence,
-            "waiting": 0,
+            "waiting": self.waiting,
             "running": self.running,
             "kvUsed": 0,
             "kvTotal": 240_000,
@@ -212,7 +241,11 @@
         head = "\r\n".join(["HTTP/1.1 200 OK", *lines]) + "\r\n\r\n"
         writer.write(head.encode())
         for number in range(after + 1, own.events + 1):
-            await asyncio.sleep(own.gap_ms / 1000)
+            try:
+                await self._next_event(writer)
+            except OSError:
+                self.note("its caller closed the channel", request=attempt)
+                raise
             event = f"id: {number}\ndata: part {number} of {attempt}\n\n"
             data = event.encode()
             if not own.unframed:
@@ -237,6 +270,8 @@
     parser.add_argument("--model", default="")
     parser.add_argument("--empty", action="store_true")
     parser.add_argument("--slots", type=int, default=64)
+    parser.add_argument("--queue", type=int, default=192)
+    parser.add_argument("--pause-s", type=float, default=0.0)
     parser.add_argument("--events", type=int, default=0)
     parser.add_argument("--gap-ms", type=float, default=100.0)
     parser.add_argument("--work-ms", type=float, default=60.0)
--- a/review/second/site.py
+++ b/review/second/site.py
@@ -360,7 +360,10 @@
     async def limited() -> bool:
         async with asyncio.timeout(110):
             await site.start_store()
-            return await play(site)
+            try:
+                return await play(site)
+            finally:
+                await site.store.stop()
 
     try:
         held = asyncio.run(limited())
--- a/review/second/store.py
+++ b/review/second/store.py
@@ -46,6 +46,14 @@
         if not self._tasks:
             self._tasks.add(asyncio.create_task(self._expire()))
 
+    async def stop(self) -> None:
+        """Stops listening and ends its tasks."""
+        for server in self._servers:
+            server.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.sleep(0)
+
     def put(self, kind: str, name: str, spec: Any) -> int:
         """Writes an object; returns its revision."""
         kinds = self.objects.setdefault(kind, {})
