--- a/review/second/site.py
+++ b/review/second/site.py
@@ -184,13 +184,13 @@
 class Site:
     """A deployment and its record."""
 
-    def __init__(self, folder: pathlib.Path) -> None:
+    def __init__(self, record_path: pathlib.Path) -> None:
         """Starts without processes.
 
         Args:
-            folder: Folder of the case, where the record is written.
+            record_path: Where the record is written.
         """
-        self.record_path = folder / "record.txt"
+        self.record_path = record_path
         self.record_path.write_text("", encoding="utf-8")
         self.store = store_lib.Store()
         self.processes: list[Process] = []
@@ -348,14 +348,16 @@
         self.temporary.cleanup()
 
 
-def run(folder: pathlib.Path, play: Callable[[Site], Awaitable[bool]]) -> None:
+def run(
+    record_path: pathlib.Path, play: Callable[[Site], Awaitable[bool]]
+) -> None:
     """Plays a case and exits with its result.
 
     Args:
-        folder: Folder of the case.
+        record_path: Where the record is written.
         play: Plays it; returns whether the rule held.
     """
-    site = Site(folder)
+    site = Site(record_path)
 
     async def limited() -> bool:
         async with asyncio.timeout(110):
