Log on what evidence the end of a response was decided

A response without a length or chunks ends with its connection, and the state of its target decides whether it is complete. The log named the verdict only. The line response_end now holds the request, the incarnation, what the check of its target found and how long it took, whether the target was known to drain at that moment, and the revision and era of its entry.

Three hypotheses for a whole stream that was broken off while its gateway drained: a refused connection of a draining target counts as a crash; the drain cancels the check; a reset is taken for the end. The line tells them apart: end unreachable, evidence 'connect failed: [Errno 111]', took 1 ms, active false.

Forward asks the check directly; behaviour is unchanged. test_response_ends: passed.

--- a/packages/radishd/src/radishd/request/forward.py
+++ b/packages/radishd/src/radishd/request/forward.py
@@ -75,9 +75,7 @@
         self.pending = pending
         self.failure: result.Failure | None = None
         self.send_history: list[str] = []
-        self.response_ends = response_ends.ResponseEnds(
-            gateway.pool, gateway.metrics
-        )
+        self.response_ends = response_ends.ResponseEnds(gateway, pending)
         self.status = 0
         self.sent = False
         self._gateway = gateway
@@ -362,31 +360,9 @@
         outcome: Outcome,
     ) -> Outcome:
         """Records a response that is not complete; returns the outcome."""
-        self.response_ends.record_cut(
-            send.member.listing.instance,
-            head,
-            outcome,
-            self.pending.events,
-        )
+        self.response_ends.record_cut(send, head, outcome, self.pending.events)
         return outcome
 
-    async def _is_complete(
-        self,
-        send: response_reader.Send,
-        head: http_client.Head,
-        events: event_stream.EventStream | None = None,
-    ) -> bool:
-        """Whether a response that HTTP takes as complete is the whole answer.
-
-        Whatever learns from the end of an answer asks this first: a cut answer
-        must neither reach the caller as a whole one nor clear a request that
-        crashes its targets.
-        """
-        listing = send.member.listing
-        return await self.response_ends.check(
-            listing.instance, listing.address, head, events
-        )
-
     async def _read_rejection(
         self, send: response_reader.Send, outcome: Outcome
     ) -> Outcome:
@@ -407,7 +383,7 @@
             return self._record_cut(
                 send, head, response_reader.outcome_of(body)
             )
-        if not await self._is_complete(send, head):
+        if not await self.response_ends.check(send, head):
             return Outcome.LOST
         self._gateway.release(send.member.listing.address, send.connection)
         self._record_completion()
@@ -467,7 +443,7 @@
                 > response_bounds.MAX_WHOLE_BYTES
             ):
                 return self._record_cut(send, head, Outcome.SPOILED)
-        if not await self._is_complete(send, head):
+        if not await self.response_ends.check(send, head):
             return Outcome.LOST
         self._record_success(send)
         self._record_completion(send.sent_at_ms)
@@ -607,7 +583,7 @@
         head: http_client.Head,
         answer_began_at_ms: int | None,
     ) -> Outcome | None:
-        if not await self._is_complete(send, head, self.pending.events):
+        if not await self.response_ends.check(send, head, self.pending.events):
             return Outcome.LOST
         self._record_completion(answer_began_at_ms)
         self._gateway.release(send.member.listing.address, send.connection)
--- a/packages/radishd/src/radishd/request/response_ends.py
+++ b/packages/radishd/src/radishd/request/response_ends.py
@@ -5,8 +5,10 @@
 from radishstack.request import response_end
 
 from radishd.connection import http_client
-from radishd.connection import pool as pool_lib
-from radishd.process import metrics as metrics_lib
+from radishd.process import clock
+from radishd.request import gateway_interface
+from radishd.request import pending_request
+from radishd.request import response_reader
 
 End = response_end.End
 _END_OF_OUTCOME = {
@@ -25,32 +27,36 @@
     """
 
     def __init__(
-        self, pool: pool_lib.Pool, metrics: metrics_lib.Metrics
+        self,
+        gateway: gateway_interface.GatewayInterface,
+        pending: pending_request.PendingRequest,
     ) -> None:
         """Starts without a response.
 
         Args:
-            pool: Connections to targets.
-            metrics: Metrics that count the ends.
+            gateway: The gateway.
+            pending: The request.
         """
         self.history: list[str] = []
-        self._pool = pool
-        self._metrics = metrics
+        self._gateway = gateway
+        self._pending = pending
 
     async def check(
         self,
-        instance: str,
-        address: str,
+        send: response_reader.Send,
         head: http_client.Head,
         events: event_stream.EventStream | None = None,
     ) -> bool:
         """Checks whether a response is complete that HTTP takes as complete.
 
+        Whatever learns from the end of an answer asks this first: a cut answer
+        must neither reach the caller as a whole one nor clear a request that
+        crashes its targets.
+
         Args:
-            instance: The target.
-            address: Its address.
-            head: Head of its response.
-            events: Events of its response, None if it is no stream.
+            send: The send that it responds to.
+            head: Its head.
+            events: Its events, None if it is no stream.
 
         Returns:
             Whether the response is the complete answer.
@@ -63,14 +69,35 @@
         )
         end = response_end.judge(ending)
         if end is response_end.Undecided.TARGET_STATE:
-            lost = await self._pool.probe(address)
-            end = response_end.judge_closed(target_accepts=lost is None)
-        self._record(instance, head, end, events)
+            end = await self._check_target(send)
+        self._record(send, head, end, events)
         return end.is_complete
 
+    async def _check_target(self, send: response_reader.Send) -> End:
+        """Decides an end that the bytes of the response do not tell."""
+        gateway = self._gateway
+        member = send.member
+        ended_at_ms = clock.boot_ms()
+        was_active = gateway.roster.is_active(member, ended_at_ms)
+        lost = await gateway.pool.probe(member.listing.address)
+        end = response_end.judge_closed(target_accepts=lost is None)
+        gateway.log.write(
+            "response_end",
+            request=self._pending.request.attempt_id,
+            target=member.listing.instance,
+            born_ms=member.listing.born_ms,
+            end=end.value,
+            evidence=lost.reason if lost is not None else "accepts connections",
+            took_ms=clock.boot_ms() - ended_at_ms,
+            active=was_active,
+            listing_revision=member.listing.changed_at,
+            listing_era=member.listing.era,
+        )
+        return end
+
     def record_cut(
         self,
-        instance: str,
+        send: response_reader.Send,
         head: http_client.Head,
         outcome: forwarding.Outcome,
         events: event_stream.EventStream,
@@ -78,23 +105,25 @@
         """Records a response that HTTP does not take as complete.
 
         Args:
-            instance: The target.
-            head: Head of its response.
+            send: The send that it responds to.
+            head: Its head.
             outcome: Outcome of the send.
-            events: Events of its response.
+            events: Its events.
         """
-        self._record(instance, head, _END_OF_OUTCOME[outcome], events)
+        self._record(send, head, _END_OF_OUTCOME[outcome], events)
 
     def _record(
         self,
-        instance: str,
+        send: response_reader.Send,
         head: http_client.Head,
         end: End,
         events: event_stream.EventStream | None,
     ) -> None:
         framing = http_client.framing(head).value
-        entry = f"{instance}:{framing}:{end.value}"
+        entry = f"{send.member.listing.instance}:{framing}:{end.value}"
         if events is not None and events.unfinished_bytes:
             entry += f":{events.unfinished_bytes}"
         self.history.append(entry)
-        self._metrics.response_ends.inc({"framing": framing, "end": end.value})
+        self._gateway.metrics.response_ends.inc(
+            {"framing": framing, "end": end.value}
+        )
--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -64,8 +64,8 @@
 _CUT_PROMISE = "a cut answer is not complete"
 _CUT_TEST = _test("fleet.test_response_ends")
 _CHECK_STREAM_END = (
-    "        if not await self._is_complete(send, head, "
-    "self.pending.events):\n"
+    "        if not await self.response_ends.check("
+    "send, head, self.pending.events):\n"
     "            return Outcome.LOST\n"
 )
 _CLEAR_SUSPECT = "        self._record_completion(answer_began_at_ms)\n"
@@ -416,7 +416,7 @@
     Mutant(
         _CUT_PROMISE,
         "radishd/request/forward.py",
-        "        if not await self._is_complete(send, head):\n"
+        "        if not await self.response_ends.check(send, head):\n"
         "            return Outcome.LOST\n"
         "        self._record_success(send)\n",
         "        self._record_success(send)\n",
