--- a/packages/radishd/src/radishd/connection/crash_watch.py
+++ b/packages/radishd/src/radishd/connection/crash_watch.py
@@ -1,8 +1,8 @@
 """Distinguishes crashed targets from connections that were interrupted.
 
 An aborted response alone does not prove a crash: a network fault, a connection
-limit or a lost response looks the same. A crashed target has no open
-connections and refuses new ones until it is restarted, seconds later.
+limit or a lost response looks the same. A crashed target answers nothing any
+more, and refuses connections until it is restarted, seconds later.
 """
 
 import collections
@@ -14,8 +14,7 @@
 from radishstack.process import incarnation
 from radishstack.process import roster as roster_lib
 
-from radishd.connection import http_client
-from radishd.connection import pool as pool_lib
+from radishd.connection import liveness_check as liveness_check_lib
 from radishd.process import clock
 from radishd.process import decision_log
 from radishd.process import metrics as metrics_lib
@@ -24,7 +23,6 @@
 # All responses of a crashing target are aborted at the same time. Those
 # observed within this time are investigated together.
 COALESCE_MS = 10
-CONNECT_TIMEOUT_MS = 400
 MAX_LOGGED_FINGERPRINTS = 8
 MAX_LOGGED_PROMPT_BLOCKS = 24
 
@@ -33,7 +31,7 @@
 
 @dataclasses.dataclass(slots=True)
 class _AbortedSends:
-    address: str
+    listing: roster_lib.Listing
     at_ms: int
     suspects: dict[str, crash_lib.Suspect]
     blocks: collections.Counter[str]
@@ -44,7 +42,7 @@
 
     def __init__(
         self,
-        pool: pool_lib.Pool,
+        liveness_check: liveness_check_lib.LivenessCheck,
         log: decision_log.DecisionLog,
         metrics: metrics_lib.Metrics,
         on_crash: OnCrash,
@@ -52,12 +50,12 @@
         """Starts without aborted sends.
 
         Args:
-            pool: Idle connections to targets.
+            liveness_check: Checks whether a target runs.
             log: Decision log that records crashes.
             metrics: Metrics that count them.
             on_crash: Called for each incarnation that has crashed.
         """
-        self._pool = pool
+        self._liveness_check = liveness_check
         self._log = log
         self._metrics = metrics
         self._on_crash = on_crash
@@ -88,9 +86,7 @@
         listing = member.listing
         aborted = self._aborted.setdefault(
             listing.incarnation_id,
-            _AbortedSends(
-                listing.address, clock.boot_ms(), {}, collections.Counter()
-            ),
+            _AbortedSends(listing, clock.boot_ms(), {}, collections.Counter()),
         )
         for suspect in suspects:
             if suspect.kind is crash_lib.FeatureKind.PROMPT_BLOCK:
@@ -126,8 +122,8 @@
     async def _investigate(
         self, incarnation_id: incarnation.IncarnationId, aborted: _AbortedSends
     ) -> None:
-        reason = await self._termination_reason(aborted.address)
-        ended = bool(reason)
+        observation = await self._liveness_check.observe(aborted.listing)
+        ended = not observation.state.is_alive
         suspects = tuple(aborted.suspects.values())
         requests = [
             one for one in suspects if one.kind is crash_lib.FeatureKind.REQUEST
@@ -138,7 +134,8 @@
             target=incarnation_id.name,
             born_ms=incarnation_id.born_ms,
             ended=ended,
-            reason=reason or "it can be connected to",
+            evidence=observation.state.value,
+            reason=observation.reason,
             age_ms=clock.boot_ms() - aborted.at_ms,
             suspects=len(requests),
             fingerprints=[
@@ -153,15 +150,3 @@
             self._on_crash(
                 crash_lib.Crash(incarnation_id, aborted.at_ms, suspects)
             )
-
-    async def _termination_reason(self, address: str) -> str:
-        """Returns why a target counts as crashed, empty if it does not."""
-        if self._pool.has_open(address):
-            return ""
-        connection = await http_client.open_connection(
-            address, CONNECT_TIMEOUT_MS
-        )
-        if isinstance(connection, http_client.Lost):
-            return connection.reason
-        connection.close()
-        return ""
--- a/packages/radishd/src/radishd/connection/pool.py
+++ b/packages/radishd/src/radishd/connection/pool.py
@@ -116,20 +116,6 @@
             )
         idle.append(_IdleConnection(connection, now_ms, now_ms + idle_ms))
 
-    async def probe(self, address: str) -> http_client.Lost | None:
-        """Checks whether an address accepts connections.
-
-        The new connection stays in the pool.
-
-        Returns:
-            Why it accepts none, None if it does.
-        """
-        connection = await self.open(address)
-        if isinstance(connection, http_client.Lost):
-            return connection
-        self.release(address, connection, keep_alive_s=0)
-        return None
-
     async def exchange(
         self, address: str, connection: http_client.Connection, data: bytes
     ) -> http_client.Answer | http_client.Lost:
@@ -154,12 +140,6 @@
             self.release(address, connection, keep_alive_s)
         return answer
 
-    def has_open(self, address: str) -> bool:
-        """Whether an idle connection to an address is still open."""
-        return any(
-            one.connection.is_open for one in self._idle.get(address, ())
-        )
-
     def drop(self, address: str) -> None:
         """Closes all idle connections to an address."""
         for one in self._idle.pop(address, []):
--- a/packages/radishd/src/radishd/gateway.py
+++ b/packages/radishd/src/radishd/gateway.py
@@ -30,13 +30,16 @@
 from radishd import target_evidence
 from radishd.connection import crash_watch as crash_watch_lib
 from radishd.connection import http_client
+from radishd.connection import liveness_check as liveness_check_lib
 from radishd.connection import pool as pool_lib
 from radishd.platform import store as store_lib
+from radishd.platform import wire
 from radishd.process import admin
 from radishd.process import clock
 from radishd.process import crash_gossip as crash_gossip_lib
 from radishd.process import decision_log
 from radishd.process import discovery as discovery_lib
+from radishd.process import entry_watch
 from radishd.process import fleet_socket
 from radishd.process import incarnation_check
 from radishd.process import kept_crashes as kept_crashes_lib
@@ -51,6 +54,7 @@
 from radishd.process import usage_caps
 from radishd.process import web
 from radishd.request import callers_port
+from radishd.request import closing_check as closing_check_lib
 
 MS_PER_S = 1_000
 CONNECT_TIMEOUT_MS = 400
@@ -104,8 +108,11 @@
         self.pool = pool_lib.Pool(CONNECT_TIMEOUT_MS)
         self.budgets: dict[str, shared_budget.SharedBudget] = {}
         self.notifier = notifier_lib.Notifier()
+        self.liveness_check = liveness_check_lib.LivenessCheck(
+            self.pool, lambda service: self.table.services.get(service)
+        )
         self.crash_watch = crash_watch_lib.CrashWatch(
-            self.pool, log, metrics, self._on_target_crash
+            self.liveness_check, log, metrics, self._on_target_crash
         )
         self.evidence = target_evidence.TargetEvidence(
             self.roster,
@@ -118,6 +125,7 @@
         )
         self.draining = False
         self.waits_end_at_ms = 0
+        self.exits_at_ms = 0
         self.in_flight = 0
         self.refusals: dict[int, int] = {}
         self.socket: fleet_socket.FleetSocket | None = None
@@ -212,6 +220,16 @@
             on_store_back=self.crash_gossip.request_reports_soon,
             on_store_restored=self._rewrite_crash_records,
         )
+        self.closing_check = closing_check_lib.ClosingCheck(
+            self.roster,
+            self.liveness_check,
+            log,
+            entry_watch.EntryWatch(
+                self.store, self.discovery.followers[wire.KIND_TARGETS]
+            ),
+            self.own.heartbeat_ms,
+            lambda: self.exits_at_ms,
+        )
 
     @property
     def table(self) -> route_table.RouteTable:
@@ -391,6 +409,7 @@
         self.crash_gossip.request_reports_soon()
         self.stream_origins.on_process_pause()
         self.incarnation_check.drop_connections()
+        self.closing_check.on_process_pause()
         for follower in self.discovery.followers.values():
             follower.restart()
 
@@ -552,11 +571,11 @@
     gateway.waits_end_at_ms = began_ms + round(
         ADAPTER_WAIT_FRACTION * gateway.own.shutdown_ms
     )
+    gateway.exits_at_ms = began_ms + gateway.own.shutdown_ms - EXIT_MARGIN_MS
     gateway.log.must("draining", in_flight=gateway.in_flight)
     await anyio.sleep(UNREADY_MS / MS_PER_S)
     gateway.server.should_exit = True
-    left_ms = gateway.own.shutdown_ms - EXIT_MARGIN_MS
-    left_ms -= clock.boot_ms() - began_ms
+    left_ms = gateway.exits_at_ms - clock.boot_ms()
     with anyio.move_on_after(max(0, left_ms) / MS_PER_S):
         while gateway.in_flight or gateway.server.server_state.connections:
             await anyio.sleep(web.START_POLL_S)
--- a/packages/radishd/src/radishd/platform/engine.py
+++ b/packages/radishd/src/radishd/platform/engine.py
@@ -1,7 +1,6 @@
 """Client for the engine on the same VM: reads reports, sends orders."""
 
 import dataclasses
-import enum
 
 import anyio
 from radishstack import result
@@ -11,6 +10,7 @@
 from radishd.connection import pool as pool_lib
 from radishd.platform import front
 from radishd.platform import wire
+from radishd.process import engine_order
 
 # The engine is on the same VM and answers within a few milliseconds. An order
 # that times out may have been accepted or may yet be. The next report shows
@@ -26,23 +26,7 @@
 HTTP_CONFLICT = 409
 HTTP_MISDIRECTED = 421
 
-
-class Verdict(enum.Enum):
-    """Outcome of an order."""
-
-    ACCEPTED = "accepted"
-    CONFLICT = "conflict"
-    OTHER_INSTANCE = "other_instance"
-    REFUSED = "refused"
-    UNANSWERED = "unanswered"
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class OrderResult:
-    """Outcome of an order, with the text of the engine's response."""
-
-    verdict: Verdict
-    detail: str
+Verdict = engine_order.Verdict
 
 
 class Engine:
@@ -77,7 +61,7 @@
 
     async def order(
         self, order: adapter_keeper.Order, instance: str
-    ) -> OrderResult:
+    ) -> engine_order.OrderResult:
         """Sends an order to one incarnation of the engine.
 
         Args:
@@ -96,16 +80,16 @@
         )
         answer = await self._call(head.encode() + body, ORDER_TIMEOUT_MS)
         if isinstance(answer, http_client.Lost):
-            return OrderResult(Verdict.UNANSWERED, answer.reason)
+            return engine_order.OrderResult(Verdict.UNANSWERED, answer.reason)
         detail = answer.body[:200].decode("utf-8", "replace")
         status = answer.head.status
         if status in (HTTP_OK, HTTP_ACCEPTED):
-            return OrderResult(Verdict.ACCEPTED, detail)
+            return engine_order.OrderResult(Verdict.ACCEPTED, detail)
         if status == HTTP_CONFLICT:
-            return OrderResult(Verdict.CONFLICT, detail)
+            return engine_order.OrderResult(Verdict.CONFLICT, detail)
         if status == HTTP_MISDIRECTED:
-            return OrderResult(Verdict.OTHER_INSTANCE, detail)
-        return OrderResult(Verdict.REFUSED, f"{status} {detail}")
+            return engine_order.OrderResult(Verdict.OTHER_INSTANCE, detail)
+        return engine_order.OrderResult(Verdict.REFUSED, f"{status} {detail}")
 
     async def _call(
         self, data: bytes, timeout_ms: int
--- a/packages/radishd/src/radishd/platform/front.py
+++ b/packages/radishd/src/radishd/platform/front.py
@@ -313,13 +313,14 @@
         head: Status and headers.
         instance: The incarnation that the request was meant for.
     """
-    if _is_other_instance(head, instance):
+    if is_other_instance(head, instance):
         # Another incarnation at that address reports its own state.
         return NO_SIGNALS
     return TargetSignals(is_leaving(head), _backoff_ms(head))
 
 
-def _is_other_instance(head: http_client.Head, instance: str) -> bool:
+def is_other_instance(head: http_client.Head, instance: str) -> bool:
+    """Whether a response names another incarnation than it was meant for."""
     actual = head.get(_INSTANCE)
     return actual is not None and actual.decode("latin-1") != instance
 
@@ -353,7 +354,7 @@
         Requests per second from all gateways together, ``UNLIMITED_PER_S``
         without the header, None if invalid or from another incarnation.
     """
-    if _is_other_instance(head, instance):
+    if is_other_instance(head, instance):
         return None
     value = head.get(_RATE_LIMIT)
     if value is None:
--- a/packages/radishd/src/radishd/platform/wire.py
+++ b/packages/radishd/src/radishd/platform/wire.py
@@ -11,6 +11,7 @@
 from radishstack.process import adapter_keeper
 from radishstack.process import roster
 from radishstack.process import usage_cap
+from radishstack.version import adapter_capacity
 from radishstack.version import client_account
 from radishstack.version import route_table
 
@@ -246,28 +247,20 @@
 
 
 def _service(raw: Fields) -> route_table.ServiceSpec:
-    engine = raw.get("engine")
-    limit, models = 0, ()
-    if engine:
-        models = tuple(model["name"] for model in engine.get("models") or ())
-        limit = _adapter_limit(engine)
-    return route_table.ServiceSpec(
-        raw["name"], int(raw.get("maxConnections") or 64), limit, models
-    )
-
-
-def _adapter_limit(engine: Fields) -> int:
-    """Returns how many adapters fit next to the largest base model."""
-    slots = int(engine.get("adapterSlots") or 0)
+    engine = raw.get("engine") or {}
     models = engine.get("models") or ()
-    adapter_mb = max(
-        (float(one.get("adapterMb") or 0) for one in models), default=0.0
+    return route_table.ServiceSpec(
+        raw["name"],
+        int(raw.get("maxConnections") or 64),
+        adapter_capacity.adapter_limit(
+            int(engine.get("adapterSlots") or 0),
+            float(engine.get("weightsMb") or 0),
+            [float(one.get("adapterMb") or 0) for one in models],
+            [float(one.get("weightsMb", "inf")) for one in models],
+        ),
+        tuple(model["name"] for model in models),
+        checked.usable_path(raw.get("healthPath")),
     )
-    if not slots or not adapter_mb:
-        return slots
-    base_mb = max(float(one["weightsMb"]) for one in models)
-    spare_mb = float(engine.get("weightsMb") or 0) - base_mb
-    return max(0, min(slots, int(spare_mb // adapter_mb)))
 
 
 def target(
@@ -296,6 +289,7 @@
         address=entry.address,
         failure_domain=entry.zone,
         leaving=entry.state == _DRAINING or entry.remainingMs is not None,
+        has_short_notice=entry.remainingMs is not None,
         slot_count=entry.slots,
         listed_at=created,
         changed_at=revision,
--- a/packages/radishd/src/radishd/process/checked.py
+++ b/packages/radishd/src/radishd/process/checked.py
@@ -2,6 +2,7 @@
 
 import ipaddress
 from typing import Annotated
+from typing import Any
 
 import pydantic
 from radishstack import result
@@ -41,6 +42,14 @@
     return address
 
 
+def usable_path(value: Any) -> str:
+    """Returns a path that a request line can contain, empty if it cannot."""
+    if not isinstance(value, str) or not value.startswith("/"):
+        return ""
+    is_usable = value.isascii() and value.isprintable() and " " not in value
+    return value if is_usable else ""
+
+
 def invalid_object(what: str, error: Exception) -> result.Failure:
     """Returns why an object is invalid, without its content.
 
--- a/packages/radishd/src/radishd/request/callers_port.py
+++ b/packages/radishd/src/radishd/request/callers_port.py
@@ -15,6 +15,7 @@
 
 from radishd.platform import front
 from radishd.process import clock
+from radishd.process import decision_log
 from radishd.process import logs
 from radishd.process import web
 from radishd.request import forward as forward_lib
@@ -27,10 +28,12 @@
     """The gateway as its callers' port uses it.
 
     Attributes:
+        log: Where requests are logged.
         in_flight: Number of requests that are being served.
         refusals: Failed requests, counted by number of the result code.
     """
 
+    log: decision_log.DecisionLog
     in_flight: int
     refusals: dict[int, int]
 
--- a/packages/radishd/src/radishd/request/gateway_interface.py
+++ b/packages/radishd/src/radishd/request/gateway_interface.py
@@ -16,7 +16,6 @@
 from radishd.connection import http_client
 from radishd.connection import pool as pool_lib
 from radishd.process import crash_gossip as crash_gossip_lib
-from radishd.process import decision_log
 from radishd.process import incarnation_check
 from radishd.process import load_requests as load_requests_lib
 from radishd.process import metrics as metrics_lib
@@ -24,6 +23,7 @@
 from radishd.process import rate_limits
 from radishd.process import stream_origin_exchange
 from radishd.process import usage_caps
+from radishd.request import closing_check as closing_check_lib
 
 
 class GatewayInterface(typing.Protocol):
@@ -43,7 +43,7 @@
         rate_limits: Rate limits that targets advertise.
         stream_origins: Which software versions began streams.
         incarnation_check: Checks which incarnation runs at an address.
-        log: Decision log.
+        closing_check: Decides how a response ended as its connection closed.
         draining: Whether the process is shutting down.
         waits_end_at_ms: Until when a request may wait for an adapter while
             the process drains.
@@ -62,7 +62,7 @@
     rate_limits: rate_limits.RateLimits
     stream_origins: stream_origin_exchange.StreamOriginExchange
     incarnation_check: incarnation_check.IncarnationCheck
-    log: decision_log.DecisionLog
+    closing_check: closing_check_lib.ClosingCheck
     draining: bool
     waits_end_at_ms: int
 
--- a/packages/radishd/src/radishd/request/response_ends.py
+++ b/packages/radishd/src/radishd/request/response_ends.py
@@ -5,7 +5,6 @@
 from radishstack.request import response_end
 
 from radishd.connection import http_client
-from radishd.process import clock
 from radishd.request import gateway_interface
 from radishd.request import pending_request
 from radishd.request import response_reader
@@ -16,6 +15,8 @@
     forwarding.Outcome.SILENT: End.STALLED,
     forwarding.Outcome.SPOILED: End.INVALID,
 }
+# Ends by which a crash of the target shows in its other responses.
+_CUT_BY_TARGET = frozenset({End.LOST, End.INSIDE_EVENT, End.EMPTY})
 
 
 class ResponseEnds:
@@ -69,32 +70,14 @@
         )
         end = response_end.judge(ending)
         if end is response_end.Undecided.TARGET_STATE:
-            end = await self._check_target(send)
+            end = await self._gateway.closing_check.judge(
+                send.member,
+                self._pending.request.attempt_id,
+                self._pending.deadline_at_ms,
+            )
         self._record(send, head, end, events)
         return end.is_complete
 
-    async def _check_target(self, send: response_reader.Send) -> End:
-        """Decides an end that the bytes of the response do not tell."""
-        gateway = self._gateway
-        member = send.member
-        ended_at_ms = clock.boot_ms()
-        was_active = gateway.roster.is_active(member, ended_at_ms)
-        lost = await gateway.pool.probe(member.listing.address)
-        end = response_end.judge_closed(target_accepts=lost is None)
-        gateway.log.write(
-            "response_end",
-            request=self._pending.request.attempt_id,
-            target=member.listing.instance,
-            born_ms=member.listing.born_ms,
-            end=end.value,
-            evidence=lost.reason if lost is not None else "accepts connections",
-            took_ms=clock.boot_ms() - ended_at_ms,
-            active=was_active,
-            listing_revision=member.listing.changed_at,
-            listing_era=member.listing.era,
-        )
-        return end
-
     def record_cut(
         self,
         send: response_reader.Send,
@@ -119,6 +102,8 @@
         end: End,
         events: event_stream.EventStream | None,
     ) -> None:
+        if end in _CUT_BY_TARGET:
+            self._gateway.closing_check.record_cut(send.member)
         framing = http_client.framing(head).value
         entry = f"{send.member.listing.instance}:{framing}:{end.value}"
         if events is not None and events.unfinished_bytes:
--- a/packages/radishd/src/radishd/sidecar.py
+++ b/packages/radishd/src/radishd/sidecar.py
@@ -22,6 +22,7 @@
 from radishd.process import admin
 from radishd.process import clock
 from radishd.process import decision_log
+from radishd.process import engine_order
 from radishd.process import fleet_socket
 from radishd.process import metrics as metrics_lib
 from radishd.process import pause_detector
@@ -31,7 +32,7 @@
 from radishd.process import web
 
 MS_PER_S = 1_000
-Verdict = engine_lib.Verdict
+Verdict = engine_order.Verdict
 
 
 class Sidecar:
@@ -183,7 +184,7 @@
     def _record_order(
         self,
         order: adapter_keeper.Order,
-        ordered: engine_lib.OrderResult,
+        ordered: engine_order.OrderResult,
         took_ms: int,
     ) -> None:
         verdict = ordered.verdict.value
--- a/packages/radishstack/src/radishstack/process/roster.py
+++ b/packages/radishstack/src/radishstack/process/roster.py
@@ -67,6 +67,8 @@
         era: Store era of the revisions.
         software_version: Version of the software that this incarnation runs,
             empty if unknown. It is not a version of weights and has no order.
+        has_short_notice: Whether the target is removed at a fixed time, even if
+            requests still run there.
     """
 
     instance: str
@@ -81,6 +83,7 @@
     born_ms: int = 0
     era: int = 0
     software_version: str = ""
+    has_short_notice: bool = False
 
     @property
     def listed_position(self) -> store_position.StorePosition:
@@ -626,6 +629,24 @@
             and not draining_incarnation.is_other(incarnation_id)
         )
 
+    def has_left(self, member: Member) -> bool:
+        """Whether a target is draining, or was removed from the list.
+
+        A target may leave without notice: its entry is removed, and it finishes
+        what it runs.
+        """
+        incarnation_id = member.listing.incarnation_id
+        removed = self._removed.get(incarnation_id.name)
+        return (
+            member.listing.leaving
+            or self.is_draining(incarnation_id)
+            or (
+                removed is not None
+                and not self.is_current(member)
+                and not removed.listing.incarnation_id.is_other(incarnation_id)
+            )
+        )
+
     def unreachable(self, instance: str, now_ms: int) -> None:
         """Records that a target could not be reached, and ejects it."""
         member = self.members.get(instance)
--- a/packages/radishstack/src/radishstack/version/route_table.py
+++ b/packages/radishstack/src/radishstack/version/route_table.py
@@ -83,12 +83,14 @@
         adapter_limit: Maximum adapters loaded at one target, 0 if the service
             has no adapters.
         base_models: Base models of its engines.
+        health_path: Path that shows the health of its targets, empty if none.
     """
 
     name: str
     max_connections: int
     adapter_limit: int = 0
     base_models: tuple[str, ...] = ()
+    health_path: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/standins/src/standins/platform_engine.py
+++ b/packages/standins/src/standins/platform_engine.py
@@ -18,6 +18,7 @@
 
 MS_PER_S = 1_000.0
 NS_PER_MS = 1_000_000
+HEALTH_PATH = "/healthz"
 REASONS = {200: "OK", 202: "Accepted", 421: "Misdirected", 503: "Unavailable"}
 
 
@@ -27,7 +28,10 @@
     Some of them break a response off in its middle so that it looks complete
     to HTTP: ``CLOSE_IN_EVENT`` and ``END_IN_EVENT`` inside an event, with and
     without the end of the connection; ``CRASH_AT_CLOSE`` after an event, as the
-    target crashes.
+    target crashes. With ``CRASH_LISTENER_LAST`` the operating system closes the
+    connections of the crashed target one by one, and its listening socket last.
+    With ``LEAVE_AT_END`` the target ends its listening before it finishes the
+    response, as a target that drains does.
     """
 
     NONE = "none"
@@ -45,6 +49,8 @@
     CLOSE_IN_EVENT = "close_in_event"
     END_IN_EVENT = "end_in_event"
     CRASH_AT_CLOSE = "crash_at_close"
+    CRASH_LISTENER_LAST = "crash_listener_last"
+    LEAVE_AT_END = "leave_at_end"
     ENDLESS_EVENT = "endless_event"
     ENDLESS_BYTES = "endless_bytes"
     ENDLESS_REJECTION = "endless_rejection"
@@ -95,8 +101,17 @@
 ENDLESS_PIECE_BYTES = 64 * 1024
 # Faults whose responses have neither a length nor chunks.
 _UNFRAMED = frozenset(
-    {Fault.UNFRAMED, Fault.CLOSE_IN_EVENT, Fault.CRASH_AT_CLOSE}
+    {
+        Fault.UNFRAMED,
+        Fault.CLOSE_IN_EVENT,
+        Fault.CRASH_AT_CLOSE,
+        Fault.CRASH_LISTENER_LAST,
+        Fault.LEAVE_AT_END,
+    }
 )
+_CRASHES_AT_CLOSE = frozenset({Fault.CRASH_AT_CLOSE, Fault.CRASH_LISTENER_LAST})
+# Time from the first to the last socket that is closed after a crash.
+CRASH_CLOSES_S = 0.04
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -187,6 +202,7 @@
         swallow_orders: Number of further orders to leave unanswered.
         endless_form: The form of ``Fault.ENDLESS_BYTES``.
         endless_bytes: Bytes without end that were taken from it.
+        connection_limit: Maximum number of connections; further ones are reset.
         answers_twice: Whether a response, by its request and status, is sent
             once more in place of the response to the next request on its
             connection.
@@ -240,6 +256,7 @@
         self.swallow_orders = 0
         self.endless_form = "headers"
         self.endless_bytes = 0
+        self.connection_limit = 1_000
         self.answers_twice: Callable[[ReceivedRequest, int], bool] = (
             lambda request, status: False
         )
@@ -254,8 +271,7 @@
 
     async def stop(self) -> None:
         """Resets all connections and stops at once."""
-        if self._server is not None:
-            self._server.close()
+        self.stop_listening()
         for writer in list(self._writers):
             writer.transport.abort()
         for task in self._tasks - {asyncio.current_task()}:
@@ -301,6 +317,9 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        if len(self._writers) >= self.connection_limit:
+            writer.transport.abort()
+            return
         self._writers.add(writer)
         task = asyncio.current_task()
         if task is not None:
@@ -326,6 +345,9 @@
     async def _answer(
         self, request: ReceivedRequest, writer: asyncio.StreamWriter
     ) -> None:
+        if self.ended:
+            # Its sockets are still open, but nothing answers any more.
+            await asyncio.Event().wait()
         writer.write(self._due_responses.pop(writer, b""))
         if request.target == "/-/report":
             await self._reply(writer, 200, self._report())
@@ -333,6 +355,10 @@
         if request.target == "/-/order":
             await self._order(request, writer)
             return
+        if request.target == HEALTH_PATH:
+            headers = {"X-Instance-Id": self.instance}
+            await self._reply(writer, 200, {}, headers)
+            return
         self.seen.append(request)
         expected = request.headers.get("x-target-instance", self.instance)
         if expected != self.instance:
@@ -509,9 +535,11 @@
         if fault in _UNFRAMED:
             data = json.dumps(body).encode()
             writer.write(self._response_head(request, headers))
-            if fault is Fault.CRASH_AT_CLOSE:
+            if fault in _CRASHES_AT_CLOSE:
                 writer.write(data[: len(data) // 2])
-                await self._crash_after_close(writer)
+                await self._crash_after_close(writer, fault)
+            if fault is Fault.LEAVE_AT_END:
+                self.stop_listening()
             writer.write(data)
             writer.close()
             return
@@ -544,7 +572,14 @@
         lines.extend(f"{name}: {value}" for name, value in headers.items())
         return "\r\n".join(lines).encode() + b"\r\n\r\n"
 
-    async def _crash_after_close(self, writer: asyncio.StreamWriter) -> None:
+    def stop_listening(self) -> None:
+        """Closes the listening socket; requests that run are finished."""
+        if self._server is not None:
+            self._server.close()
+
+    async def _crash_after_close(
+        self, writer: asyncio.StreamWriter, fault: Fault
+    ) -> None:
         """Crashes; this connection is closed and the others are reset.
 
         The operating system closes the connections of a process that ends, so
@@ -554,11 +589,13 @@
             ConnectionResetError: To end the request.
         """
         self.ended = True
-        if self._server is not None:
-            self._server.close()
+        if fault is Fault.CRASH_AT_CLOSE:
+            self.stop_listening()
         await writer.drain()
         writer.close()
         self._writers.discard(writer)
+        if fault is Fault.CRASH_LISTENER_LAST:
+            await asyncio.sleep(CRASH_CLOSES_S)
         await self.stop()
         raise ConnectionResetError
 
@@ -599,8 +636,10 @@
                 break
             self._write_body(writer, event.encode(), framed=framed)
             await writer.drain()
-            if is_last and fault is Fault.CRASH_AT_CLOSE:
-                await self._crash_after_close(writer)
+            if is_last and fault in _CRASHES_AT_CLOSE:
+                await self._crash_after_close(writer, fault)
+            if is_last and fault is Fault.LEAVE_AT_END:
+                self.stop_listening()
         if framed:
             writer.write(b"0\r\n\r\n")
             await writer.drain()
--- a/packages/standins/src/standins/platform_site.py
+++ b/packages/standins/src/standins/platform_site.py
@@ -3,6 +3,8 @@
 from collections.abc import Iterable
 from typing import Any
 
+from standins import platform_engine
+
 HOST = "shop.example"
 MODEL = "base7"
 ENGINES = "engines"
@@ -70,7 +72,11 @@
         "routes": default_routes(),
         "services": [
             {"name": ENGINES, "maxConnections": 64, "engine": engine},
-            {"name": PLAIN, "maxConnections": 64},
+            {
+                "name": PLAIN,
+                "maxConnections": 64,
+                "healthPath": platform_engine.HEALTH_PATH,
+            },
         ],
         "limits": {
             "maxHeaderBytes": 16_384,
--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -100,7 +100,133 @@
 _UPGRADE_TEST = _test("fleet.test_upgrade_requests")
 _UPGRADE_PROMISE = "a request that offers an upgrade is served whole"
 
+_CLOSING_PATH = "radishd/request/closing_check.py"
+_LIVENESS_PATH = "radishd/connection/liveness_check.py"
+_DRAINED_PROMISE = "a whole answer of a draining target is complete"
+
 MUTANTS = (
+    Mutant(
+        _CUT_PROMISE,
+        _LIVENESS_PATH,
+        "            if not path:\n",
+        "            if path:\n"
+        "                return TargetState.ACCEPTS, path\n"
+        "            if not path:\n",
+        _CUT_TEST,
+    ),
+    Mutant(
+        _CUT_PROMISE,
+        _LIVENESS_PATH,
+        "        await anyio.sleep(HOLD_MS / MS_PER_S)\n",
+        "",
+        _CUT_TEST,
+    ),
+    Mutant(
+        _CUT_PROMISE,
+        "radishd/platform/health.py",
+        "    if incarnation.start_times_differ(born_ms, listing.born_ms):\n"
+        "        return TargetState.REPLACED\n",
+        "",
+        _CUT_TEST,
+    ),
+    Mutant(
+        _CUT_PROMISE,
+        "radishd/platform/health.py",
+        "    if answer.head.status == front.HTTP_MISDIRECTED or "
+        "front.is_other_instance(\n",
+        "    if front.is_other_instance(\n",
+        _CUT_TEST,
+    ),
+    Mutant(
+        _CUT_PROMISE,
+        _CLOSING_PATH,
+        "        return Deregistration.LISTED\n",
+        "        return Deregistration.UNKNOWN\n",
+        _CUT_TEST,
+    ),
+    Mutant(
+        _CUT_PROMISE,
+        _RESPONSE_END_PATH,
+        "    if closing.cut_count:\n        return End.UNREACHABLE\n",
+        "",
+        _CUT_TEST,
+    ),
+    Mutant(
+        _CUT_PROMISE,
+        _RESPONSE_END_PATH,
+        "    return End.UNREACHABLE if closing.closed_count "
+        "else End.CLOSED_BY_EXIT\n",
+        "    return End.CLOSED_BY_EXIT\n",
+        _CUT_TEST,
+    ),
+    Mutant(
+        _CUT_PROMISE,
+        _CLOSING_PATH,
+        "        if is_removed is None or self._paused_at_ms >= ended_at_ms:\n",
+        "        if is_removed is None:\n",
+        _CUT_TEST,
+    ),
+    Mutant(
+        _CUT_PROMISE,
+        "radishd/request/response_ends.py",
+        "            self._gateway.closing_check.record_cut(send.member)\n",
+        "            pass\n",
+        _CUT_TEST,
+    ),
+    Mutant(
+        _DRAINED_PROMISE,
+        _RESPONSE_END_PATH,
+        "    if not closing.is_draining or closing.has_short_notice:\n",
+        "    if True:\n",
+        _CUT_TEST,
+    ),
+    Mutant(
+        _DRAINED_PROMISE,
+        _ROSTER_PATH,
+        "            member.listing.leaving\n"
+        "            or self.is_draining(incarnation_id)\n",
+        "            member.listing.leaving\n",
+        _CUT_TEST,
+    ),
+    Mutant(
+        _DRAINED_PROMISE,
+        _ROSTER_PATH,
+        "                removed is not None\n"
+        "                and not self.is_current(member)\n",
+        "                False\n"
+        "                and not self.is_current(member)\n",
+        _CUT_TEST,
+    ),
+    Mutant(
+        _DRAINED_PROMISE,
+        _RESPONSE_END_PATH,
+        "        case Deregistration.REMOVED:\n"
+        "            return End.CLOSED_BY_EXIT\n",
+        "        case Deregistration.REMOVED:\n"
+        "            return End.UNREACHABLE\n",
+        _CUT_TEST,
+    ),
+    Mutant(
+        _DRAINED_PROMISE,
+        _RESPONSE_END_PATH,
+        "    if closing.outlived_count:\n",
+        "    if False:\n",
+        _CUT_TEST,
+    ),
+    Mutant(
+        "a sound target is not taken as crashed",
+        _LIVENESS_PATH,
+        "            await anyio.sleep(RETRY_INTERVAL_MS / MS_PER_S)\n",
+        "            return TargetState.UNREACHABLE, answer.reason\n",
+        _CUT_TEST,
+    ),
+    Mutant(
+        "a crash is recorded",
+        "radishd/connection/crash_watch.py",
+        "        ended = not observation.state.is_alive",
+        "        ended = False",
+        _CUT_TEST,
+    ),
     Mutant(
         _UPGRADE_PROMISE,
         "radishd/process/web.py",
@@ -395,7 +521,7 @@
     Mutant(
         _CUT_PROMISE,
         _RESPONSE_END_PATH,
-        "    return End.CLOSED if target_accepts else End.UNREACHABLE\n",
+        "    if closing.target.is_alive:\n        return End.CLOSED\n",
         "    return End.CLOSED\n",
         _CUT_TEST,
     ),
@@ -1348,7 +1474,7 @@
     Mutant(
         "nobody else is refused",
         "radishd/connection/crash_watch.py",
-        "        ended = bool(reason)",
+        "        ended = not observation.state.is_alive",
         "        ended = True",
         _test("fleet.test_crashes"),
     ),
--- a/soak/history.py
+++ b/soak/history.py
@@ -81,6 +81,21 @@
     had_key: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class WholeAnswer:
+    """A whole answer without a length, as its target sent it.
+
+    Attributes:
+        attempt_id: Id of the attempt.
+        target: Name of the target instance.
+        at_ms: When its last byte was sent.
+    """
+
+    attempt_id: str
+    target: str
+    at_ms: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class EngineSpan:
     """A period in which an engine served.
@@ -220,6 +235,7 @@
         keys_added_ms: When each rotated key was added.
         keys_removed_ms: When each rotated key was removed.
         engines: Periods in which engines served.
+        whole_answers: Whole answers without a length, as targets sent them.
     """
 
     seed: int
@@ -244,6 +260,7 @@
     keys_added_ms: dict[str, int] = dataclasses.field(default_factory=dict)
     keys_removed_ms: dict[str, int] = dataclasses.field(default_factory=dict)
     engines: list[EngineSpan] = dataclasses.field(default_factory=list)
+    whole_answers: list[WholeAnswer] = dataclasses.field(default_factory=list)
 
     def save(self, path: pathlib.Path) -> None:
         """Writes the history as JSON."""
@@ -272,4 +289,7 @@
         LimitedResponse(**one) for one in raw.get("limited_responses", ())
     ]
     raw["engines"] = [EngineSpan(**one) for one in raw.get("engines", ())]
+    raw["whole_answers"] = [
+        WholeAnswer(**one) for one in raw.get("whole_answers", ())
+    ]
     return History(**raw)
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -14,6 +14,7 @@
 from soak import callers
 from soak import history as history_lib
 from soak import prompts
+from soak import schedule
 from soak import streams
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -24,6 +25,19 @@
 DRAINING_SETTLING_MS = 2_000
 # Faults of the link to a target.
 LINK_FAULTS = frozenset({"link_silent", "link_reset", "link_slow"})
+# Faults that end a target with what it has written.
+TARGET_ENDS = frozenset(
+    {
+        "target_restart",
+        "software",
+        "crash_at_close",
+        "crash_listener_last",
+        "poison",
+        "poison_block",
+    }
+)
+# An answer that took longer may have been cut by the timeout of its route.
+MAX_ANSWER_MS = 2_800
 # Time after a disconnect until no request of the caller may reach a target.
 DISCONNECT_SETTLING_MS = 500
 RECOVERY_MS = 12_000
@@ -117,6 +131,17 @@
             for event in self.history.events
         )
 
+    def may_have_ended(self, target: str, at_ms: int) -> bool:
+        """Whether a target may have crashed, or was restarted, near a time."""
+        victims = {history_lib.vm_of(target), schedule.CALLERS}
+        return any(
+            event.kind in TARGET_ENDS
+            and event.victim in victims
+            and event.at_ms <= at_ms + UNDISTURBED_MS
+            and event.until_ms >= at_ms - UNDISTURBED_MS
+            for event in self.history.events
+        )
+
     def is_link_sound(self, target: str, at_ms: int) -> bool:
         """Whether the link to a target had no fault until a time.
 
@@ -180,6 +205,27 @@
             )
 
 
+def _whole_answers(evidence: Evidence) -> Iterator[Violation]:
+    for answer in evidence.history.whole_answers:
+        attempt = evidence.attempts.get(answer.attempt_id)
+        if attempt is None or attempt.left or attempt.whole:
+            continue
+        if (
+            evidence.runs(attempt.attempt_id) == 1
+            and attempt.ended_at_ms - attempt.sent_at_ms < MAX_ANSWER_MS
+            and evidence.is_undisturbed(
+                attempt.gateway, attempt.sent_at_ms, attempt.ended_at_ms
+            )
+            and evidence.is_link_sound(answer.target, attempt.ended_at_ms)
+            and not evidence.may_have_ended(answer.target, answer.at_ms)
+        ):
+            yield Violation(
+                "whole answers are passed on",
+                attempt.attempt_id,
+                f"{answer.target}, status {attempt.status}",
+            )
+
+
 def _draining_by_listing(evidence: Evidence) -> Iterator[Violation]:
     leaving = evidence.history.leaving
     for arrival in evidence.history.arrivals:
@@ -623,6 +669,7 @@
     _at_most_once,
     _not_run_is_true,
     _complete_and_own,
+    _whole_answers,
     _draining_by_listing,
     _nothing_after_disconnect,
     _adapter_orders,
--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -67,10 +67,26 @@
     mutants.Mutant(
         "whole and own",
         "radishstack/request/response_end.py",
-        "    return End.CLOSED if target_accepts else End.UNREACHABLE\n",
+        "    if closing.target.is_alive:\n        return End.CLOSED\n",
         "    return End.CLOSED\n",
         _seeds(520, Kind.CRASH_AT_CLOSE),
     ),
+    mutants.Mutant(
+        "whole and own",
+        "radishd/connection/liveness_check.py",
+        "            if not path:\n",
+        "            if path:\n"
+        "                return TargetState.ACCEPTS, path\n"
+        "            if not path:\n",
+        _seeds(600, Kind.CRASH_LISTENER_LAST),
+    ),
+    mutants.Mutant(
+        "whole answers are passed on",
+        "radishstack/request/response_end.py",
+        "    if not closing.is_draining or closing.has_short_notice:\n",
+        "    if True:\n",
+        _seeds(610, Kind.LEAVE_UNDER_ANSWERS),
+    ),
     mutants.Mutant(
         "a leaving target gets no work",
         "radishstack/process/roster.py",
--- a/soak/relay.py
+++ b/soak/relay.py
@@ -51,10 +51,14 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
-    def stop(self) -> None:
-        """Stops listening and resets all connections; it can be restarted."""
+    def stop_listening(self) -> None:
+        """Stops listening; open connections are still forwarded."""
         if self._server is not None:
             self._server.close()
+
+    def stop(self) -> None:
+        """Stops listening and resets all connections; it can be restarted."""
+        self.stop_listening()
         self.reset()
         for task in list(self._tasks):
             task.cancel()
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -43,6 +43,8 @@
     CONNECTIONS_SKEWED = "connections_skewed"
     SECOND_RESPONSES = "second_responses"
     LEAVE_AFTER_SILENCE = "leave_after_silence"
+    CRASH_LISTENER_LAST = "crash_listener_last"
+    LEAVE_UNDER_ANSWERS = "leave_under_answers"
 
 
 # Kinds by affected component; other kinds affect the store or the whole site.
@@ -68,15 +70,18 @@
         Kind.CRASH_AT_CLOSE,
         Kind.SECOND_RESPONSES,
         Kind.LEAVE_AFTER_SILENCE,
+        Kind.CRASH_LISTENER_LAST,
+        Kind.LEAVE_UNDER_ANSWERS,
     }
 )
+CALLERS = "callers"
 # Component that the other kinds affect, where it is not the store.
 SITE_VICTIMS = {
     Kind.ALL_KILL: "all",
-    Kind.POISON: "callers",
-    Kind.POISON_BLOCK: "callers",
-    Kind.CONNECTIONS_SKEWED: "callers",
-    Kind.RUSH: "callers",
+    Kind.POISON: CALLERS,
+    Kind.POISON_BLOCK: CALLERS,
+    Kind.CONNECTIONS_SKEWED: CALLERS,
+    Kind.RUSH: CALLERS,
     Kind.KEYS: "operator",
     Kind.CONFIGURATION: "operator",
 }
--- a/soak/world.py
+++ b/soak/world.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import contextlib
+import dataclasses
 import functools
 import pathlib
 import random
@@ -26,6 +27,8 @@
 from soak import relay
 from soak import schedule
 
+Kind = schedule.Kind
+
 GATEWAY_PORT = 8_140
 READY_PORT = 8_141
 PEERS_PORT = 8_142
@@ -57,9 +60,15 @@
 # How long a draining target still serves, and how long its address stays unused
 # before another target gets it.
 DRAIN_S = 4.0
+# Time from the entry of a draining target to the end of its listening, interval
+# of its events, so that streams outlast that, and limit of the wait for them.
+UNDER_ANSWERS_DRAIN_S = 2.1
+UNDER_ANSWERS_EVENT_MS = 650.0
+UNDER_ANSWERS_LIMIT_S = 4.0
 ADDRESS_REUSE_S = 2.2
 # A target's entry in the store expires only after some missed renewals.
 LISTING_TTL_S = 1.5
+HEARTBEAT_MS = 900
 # Traffic after the recovery time, in which requests must be served again.
 LAST_WINDOW_S = 3.0
 SHUTDOWN_S = 10.0
@@ -91,16 +100,25 @@
         platform_engine.Fault.HANG,
     }
 )
-CRASHES = frozenset(
-    {platform_engine.Fault.CRASH, platform_engine.Fault.CRASH_AT_CLOSE}
+# Faults that end or empty a target, which other kinds of the schedule inject.
+ENDS = frozenset(
+    {
+        platform_engine.Fault.CRASH,
+        platform_engine.Fault.CRASH_AT_CLOSE,
+        platform_engine.Fault.CRASH_LISTENER_LAST,
+        platform_engine.Fault.LEAVE_AT_END,
+    }
 )
 FAULTS = tuple(
     fault
     for fault in platform_engine.Fault
-    if fault is not platform_engine.Fault.NONE and fault not in CRASHES
+    if fault is not platform_engine.Fault.NONE and fault not in ENDS
 )
+CRASHES_AT_CLOSE = {
+    Kind.CRASH_AT_CLOSE: platform_engine.Fault.CRASH_AT_CLOSE,
+    Kind.CRASH_LISTENER_LAST: platform_engine.Fault.CRASH_LISTENER_LAST,
+}
 ENDLESS_FORMS = tuple(platform_engine.ENDLESS_FORMS)
-Kind = schedule.Kind
 
 
 class Target(platform_engine.PlatformEngine):
@@ -171,6 +189,12 @@
         self._record_arrival(request, ran=fault not in FAULTS_WITHOUT_RUN)
         try:
             await super()._run(request, writer, fault)
+            if fault is platform_engine.Fault.UNFRAMED:
+                self._history.whole_answers.append(
+                    history_lib.WholeAnswer(
+                        request.attempt_id, self.instance, history_lib.now_ms()
+                    )
+                )
         finally:
             if self.ended:
                 self.on_crash()
@@ -261,6 +285,7 @@
                 "sidecar_port": CONTROL_PORT,
                 "retry_extra": RETRY_EXTRA,
                 "leaving_ms": judge.DRAINING_SETTLING_MS,
+                "heartbeat_ms": HEARTBEAT_MS,
                 "usage_window_ms": accounts_lib.RULES.window_ms,
                 "usage_overage": accounts_lib.RULES.overage,
                 "usage_tolerance": accounts_lib.RULES.tolerance,
@@ -379,6 +404,36 @@
         self.history.leaving[target.instance] = history_lib.now_ms()
         await self._finish_draining(vm)
 
+    async def _drain_under_answers(self, vm: TargetVm) -> None:
+        """Drains a target that ends its listening before its last answers.
+
+        It finishes them, removes its entry and exits.
+        """
+        target = vm.target
+        target.timing = dataclasses.replace(
+            TIMING, event_ms=UNDER_ANSWERS_EVENT_MS
+        )
+        target.fault = _send_unframed
+        await asyncio.sleep(self.random.uniform(0, 1))
+        self._end_serving(vm)
+        self._register(vm, "draining")
+        self.history.leaving[target.instance] = history_lib.now_ms()
+        await asyncio.sleep(UNDER_ANSWERS_DRAIN_S)
+        vm.link.stop_listening()
+        target.stop_listening()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(UNDER_ANSWERS_LIMIT_S):
+                while any(target.running.values()):
+                    await asyncio.sleep(POLL_S)
+        await self._deregister(target)
+        # What the target has written passes the link.
+        await asyncio.sleep(POLL_S)
+        await target.stop()
+        vm.link.stop()
+        self._record_orders(target)
+        await asyncio.sleep(ADDRESS_REUSE_S)
+        await self._start_target(vm)
+
     async def _leave_after_silence(self, vm: TargetVm) -> None:
         """Removes a target's entry while nothing is disturbed any more.
 
@@ -404,10 +459,16 @@
         await asyncio.sleep(DRAIN_S)
         await target.stop()
         self._record_orders(target)
-        self.store.delete("servers", target.instance)
+        await self._deregister(target)
         await asyncio.sleep(ADDRESS_REUSE_S)
         await self._start_target(vm)
 
+    async def _deregister(self, target: Target) -> None:
+        """Removes the entry of a target that exits, or that has crashed."""
+        if target.ended:
+            await asyncio.sleep(LISTING_TTL_S)
+        self.store.delete("servers", target.instance)
+
     async def _drain_by_header(self, vm: TargetVm) -> None:
         """Drains a target that announces it in its responses only."""
         self._end_serving(vm)
@@ -510,8 +571,9 @@
             target.backoff_s = BACKOFF_S
             await asyncio.sleep(for_s)
             target.backoff_s = 0.0
-        elif kind is Kind.CRASH_AT_CLOSE:
-            vm.target.fault = _crash_at_close
+        elif kind in CRASHES_AT_CLOSE:
+            crash = CRASHES_AT_CLOSE[kind]
+            vm.target.fault = lambda request: crash
         elif kind is Kind.SECOND_RESPONSES:
             target = vm.target
             target.answers_twice = self._draw_second_response
@@ -541,6 +603,8 @@
                 await self._drain_by_header(vm)
             elif kind is Kind.LEAVE_AFTER_SILENCE:
                 await self._leave_after_silence(vm)
+            elif kind is Kind.LEAVE_UNDER_ANSWERS:
+                await self._drain_under_answers(vm)
             else:
                 await self._drain_by_listing(vm)
             vm.busy = False
@@ -820,12 +884,12 @@
                 self._record_orders(vm.target)
 
 
-def _crash_at_close(
+def _send_unframed(
     request: platform_engine.ReceivedRequest,
 ) -> platform_engine.Fault:
-    """Crashes the target under the next request, its answer looks complete."""
+    """Sends an answer without a length."""
     del request
-    return platform_engine.Fault.CRASH_AT_CLOSE
+    return platform_engine.Fault.UNFRAMED
 
 
 async def run(
--- a/tests/fleet/test_response_ends.py
+++ b/tests/fleet/test_response_ends.py
@@ -1,9 +1,13 @@
 """Responses that a target breaks off although they look complete to HTTP."""
 
+import functools
 import socket
 from typing import Any
 
+import anyio
+from radishd import gateway as gateway_lib
 from radishd.connection import http_client
+from radishd.platform import health
 from radishd.process import clock
 from radishstack.process import incarnation
 from radishstack.process import suspicion
@@ -129,6 +133,378 @@
     fixtures.run(play)
 
 
+def test_a_crash_that_closes_the_listening_socket_last_is_a_crash() -> None:
+    """Guards against a cut answer that is taken as complete.
+
+    A killed process has its sockets closed one by one, so that it still accepts
+    connections when the end of a cut answer arrives.
+    """
+
+    async def play() -> None:
+        async with fixtures.running_fleet(engines=2, plain=3) as fleet:
+            _inject(fleet, Fault.CRASH_LISTENER_LAST)
+            answer = await fleet.call("/chat/x", adapter="a1", attempt="71")
+            assert answer.status == 200 and not answer.whole, answer
+            assert answer.body == _expected_events("71", 2), answer
+            _inject(fleet, Fault.CRASH_LISTENER_LAST)
+            answer = await fleet.call("/book/1", attempt="72")
+            assert answer.status == 502, answer
+
+    fixtures.run(play)
+
+
+def test_a_stream_continues_after_a_crash_that_closes_sockets_late() -> None:
+    """Guards against a resumable stream that ends where a target crashed."""
+
+    async def play() -> None:
+        async with fixtures.running_fleet(engines=2, plain=0) as fleet:
+            _inject(fleet, Fault.CRASH_LISTENER_LAST)
+            answer = await fleet.call("/long/x", adapter="a1", attempt="73")
+            assert answer.whole, answer
+            assert answer.body == _expected_events("73", 4), answer
+
+    fixtures.run(play)
+
+
+def _start_draining(fleet: fixtures.Fleet, instance: str) -> None:
+    entry = fleet.store.objects["servers"][instance]["spec"]
+    fleet.store.put("servers", instance, {**entry, "state": "draining"})
+
+
+def test_a_whole_answer_of_a_draining_target_is_complete() -> None:
+    """Guards against the last answer of a target that is taken as cut.
+
+    A draining target closes its listening socket, finishes what it runs, and
+    exits. Its refused connections are no sign of a crash.
+    """
+
+    async def play() -> None:
+        async with fixtures.running_fleet(engines=1, plain=1) as fleet:
+            engine, plain = fleet.targets.values()
+            roster = fleet.gateway.roster
+
+            def drain(
+                seen: platform_engine.ReceivedRequest,
+            ) -> platform_engine.Fault:
+                del seen
+                _start_draining(fleet, engine.instance)
+                return Fault.LEAVE_AT_END
+
+            engine.fault = drain
+            engine.timing.event_ms = 400.0
+            answer = await fleet.call("/chat/x", adapter="a1", attempt="81")
+            assert answer.whole, answer
+            assert answer.body == _expected_events("81", 4), answer
+            # The target says only in its answers that it drains.
+            plain.leaving = True
+            _inject(fleet, Fault.LEAVE_AT_END)
+            answer = await fleet.call("/book/1", attempt="82")
+            assert answer.status == 200 and b"}" in answer.body, answer
+            member = roster.members[engine.instance]
+            assert not roster.is_active(member, clock.boot_ms())
+
+    fixtures.run(play)
+
+
+def test_a_draining_target_that_crashes_cuts_its_answers() -> None:
+    """Guards against crashes that a drain hides.
+
+    All responses of the target end at once, one of them without its last chunk.
+    """
+
+    async def play() -> None:
+        async with fixtures.running_fleet(engines=1, plain=0) as fleet:
+            engine = fleet.targets["i-engine0"]
+            engine.timing.event_ms = 100.0
+            engine.event_count = 40
+            faults = iter([Fault.NONE, Fault.CRASH_AT_CLOSE])
+            engine.fault = lambda seen: next(faults)
+            answers: dict[str, fixtures.Answer] = {}
+
+            async def call(attempt: str) -> None:
+                answers[attempt] = await fleet.call(
+                    "/chat/x", adapter="a1", attempt=attempt, left_ms=8_000
+                )
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(call, "91")
+                await fleet.until(lambda: len(engine.ran) == 1, "one runs")
+                tasks.start_soon(call, "92")
+                await fleet.until(lambda: len(engine.ran) == 2, "both run")
+                _start_draining(fleet, engine.instance)
+            assert not any(one.whole for one in answers.values()), answers
+
+    fixtures.run(play)
+
+
+TargetState = response_end.TargetState
+Closing = response_end.Closing
+Deregistration = response_end.Deregistration
+End = response_end.End
+
+
+def test_the_end_of_a_response_without_a_length_is_judged_by_evidence() -> None:
+    """Guards against crashes taken as ends, and ends taken as crashes."""
+    gone = TargetState.UNREACHABLE
+    draining = {"target": gone, "is_draining": True}
+    removed = {"deregistration": Deregistration.REMOVED}
+    listed = {"deregistration": Deregistration.LISTED}
+    unknown = {"deregistration": Deregistration.UNKNOWN}
+    pending = response_end.Undecided.DEREGISTRATION
+    cases: tuple[tuple[dict[str, Any], Any], ...] = (
+        ({"target": TargetState.ANSWERS}, End.CLOSED),
+        ({"target": TargetState.ACCEPTS}, End.CLOSED),
+        ({"target": TargetState.REPLACED}, End.UNREACHABLE),
+        ({"target": gone}, End.UNREACHABLE),
+        ({"target": gone, **removed}, End.UNREACHABLE),
+        (draining, pending),
+        ({**draining, **removed}, End.CLOSED_BY_EXIT),
+        ({**draining, **listed}, End.UNREACHABLE),
+        ({**draining, **unknown}, End.CLOSED_BY_EXIT),
+        ({**draining, "outlived_count": 1}, End.CLOSED_BY_EXIT),
+        ({**draining, "cut_count": 1}, End.UNREACHABLE),
+        ({**draining, "cut_count": 1, **removed}, End.UNREACHABLE),
+        ({**draining, "has_short_notice": True}, End.UNREACHABLE),
+        ({**draining, "closed_count": 1}, pending),
+        ({**draining, "closed_count": 1, **removed}, End.CLOSED_BY_EXIT),
+        ({**draining, "closed_count": 1, **unknown}, End.UNREACHABLE),
+    )
+    for known, expected in cases:
+        assert response_end.judge_closed(Closing(**known)) is expected, known
+
+
+async def _end_responses(
+    fleet: fixtures.Fleet,
+    gateway: gateway_lib.Gateway,
+    *,
+    deregisters: bool,
+    count: int = 2,
+    pauses: bool = False,
+) -> list[fixtures.Answer]:
+    """Lets a draining target end its responses at once as it exits."""
+    engine = fleet.targets["i-engine0"]
+    engine.timing.event_ms = 150.0
+    engine.fault = lambda seen: Fault.UNFRAMED
+    answers: list[fixtures.Answer] = []
+
+    async def call() -> None:
+        answers.append(
+            await fleet.call("/chat/x", adapter="a1", gateway=gateway)
+        )
+
+    async with anyio.create_task_group() as tasks:
+        for _ in range(count):
+            tasks.start_soon(call)
+        await fleet.until(lambda: len(engine.ran) == count, "all run")
+        _start_draining(fleet, engine.instance)
+        member = gateway.roster.members[engine.instance]
+        await fleet.until(lambda: member.listing.leaving, "it drains")
+        engine.stop_listening()
+        await fleet.until(
+            lambda: not sum(engine.running.values()), "all have ended"
+        )
+        if pauses:
+            gateway.on_process_pause(1_000)
+        if deregisters:
+            fleet.store.delete("servers", engine.instance)
+    return answers
+
+
+async def _play_ends(**options: Any) -> bool:
+    """Returns whether all answers are whole; they end at the same time."""
+    async with fixtures.running_fleet(engines=1, plain=0) as fleet:
+        gateway = await fleet.add_gateway(leaving_ms=100, heartbeat_ms=400)
+        await fleet.until(
+            lambda: not gateway.ready() and len(gateway.placement.views) == 1,
+            "the second gateway is up",
+        )
+        answers = await _end_responses(fleet, gateway, **options)
+        whole = {one.whole for one in answers}
+        assert len(whole) == 1, answers
+        return whole.pop()
+
+
+def test_a_target_that_deregisters_has_finished_its_responses() -> None:
+    """Guards against an exit that is taken as a crash.
+
+    The last two responses of a draining target end at the same time, as in a
+    crash. A crashed target does not remove its entry, which expires later.
+    """
+
+    async def play() -> None:
+        assert await _play_ends(deregisters=True)
+
+    fixtures.run(play)
+
+
+def test_responses_without_a_deregistration_are_cut() -> None:
+    """Guards against a crash of a draining target that is taken as its exit.
+
+    After a pause of the gateway, a missing entry may have expired.
+    """
+
+    async def play() -> None:
+        assert not await _play_ends(deregisters=False)
+        assert not await _play_ends(deregisters=False, count=1)
+        assert not await _play_ends(deregisters=True, pauses=True)
+
+    fixtures.run(play)
+
+
+def test_a_response_outlives_the_end_of_another() -> None:
+    """Guards against a whole answer that is cut while its target still runs.
+
+    A target drains without a word: its entry is gone, and it accepts no
+    connection. It ends one response after the other.
+    """
+
+    async def play() -> None:
+        async with fixtures.running_fleet(engines=1, plain=0) as fleet:
+            gateway = await fleet.add_gateway(leaving_ms=100)
+            await fleet.until(
+                lambda: (
+                    not gateway.ready() and len(gateway.placement.views) == 1
+                ),
+                "the second gateway is up",
+            )
+            engine = fleet.targets["i-engine0"]
+            engine.timing.event_ms = 150.0
+            faults = iter([Fault.UNFRAMED, Fault.UNFRAMED, Fault.NONE])
+            engine.fault = lambda seen: next(faults)
+            answers: list[fixtures.Answer] = []
+
+            async def call() -> None:
+                answers.append(
+                    await fleet.call("/chat/x", adapter="a1", gateway=gateway)
+                )
+
+            async with anyio.create_task_group() as tasks:
+                for _ in range(2):
+                    tasks.start_soon(call)
+                await fleet.until(lambda: len(engine.ran) == 2, "both run")
+                await anyio.sleep(0.1)
+                tasks.start_soon(call)
+                await fleet.until(lambda: len(engine.ran) == 3, "all run")
+                fleet.store.delete("servers", engine.instance)
+                await fleet.until(
+                    lambda: not gateway.roster.members, "it is unlisted"
+                )
+                engine.stop_listening()
+            assert all(one.whole for one in answers), answers
+
+    fixtures.run(play)
+
+
+def test_an_answer_shows_which_incarnation_runs() -> None:
+    """Guards against a new incarnation that passes for the one that crashed.
+
+    A gateway that pauses while a target crashes and restarts connects to the
+    next process at its address.
+    """
+
+    async def play() -> None:
+        async with fixtures.running_fleet(engines=1, plain=1) as fleet:
+            observe = fleet.gateway.liveness_check.observe
+            members = fleet.gateway.roster.members
+            engine = fleet.targets["i-engine0"]
+            listing = members["i-engine0"].listing
+            assert (await observe(listing)).state is TargetState.ANSWERS
+            engine.restart(engine.born_ms + 1)
+            assert (await observe(listing)).state is TargetState.REPLACED
+            plain = fleet.targets["i-plain0"]
+            listing = members["i-plain0"].listing
+            assert (await observe(listing)).state is TargetState.ANSWERS
+            plain.instance = "i-other"
+            assert (await observe(listing)).state is TargetState.REPLACED
+            await plain.stop()
+            assert (await observe(listing)).state is TargetState.UNREACHABLE
+
+    fixtures.run(play)
+
+
+def _reach_limit(
+    target: platform_engine.PlatformEngine,
+    seen: platform_engine.ReceivedRequest,
+) -> Fault:
+    del seen
+    target.connection_limit = 0
+    return Fault.UNFRAMED
+
+
+def test_a_rejected_health_request_shows_another_incarnation() -> None:
+    """Guards against a rejection of the next process that passes for life."""
+
+    async def play() -> None:
+        async with fixtures.running_fleet(engines=0, plain=1) as fleet:
+            listing = fleet.gateway.roster.members["i-plain0"].listing
+            for status, expected in (
+                (200, TargetState.ANSWERS),
+                (503, TargetState.ANSWERS),
+                (421, TargetState.REPLACED),
+            ):
+                answer = http_client.Answer(http_client.Head(status, ()), b"")
+                state = health.decode(answer, listing, "/healthz")
+                assert state is expected, status
+
+    fixtures.run(play)
+
+
+def test_a_crash_shows_without_a_path_for_the_health() -> None:
+    """Guards against half a booking of a service without a health path."""
+
+    async def play() -> None:
+        async with fixtures.running_fleet(engines=0, plain=2) as fleet:
+            services = fixtures.configuration()["services"]
+            for service in services:
+                service.pop("healthPath", None)
+            fleet.store.put(
+                "config", "main", fixtures.configuration(3, services=services)
+            )
+            await fleet.until(
+                lambda: fleet.gateway.table.version == 3, "it is in force"
+            )
+            _inject(fleet, Fault.CRASH_LISTENER_LAST)
+            answer = await fleet.call("/book/1")
+            assert answer.status == 502, answer
+            _inject(fleet, Fault.UNFRAMED)
+            answer = await fleet.call("/book/1")
+            assert answer.status == 200 and answer.whole, answer
+
+    fixtures.run(play)
+
+
+def test_a_target_at_its_connection_limit_is_not_taken_as_crashed() -> None:
+    """Guards against sound answers cut since further connections are reset."""
+
+    async def play() -> None:
+        async with fixtures.running_fleet(engines=1, plain=1) as fleet:
+            for target in fleet.targets.values():
+                target.fault = functools.partial(_reach_limit, target)
+            answer = await fleet.call("/chat/x", adapter="a1", attempt="93")
+            assert answer.whole, answer
+            answer = await fleet.call("/book/1", attempt="94")
+            assert answer.status == 200 and answer.whole, answer
+
+    fixtures.run(play)
+
+
+def test_a_crash_that_closes_sockets_late_is_recorded() -> None:
+    """Guards against a crash without evidence, as connections were accepted."""
+
+    async def play() -> None:
+        async with fixtures.running_fleet(engines=2, plain=0) as fleet:
+            _inject(fleet, Fault.CRASH_LISTENER_LAST)
+            await fleet.call("/chat/x", adapter="a1")
+            await fleet.until(
+                lambda: fixtures.count_aborted_responses(
+                    fleet.gateway, ended=True
+                ),
+                "the crash is recorded",
+            )
+
+    fixtures.run(play)
+
+
 def test_an_event_without_an_end_is_not_buffered_without_bound() -> None:
     """Guards against a target that fills the memory of a gateway."""
 
