Keep origins of streams beyond the loss of all gateways, and their age bounded

Records of origins lived in gateways only. They go to two sidecars of the service as well, chosen by consistent hashing over the engines' hosts, and four are asked along with six gateways.

The report's other side, a stream joined from two software versions, was reachable by one road, which a test shows (200 before, 503 now): without a record, one version had to be alone for as long as a stream lives, and that time was taken from the deadline of the resuming attempt, which is what is left of it. A gateway that started after the old version had left vouched for the new one too early for streams of longer deadlines. It is two minutes now, the longest retention. Both were decided together: refusing for longer is bearable as sidecars know the origins.

Red before, green now: a stream continues after all gateways were lost, once and twice; the rest of a deadline is not the age of a stream.

--- a/bench/stream_origins.py
+++ b/bench/stream_origins.py
@@ -2,17 +2,20 @@
 
 Run it with ``python -m bench.stream_origins``. All ways get the same streams,
 kills and losses, in virtual time, with the world of ``proofs.streams``. A way
-reports the origin of a stream to some gateways and asks some for it. Figures:
-bytes per stream and per resume with UDP and IP headers, and the share of
-resumed streams whose origin is found after their gateway, or its whole failure
-domain, was lost. Limits: no latency, no CPU time.
+reports the origin of a stream to some gateways and sidecars and asks some for
+it. Figures: bytes per stream and per resume with UDP and IP headers, and the
+share of resumed streams whose origin is found after their gateway, its whole
+failure domain, or all gateways at once were lost, once or twice. Limits: no
+latency, no CPU time.
 """
 
 from collections.abc import Callable
 import dataclasses
+import enum
 import random
 
 import click
+from radishstack.process import hash_ring
 from radishstack.process import rendezvous
 from radishstack.process import roster
 from radishstack.process import stream_origins
@@ -62,10 +65,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Way:
-    """Which gateways get the origin of a stream, and which are asked."""
+    """Who gets the origin of a stream, and who is asked.
+
+    Attributes:
+        holders: Selects the gateways that get it.
+        asked: Selects the gateways that are asked.
+        sidecar_count: Number of sidecars that get it; twice as many are asked.
+    """
 
     holders: Select
     asked: Select
+    sidecar_count: int = 0
 
 
 _ASKED = _holders(stream_origins.QUERY_COUNT)
@@ -75,9 +85,25 @@
     "2 in other domains": Way(_in_other_domains, _ASKED),
     "own record, ask all": Way(_nobody, _everybody),
     "tell all, ask nobody": Way(_everybody, _nobody),
+    "3 holders, 1 sidecar": Way(_holders(3), _ASKED, 1),
+    "3 holders, 2 sidecars": Way(_holders(3), _ASKED, 2),
+    "2 holders, 2 sidecars": Way(_holders(2), _ASKED, 2),
+    "3 sidecars": Way(_nobody, _nobody, 3),
 }
 
 
+class Loss(enum.Enum):
+    """What is lost: a stream's gateway, its failure domain, or all gateways."""
+
+    GATEWAY = "gateway"
+    DOMAIN = "domain"
+    ALL = "all"
+    ALL_TWICE = "all, twice"
+
+
+_ALL_LOST = (Loss.ALL, Loss.ALL_TWICE)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Scenario:
     """Size of the fleet, and which gateways are lost.
@@ -85,22 +111,33 @@
     Attributes:
         gateway_count: Number of gateways.
         domain_count: Number of failure domains.
-        loses_domain: Whether the whole failure domain of a stream's gateway is
-            lost, or only this gateway.
+        sidecar_count: Number of sidecars of the service.
+        loss: What is lost.
     """
 
     gateway_count: int
     domain_count: int
-    loses_domain: bool
+    sidecar_count: int
+    loss: Loss
 
 
 SCENARIOS = tuple(
-    Scenario(gateway_count, domain_count, loses_domain)
-    for gateway_count, domain_count in ((6, 3), (21, 3), (390, 9))
-    for loses_domain in (False, True)
+    Scenario(gateway_count, domain_count, sidecar_count, loss)
+    for gateway_count, domain_count, sidecar_count in (
+        (6, 3, 6),
+        (21, 3, 42),
+        (390, 9, 3_600),
+    )
+    for loss in Loss
 )
 
 
+def _add_sidecars(world: streams.World, count: int) -> hash_ring.HashRing:
+    for number in range(count):
+        world.sidecars[f"s{number}"] = stream_origins.StreamRecords()
+    return hash_ring.make_ring(world.sidecars)
+
+
 def simulate(way: Way, scenario: Scenario, seed: int) -> dict[str, float]:
     """Simulates a scenario with one way.
 
@@ -115,6 +152,13 @@
     source = random.Random(seed)
     world = streams.World(scenario.gateway_count, scenario.domain_count, source)
     world.holders, world.candidates = way.holders, way.asked
+    ring = _add_sidecars(world, scenario.sidecar_count)
+    world.sidecar_holders = lambda stream_id: ring.successors(
+        stream_id, way.sidecar_count
+    )
+    world.sidecar_candidates = lambda stream_id: ring.successors(
+        stream_id, 2 * way.sidecar_count
+    )
     for software_version in ("v1", "v1", "v2", "v2"):
         world.start_target(software_version)
     world.advance(2 * streams.MAX_LIST_DELAY_MS)
@@ -130,17 +174,26 @@
     owners = [
         one
         for one in gateways
-        if not scenario.loses_domain or one.domain == lost_domain
+        if scenario.loss is not Loss.DOMAIN or one.domain == lost_domain
     ]
     begun = [source.choice(owners).begin_stream() for _ in range(STREAM_COUNT)]
     report_bytes = sum(world.sent_bytes.values())
     found = wrong = 0
+    if scenario.loss in _ALL_LOST:
+        for gateway in gateways:
+            gateway.restart()
+    if scenario.loss is Loss.ALL_TWICE:
+        for stream in begun:
+            source.choice(gateways).resume_stream(stream)
+        for gateway in gateways:
+            gateway.restart()
+    resume_bytes = -sum(world.sent_bytes.values())
     for stream in begun:
         lost = [
             one
             for one in gateways
             if one.name == stream.gateway
-            or (scenario.loses_domain and one.domain == lost_domain)
+            or (scenario.loss is Loss.DOMAIN and one.domain == lost_domain)
         ]
         for gateway in lost:
             gateway.is_running = False
@@ -150,7 +203,7 @@
         wrong += software_version not in ("", stream.software_version)
         for gateway in lost:
             gateway.is_running = True
-    resume_bytes = sum(world.sent_bytes.values()) - report_bytes
+    resume_bytes += sum(world.sent_bytes.values())
     return {
         "found": found / STREAM_COUNT,
         "wrong": wrong,
@@ -212,8 +265,11 @@
     rows = []
     results = {}
     for scenario in SCENARIOS:
-        lost = "domain" if scenario.loses_domain else "gateway"
+        lost = scenario.loss.value
         for name, way in WAYS.items():
+            if scenario.loss in _ALL_LOST and not way.sidecar_count:
+                # No gateway has a record left.
+                continue
             figures = simulate(way, scenario, seed)
             results[f"{name}/{scenario.gateway_count}/{lost}"] = figures
             rows.append([scenario.gateway_count, lost, name, *figures.values()])
--- a/packages/radishd/src/radishd/gateway.py
+++ b/packages/radishd/src/radishd/gateway.py
@@ -18,6 +18,7 @@
 from radishstack.process import placement as placement_lib
 from radishstack.process import roster as roster_lib
 from radishstack.process import shared_budget
+from radishstack.process import stream_origins
 from radishstack.process import suspicion
 from radishstack.process import target_rate_limits
 from radishstack.process import usage_books
@@ -48,6 +49,7 @@
 from radishd.process import pause_detector
 from radishd.process import rate_limits
 from radishd.process import settings as settings_lib
+from radishd.process import sidecar_ring
 from radishd.process import signals
 from radishd.process import stream_origin_exchange
 from radishd.process import supervise
@@ -179,6 +181,9 @@
         )
         self.stream_origins = stream_origin_exchange.StreamOriginExchange(
             self._recent_gateways,
+            sidecar_ring.SidecarRing(
+                self.roster, lambda: self.table, self.own.sidecar_port
+            ),
             self._send_to_gateways,
             # Not created yet.
             lambda: self.discovery.read_changed_targets(),
@@ -359,8 +364,10 @@
         elif isinstance(datagram, fleet_wire.RateLimitReport):
             self.rate_limits.handle(datagram, sender)
         elif isinstance(datagram, fleet_wire.StreamMessage):
-            _, port = settings_lib.split_address(self.own.peers)
-            self.peers.record_peers((f"{sender[0]}:{port}",))
+            # Sidecars answer queries as well, but make none.
+            if not isinstance(datagram, stream_origins.Answer):
+                _, port = settings_lib.split_address(self.own.peers)
+                self.peers.record_peers((f"{sender[0]}:{port}",))
             self.stream_origins.handle(datagram, sender)
         elif isinstance(datagram, fleet_wire.StatusUpdate):
             self.sidecars.handle_status(datagram, sender)
--- a/packages/radishd/src/radishd/process/stream_origin_exchange.py
+++ b/packages/radishd/src/radishd/process/stream_origin_exchange.py
@@ -1,12 +1,13 @@
-"""Exchange of the origins of streams between gateways.
+"""Exchange of the origins of streams with other gateways and with sidecars.
 
-Which gateways hold a record, and at which software version a stream continues,
+Which of them hold a record, and at which software version a stream continues,
 is decided in ``radishstack.process.stream_origins``.
 """
 
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Sequence
 
 import anyio
 from radishstack import result
@@ -18,6 +19,8 @@
 from radishd.process import decision_log
 from radishd.process import fleet_socket
 from radishd.process import metrics as metrics_lib
+from radishd.process import sidecar_ring
+from radishd.process import stream_origin_holder
 
 MS_PER_S = 1_000
 # Queries are repeated once, since datagrams can be lost. An answer takes one
@@ -25,14 +28,6 @@
 QUERY_TIMEOUT_MS = 100
 QUERY_ATTEMPTS = 2
 STORE_TIMEOUT_MS = 200
-# Maximum number of queries that wait for an answer; further ones are dropped
-# and repeated by their senders.
-MAX_PENDING_QUERIES = 256
-
-Send = Callable[
-    [Iterable[fleet_socket.Address], fleet_wire.StreamMessage], Awaitable[None]
-]
-
 
 ReadChangedTargets = Callable[[], Awaitable[list[roster_lib.Listing] | None]]
 
@@ -47,7 +42,8 @@
     def __init__(
         self,
         others: Callable[[], list[fleet_socket.Address]],
-        send: Send,
+        sidecars: sidecar_ring.SidecarRing,
+        send: stream_origin_holder.Send,
         read_changed_targets: ReadChangedTargets,
         log: decision_log.DecisionLog,
         metrics: metrics_lib.Metrics,
@@ -56,6 +52,7 @@
 
         Args:
             others: Returns the datagram addresses of the other gateways.
+            sidecars: The sidecars of each service.
             send: Sends a message to the given addresses.
             read_changed_targets: Reads the listings that changed since the last
                 read of the list from the store; returns None if it cannot.
@@ -63,18 +60,16 @@
             metrics: Where lookups and records are counted.
         """
         self._others = others
+        self._sidecars = sidecars
         self._send = send
         self._read_changed_targets = read_changed_targets
         self._log = log
         self._metrics = metrics
-        self._records = stream_origins.StreamRecords()
+        self._holder = stream_origin_holder.StreamOriginHolder(
+            send, log, metrics, self._view
+        )
         self.history = stream_origins.VersionHistory()
         self._lookups: dict[int, list[_PendingLookup]] = {}
-        self._queries: list[
-            tuple[fleet_socket.Address, fleet_wire.StreamQuery]
-        ] = []
-        self._wake = anyio.Event()
-        self._dropped_count = 0
         self._confirm_lock = anyio.Lock()
         self._confirmed_at_ms = 0
 
@@ -92,24 +87,23 @@
             retention_ms: How long the stream may be resumed.
         """
         stream_id = stream_origins.stream_id_of(attempt_id)
-        self._record(stream_id, origin, retention_ms)
+        self._holder.record(stream_id, origin, retention_ms)
         record = fleet_wire.StreamRecord(stream_id, origin, retention_ms)
+        ring = self._sidecars.ring(origin.service)
         await self._send(
-            self._select(stream_origins.holders, stream_id), record
+            [
+                *self._select(stream_origins.holders, stream_id),
+                *self._sidecars.addresses(
+                    stream_origins.sidecar_holders(stream_id, ring)
+                ),
+            ],
+            record,
         )
 
-    def _record(
-        self,
-        stream_id: int,
-        origin: stream_origins.Origin,
-        retention_ms: int,
-    ) -> None:
-        until_ms = clock.boot_ms() + min(
-            retention_ms, stream_origins.MAX_RETENTION_MS
-        )
-        if not self._records.record(stream_id, origin, until_ms):
-            self._metrics.stream_records_dropped.inc({})
-            self._dropped_count += 1
+    def _view(
+        self, service: str, lifetime_ms: int
+    ) -> stream_origins.VersionView:
+        return self.history.view(service, lifetime_ms, clock.boot_ms())
 
     def _select(
         self,
@@ -122,8 +116,8 @@
     async def find(
         self,
         attempt_id: str,
-        service: str,
-        lifetime_ms: int,
+        services: Sequence[str],
+        retention_ms: int,
         *,
         request: str,
     ) -> result.Outcome[stream_origins.Origin]:
@@ -131,9 +125,8 @@
 
         Args:
             attempt_id: The attempt that began the stream, empty if not stated.
-            service: The only service that can have begun it, empty if there
-                are several.
-            lifetime_ms: Longest lifetime of its streams.
+            services: The services that can have begun it.
+            retention_ms: How long the stream may be resumed from now on.
             request: The attempt that resumes it, for the log.
 
         Returns:
@@ -145,14 +138,17 @@
         source = "own"
         origin = None
         if attempt_id:
-            origin = self._records.find(stream_id, began_ms)
+            origin = self._holder.find(stream_id)
         if origin is None:
-            lookup = await self._query(stream_id, service, lifetime_ms)
+            sidecars = self._select_sidecars(stream_id, services)
+            lookup = await self._query(stream_id, services, sidecars)
             origin, source = lookup.found(), "gateway"
             if origin is not None:
-                self._record(stream_id, origin, lifetime_ms)
+                if lookup.found_at() in {host for host, _ in sidecars}:
+                    source = "sidecar"
+                self._holder.record(stream_id, origin, retention_ms)
         if origin is None:
-            origin = await self._assume_origin(lookup, service, lifetime_ms)
+            origin = await self._assume_origin(lookup, services)
             source = "unknown" if origin is None else "sole_version"
         self._metrics.stream_lookups.inc({"source": source})
         self._log.write(
@@ -175,15 +171,19 @@
         )
 
     async def _assume_origin(
-        self, lookup: stream_origins.Lookup, service: str, lifetime_ms: int
+        self, lookup: stream_origins.Lookup, services: Sequence[str]
     ) -> stream_origins.Origin | None:
-        """Returns the origin if the service has had only one version."""
+        """Returns the origin if the only service has had only one version."""
+        if len(services) != 1:
+            return None
+        (service,) = services
 
         def sole_version() -> str:
-            own_view = self.history.view(service, lifetime_ms, clock.boot_ms())
+            lifetime_ms = stream_origins.MAX_RETENTION_MS
+            own_view = self._view(service, lifetime_ms)
             return lookup.sole_version(own_view, lifetime_ms)
 
-        if not service or not sole_version():
+        if not sole_version():
             return None
         if not await self._confirm_versions(clock.boot_ms()):
             return None
@@ -216,14 +216,35 @@
             self._confirmed_at_ms = now_ms
             return True
 
+    def _select_sidecars(
+        self, stream_id: int, services: Sequence[str]
+    ) -> list[fleet_socket.Address]:
+        return [
+            address
+            for service in services
+            for address in self._sidecars.addresses(
+                stream_origins.sidecar_candidates(
+                    stream_id, self._sidecars.ring(service)
+                )
+            )
+        ]
+
     async def _query(
-        self, stream_id: int, service: str, lifetime_ms: int
+        self,
+        stream_id: int,
+        services: Sequence[str],
+        sidecars: list[fleet_socket.Address],
     ) -> stream_origins.Lookup:
         addresses = self._select(stream_origins.candidates, stream_id)
+        addresses += sidecars
         lookup = stream_origins.Lookup(host for host, _ in addresses)
         pending = _PendingLookup(lookup)
         self._lookups.setdefault(stream_id, []).append(pending)
-        query = fleet_wire.StreamQuery(stream_id, service, lifetime_ms)
+        query = fleet_wire.StreamQuery(
+            stream_id,
+            services[0] if len(services) == 1 else "",
+            stream_origins.MAX_RETENTION_MS,
+        )
         try:
             for _ in range(QUERY_ATTEMPTS):
                 if lookup.is_complete:
@@ -247,36 +268,15 @@
     ) -> None:
         """Handles a message of another gateway."""
         match message:
-            case fleet_wire.StreamRecord():
-                self._record(
-                    message.stream_id,
-                    message.origin,
-                    message.retention_ms,
-                )
-            case fleet_wire.StreamQuery():
-                if len(self._queries) < MAX_PENDING_QUERIES:
-                    self._queries.append((sender, message))
-                    self._wake.set()
+            case fleet_wire.StreamRecord() | fleet_wire.StreamQuery():
+                self._holder.handle(message, sender)
             case stream_origins.Answer():
                 for pending in self._lookups.get(message.stream_id, ()):
                     pending.record(sender[0], message)
 
     async def answer_queries(self) -> None:
         """Answers the queries of other gateways until cancelled."""
-        while True:
-            await self._wake.wait()
-            self._wake = anyio.Event()
-            queries, self._queries = self._queries, []
-            for sender, query in queries:
-                await self._send((sender,), self._answer(query))
-
-    def _answer(self, query: fleet_wire.StreamQuery) -> stream_origins.Answer:
-        now_ms = clock.boot_ms()
-        return stream_origins.Answer(
-            query.stream_id,
-            self._records.find(query.stream_id, now_ms),
-            self.history.view(query.service, query.lifetime_ms, now_ms),
-        )
+        await self._holder.answer_queries()
 
     def observe(
         self, listings: Iterable[roster_lib.Listing], *, is_current: bool
@@ -285,11 +285,7 @@
         now_ms = clock.boot_ms()
         self.history.observe(listings, now_ms, is_current=is_current)
         self.history.expire(now_ms)
-        self._records.expire(now_ms)
-        self._metrics.stream_records.set({}, len(self._records))
-        if self._dropped_count:
-            self._log.write("stream_records_full", dropped=self._dropped_count)
-            self._dropped_count = 0
+        self._holder.expire()
 
     def on_process_pause(self) -> None:
         """Handles a pause, in which versions may have come and gone."""
--- a/packages/radishd/src/radishd/request/target_selection.py
+++ b/packages/radishd/src/radishd/request/target_selection.py
@@ -91,7 +91,7 @@
         services = [share.service for share in pending.route.shares]
         origin = await self._gateway.stream_origins.find(
             pending.request.resumed_attempt_id,
-            services[0] if len(services) == 1 else "",
+            services,
             pending.retention_ms,
             request=pending.request.attempt_id,
         )
--- a/packages/radishd/src/radishd/sidecar.py
+++ b/packages/radishd/src/radishd/sidecar.py
@@ -5,6 +5,7 @@
 after a restart, the engine's own report restores what was lost.
 """
 
+from collections.abc import Iterable
 from collections.abc import Mapping
 import dataclasses
 import functools
@@ -28,6 +29,7 @@
 from radishd.process import pause_detector
 from radishd.process import settings as settings_lib
 from radishd.process import signals
+from radishd.process import stream_origin_holder
 from radishd.process import supervise
 from radishd.process import web
 
@@ -64,6 +66,9 @@
         self.former_born_ms = 0
         self.engine_lost = False
         self.wake = anyio.Event()
+        self.stream_origins = stream_origin_holder.StreamOriginHolder(
+            self._send_stream_message, log, metrics
+        )
         self._status_sent_at_ms = 0
         self._last_status: tuple[Any, ...] = ()
 
@@ -75,7 +80,12 @@
     def handle_update(
         self, datagram: fleet_wire.Datagram, sender: fleet_socket.Address
     ) -> None:
-        """Handles a gateway's demand."""
+        """Handles a gateway's demand, or a message about a stream."""
+        if isinstance(
+            datagram, fleet_wire.StreamRecord | fleet_wire.StreamQuery
+        ):
+            self.stream_origins.handle(datagram, sender)
+            return
         if not isinstance(datagram, fleet_wire.DemandDatagram):
             return
         now_ms = clock.boot_ms()
@@ -104,6 +114,14 @@
         if has_update or not waiting.isdisjoint(self._residents()):
             self.wake.set()
 
+    async def _send_stream_message(
+        self,
+        addresses: Iterable[fleet_socket.Address],
+        message: fleet_wire.StreamMessage,
+    ) -> None:
+        if self.socket is not None:
+            await self.socket.send_all(addresses, message)
+
     def _residents(self) -> Mapping[str, int]:
         return self.report.residents if self.report is not None else {}
 
@@ -303,6 +321,7 @@
         jobs = {
             "receive": sidecar.socket.run,
             "keep": sidecar.run,
+            "answer_stream_queries": sidecar.stream_origins.answer_queries,
             "pause_detector": functools.partial(
                 pause_detector.watch, sidecar.on_process_pause
             ),
--- a/packages/radishstack/src/radishstack/process/stream_origins.py
+++ b/packages/radishstack/src/radishstack/process/stream_origins.py
@@ -8,6 +8,10 @@
 first event, and ask those others before they continue a stream that they do not
 know.
 
+Gateways may lose power all at once, and their records with it. The sidecars
+beside the engines keep running, so the origin is reported to some of them as
+well.
+
 Without a record, a stream still continues if its service has had a single
 software version for longer than any of its streams lives. A stream may have
 begun at a version that the other gateway read sooner, so the list of targets is
@@ -20,6 +24,7 @@
 
 import xxhash
 
+from radishstack.process import hash_ring
 from radishstack.process import rendezvous
 from radishstack.process import roster as roster_lib
 
@@ -30,10 +35,16 @@
 # Gateways that are asked for a record. More than hold it, because gateways that
 # joined or left in the meantime change the rendezvous order.
 QUERY_COUNT = 6
+# Sidecars that hold the record, and that are asked for it. They are fewer than
+# gateways, since they are only needed if no gateway has kept it.
+SIDECAR_HOLDER_COUNT = 2
+SIDECAR_QUERY_COUNT = 4
 # Time after its caller's deadline for which a stream can still be resumed. It
 # covers clients whose deadline starts later than that of the gateway.
 RETENTION_MARGIN_MS = 5_000
 # Longest time for which a record is kept, whatever deadline a caller states.
+# Without a record, a stream may be as old as this: an attempt that resumes it
+# states the rest of its deadline, which tells nothing of the stream's age.
 MAX_RETENTION_MS = 120_000
 # Maximum number of records of one gateway, about 6 MB.
 MAX_RECORDS = 20_000
@@ -54,6 +65,20 @@
     return rendezvous.order(str(stream_id), gateways, QUERY_COUNT)
 
 
+def sidecar_holders(stream_id: int, ring: hash_ring.HashRing) -> list[str]:
+    """Returns the sidecars to which the origin of a stream is reported."""
+    return ring.successors(stream_id, SIDECAR_HOLDER_COUNT)
+
+
+def sidecar_candidates(stream_id: int, ring: hash_ring.HashRing) -> list[str]:
+    """Returns the sidecars that are asked for the origin of a stream.
+
+    They are more than hold it, since sidecars that joined or left in the
+    meantime change the order.
+    """
+    return ring.successors(stream_id, SIDECAR_QUERY_COUNT)
+
+
 def retention_ms(timeout_ms: int, caller_left_ms: int) -> int:
     """Returns how long after its beginning a stream may be resumed.
 
@@ -254,12 +279,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answer:
-    """What one gateway answers to the query for a stream.
+    """What one gateway or sidecar answers to the query for a stream.
 
     Attributes:
         stream_id: The stream.
         origin: Its origin, None if unknown.
-        view: What the gateway knows of the versions of the service.
+        view: What it knows of the versions of the service.
     """
 
     stream_id: int
@@ -274,7 +299,7 @@
         """Starts without answers.
 
         Args:
-            asked: The gateways that are asked.
+            asked: The gateways and sidecars that are asked.
         """
         self.unanswered = set(asked)
         self.answers: dict[str, Answer] = {}
@@ -284,18 +309,23 @@
         """Whether further answers would change nothing."""
         return not self.unanswered or self.found() is not None
 
-    def record(self, gateway: str, answer: Answer) -> None:
-        """Records an answer; gateways that were not asked are ignored."""
-        if gateway in self.unanswered:
-            self.unanswered.remove(gateway)
-            self.answers[gateway] = answer
+    def record(self, name: str, answer: Answer) -> None:
+        """Records an answer; it is ignored if its sender was not asked."""
+        if name in self.unanswered:
+            self.unanswered.remove(name)
+            self.answers[name] = answer
 
     def found(self) -> Origin | None:
-        """Returns the recorded origin, None if no gateway knows it."""
-        for answer in self.answers.values():
+        """Returns the recorded origin, None if nobody knows it."""
+        answer = self.answers.get(self.found_at())
+        return answer.origin if answer is not None else None
+
+    def found_at(self) -> str:
+        """Returns who knows the origin, empty if nobody does."""
+        for name, answer in self.answers.items():
             if answer.origin is not None:
-                return answer.origin
-        return None
+                return name
+        return ""
 
     def sole_version(self, own_view: VersionView, lifetime_ms: int) -> str:
         """Returns the version that began every stream that may still live.
--- a/proofs/streams.py
+++ b/proofs/streams.py
@@ -4,7 +4,8 @@
 time: they read the list of targets late, begin streams and report their origins
 to others, are killed and replaced, and are asked to resume the streams of
 others. Messages are lost, gateways are cut from each other and from the store,
-and have different views of the membership.
+and have different views of the membership. All gateways may be killed at once;
+sidecars hold origins as well, and are replaced.
 """
 
 import collections
@@ -15,6 +16,7 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 from radishstack.connection import fleet_wire
+from radishstack.process import hash_ring
 from radishstack.process import roster as roster_lib
 from radishstack.process import stream_origins
 
@@ -23,6 +25,8 @@
 SERVICE = "llm"
 VERSIONS = ("v1", "v2", "v3")
 TIMEOUT_MS = 12_000
+# Deadline of callers that allow several attempts of the longest duration.
+LONG_DEADLINE_MS = 60_000
 LIFETIME_MS = stream_origins.retention_ms(TIMEOUT_MS, TIMEOUT_MS)
 # Delay until a gateway that can reach the store reads a change of the list, and
 # until a gateway that cannot reach it notices.
@@ -154,16 +158,22 @@
             f"{self.name}/{world.next_number()}",
             software_version,
             self.name,
-            world.now_ms + TIMEOUT_MS,
+            world.now_ms + world.random.choice((TIMEOUT_MS, LONG_DEADLINE_MS)),
         )
         stream_id = stream_origins.stream_id_of(stream.attempt_id)
-        until_ms = world.now_ms + LIFETIME_MS
+        retention_ms = stream_origins.retention_ms(
+            TIMEOUT_MS, stream.until_ms - world.now_ms
+        )
+        until_ms = world.now_ms + retention_ms
         origin = stream_origins.Origin(SERVICE, software_version)
         self.records.record(stream_id, origin, until_ms)
-        message = fleet_wire.StreamRecord(stream_id, origin, LIFETIME_MS)
+        message = fleet_wire.StreamRecord(stream_id, origin, retention_ms)
         for name in world.holders(self, stream_id):
             if world.deliver(self.name, name, message):
                 world.gateways[name].records.record(stream_id, origin, until_ms)
+        for name in world.sidecar_holders(stream_id):
+            if world.deliver_to_sidecar(message):
+                world.sidecars[name].record(stream_id, origin, until_ms)
         return stream
 
     def resume_stream(self, stream: Stream) -> str:
@@ -175,8 +185,11 @@
         if origin is not None:
             return origin.software_version
         asked = world.candidates(self, stream_id)
-        lookup = stream_origins.Lookup(asked)
-        query = fleet_wire.StreamQuery(stream_id, SERVICE, LIFETIME_MS)
+        asked_sidecars = world.sidecar_candidates(stream_id)
+        lookup = stream_origins.Lookup([*asked, *asked_sidecars])
+        query = fleet_wire.StreamQuery(
+            stream_id, SERVICE, stream_origins.MAX_RETENTION_MS
+        )
         for name in asked:
             if not world.deliver(self.name, name, query):
                 continue
@@ -184,18 +197,31 @@
             answer = stream_origins.Answer(
                 stream_id,
                 other.records.find(stream_id, now_ms),
-                other.history.view(SERVICE, LIFETIME_MS, now_ms),
+                other.history.view(
+                    SERVICE, stream_origins.MAX_RETENTION_MS, now_ms
+                ),
             )
             if world.deliver(name, self.name, answer):
                 lookup.record(name, answer)
+        for name in asked_sidecars:
+            if not world.deliver_to_sidecar(query):
+                continue
+            answer = stream_origins.Answer(
+                stream_id,
+                world.sidecars[name].find(stream_id, now_ms),
+                stream_origins.NO_VIEW,
+            )
+            if world.deliver_to_sidecar(answer):
+                lookup.record(name, answer)
         origin = lookup.found()
         if origin is not None:
             return origin.software_version
         if self.cut_since_ms is not None:
             return ""
         self.read_list()
-        own_view = self.history.view(SERVICE, LIFETIME_MS, now_ms)
-        return lookup.sole_version(own_view, LIFETIME_MS)
+        lifetime_ms = stream_origins.MAX_RETENTION_MS
+        own_view = self.history.view(SERVICE, lifetime_ms, now_ms)
+        return lookup.sole_version(own_view, lifetime_ms)
 
 
 class World:
@@ -211,6 +237,9 @@
         sent_bytes: Bytes of the messages, with their headers, by type.
         holders: Selects where the origin of a stream is reported.
         candidates: Selects which gateways are asked for it.
+        sidecars: Records of the sidecars by name.
+        sidecar_holders: Selects the sidecars where it is reported.
+        sidecar_candidates: Selects which sidecars are asked for it.
         preferred: Selects the targets at which new streams begin.
     """
 
@@ -242,6 +271,14 @@
             )
         )
         self.preferred = stream_origins.replaceable
+        self.sidecars: dict[str, stream_origins.StreamRecords] = {}
+        self._ring = hash_ring.make_ring(())
+        self.sidecar_holders: Callable[[int], list[str]] = (
+            self._default_sidecar_holders
+        )
+        self.sidecar_candidates: Callable[[int], list[str]] = (
+            self._default_sidecar_candidates
+        )
         self._numbers = 0
         self._pending_reads: list[tuple[int, Gateway]] = []
         self.gateways: dict[str, Gateway] = {}
@@ -250,6 +287,12 @@
             domain = number % domain_count
             self.gateways[name] = Gateway(self, name, domain)
 
+    def _default_sidecar_holders(self, stream_id: int) -> list[str]:
+        return stream_origins.sidecar_holders(stream_id, self._ring)
+
+    def _default_sidecar_candidates(self, stream_id: int) -> list[str]:
+        return stream_origins.sidecar_candidates(stream_id, self._ring)
+
     def next_number(self) -> int:
         """Returns a number that was not used before."""
         self._numbers += 1
@@ -267,6 +310,19 @@
             and self.random.random() >= self.loss
         )
 
+    def deliver_to_sidecar(self, message: fleet_wire.Datagram) -> bool:
+        """Counts a message to or from a sidecar; returns whether it arrives."""
+        size_bytes = len(fleet_wire.encode(message)) + UDP_IP_HEADER_BYTES
+        self.sent_bytes[type(message).__name__] += size_bytes
+        return self.random.random() >= self.loss
+
+    def replace_sidecar(self, ended: str = "") -> None:
+        """Starts a sidecar on a new VM, in place of another one if named."""
+        self.sidecars.pop(ended, None)
+        name = f"s{self.next_number()}"
+        self.sidecars[name] = stream_origins.StreamRecords()
+        self._ring = hash_ring.make_ring(self.sidecars)
+
     def start_target(self, software_version: str) -> None:
         """Starts a target and registers it."""
         target = Target(f"i{self.next_number()}", software_version)
@@ -329,6 +385,7 @@
         self.names = sorted(self.world.gateways)
         for _ in range(3):
             self.world.start_target("v1")
+            self.world.replace_sidecar()
         self.world.advance(2 * LIFETIME_MS)
 
     def _gateway(self, at: int) -> Gateway:
@@ -372,6 +429,23 @@
         self._gateway(at).restart()
         COUNTS["fault kill"] += 1
 
+    @stateful.rule(down_ms=st.integers(0, 3 * LIFETIME_MS))
+    def kill_all(self, down_ms: int) -> None:
+        """All gateways lose power, and are back after some time."""
+        for gateway in self.world.gateways.values():
+            gateway.is_running = False
+        self.world.advance(down_ms)
+        for gateway in self.world.gateways.values():
+            gateway.restart()
+        COUNTS["fault kill all"] += 1
+
+    @stateful.rule(at=st.integers(0, 7))
+    def replace_sidecar(self, at: int) -> None:
+        """A sidecar is lost with its VM, and another one starts."""
+        names = sorted(self.world.sidecars)
+        self.world.replace_sidecar(names[at % len(names)])
+        COUNTS["fault sidecar"] += 1
+
     @stateful.rule(at=st.integers(0, GATEWAYS - 1), down=st.booleans())
     def stop(self, at: int, down: bool) -> None:
         """A gateway is gone, or comes back."""
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -25,9 +25,14 @@
 ADDED_ROUTE_FRACTION = 0.15
 ADAPTER_COUNT = 10
 # Maximum number of times that a caller resumes a stream.
-MAX_RESUMES = 2
+MAX_RESUMES = 4
+REJECTED = 503
+REJECTED_RETRY_S = 1.0
 # Share of resumable streams whose caller loses its connection.
 RECONNECT_FRACTION = 0.25
+# How long, and how often, a caller with a stream tries to connect again.
+RECONNECT_LIMIT_MS = 5_000
+RECONNECT_INTERVAL_S = 0.1
 MS_PER_S = 1_000
 ROUTES = ("chat", "long", "book", "look")
 ENGINE_ROUTES = frozenset({"chat", "long"})
@@ -87,6 +92,15 @@
         self._connection = opened
         return True
 
+    async def _reconnected(self) -> bool:
+        """Connects again, once a gateway accepts connections."""
+        until_ms = history_lib.now_ms() + RECONNECT_LIMIT_MS
+        while not await self._connected():
+            if history_lib.now_ms() > until_ms:
+                return False
+            await asyncio.sleep(RECONNECT_INTERVAL_S)
+        return True
+
     def _route(self) -> str:
         added = self._added_routes()
         if added and self._random.random() < ADDED_ROUTE_FRACTION:
@@ -113,13 +127,17 @@
         for _ in range(MAX_RESUMES):
             if not streams.may_resume(attempt, reconnects=max_events > 0):
                 return
-            if not await self._connected():
+            if not await self._reconnected():
                 return
             max_events = 0
             after_event = streams.parse(attempt).last
-            attempt = await self._attempt(
+            resumed = await self._attempt(
                 route, adapter, credential, began, after_event
             )
+            if resumed.status == REJECTED:
+                await asyncio.sleep(REJECTED_RETRY_S)
+                continue
+            attempt = resumed
 
     async def _attempt(
         self,
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -74,6 +74,13 @@
 RATE_LIMIT_TOLERANCE = 5
 RATE_LIMIT_SETTLING_MS = 3_000
 RATE_LIMIT_GRACE_MS = 500
+# From this time after the restart of all gateways, and for a while, at most a
+# small part of the streams that callers resume may have no known origin.
+GATEWAY_LOSS_KIND = "gateways_kill"
+LOSS_SETTLING_MS = 2_000
+LOSS_WINDOW_MS = 6_000
+MAX_UNKNOWN_FRACTION = 0.1
+ORIGIN_UNKNOWN = "stream_origin_unknown"
 SUCCESS = 200
 NOT_FOUND = 404
 UNAUTHORIZED = 401
@@ -142,6 +149,16 @@
             for event in self.history.events
         )
 
+    def has_other_loss(self, loss: history_lib.Event, until_ms: int) -> bool:
+        """Whether processes or the store had another fault around a loss."""
+        return any(
+            event is not loss
+            and event.victim.partition("-")[0] in ("side", "store", "all")
+            and event.at_ms <= until_ms
+            and event.until_ms >= loss.at_ms - LOSS_WINDOW_MS
+            for event in self.history.events
+        )
+
     def is_link_sound(self, target: str, at_ms: int) -> bool:
         """Whether the link to a target had no fault until a time.
 
@@ -604,6 +621,30 @@
         yield Violation("streams that callers resume continue", "site", detail)
 
 
+def _streams_after_loss(evidence: Evidence) -> Iterator[Violation]:
+    """Streams continue although all gateways lost their records at once."""
+    history = evidence.history
+    losses = [one for one in history.events if one.kind == GATEWAY_LOSS_KIND]
+    for loss in losses:
+        from_ms = loss.until_ms + LOSS_SETTLING_MS
+        until_ms = from_ms + LOSS_WINDOW_MS
+        if evidence.has_other_loss(loss, until_ms):
+            continue
+        resumed = [
+            one
+            for one in streams.resumable_at_serving_version(history)
+            if from_ms <= one.sent_at_ms < until_ms
+        ]
+        unknown = [one for one in resumed if ORIGIN_UNKNOWN in one.body]
+        if len(unknown) > MAX_UNKNOWN_FRACTION * len(resumed):
+            yield Violation(
+                "streams that callers resume continue",
+                unknown[0].attempt_id,
+                f"{len(unknown)} of {len(resumed)} have no known origin after "
+                "the loss of all gateways",
+            )
+
+
 def _skewed_connections(evidence: Evidence) -> Iterator[Violation]:
     for from_ms, until_ms in _skew_periods(evidence):
         before_ms = from_ms - SKEW_BEFORE_MS
@@ -688,6 +729,7 @@
     _rate_limits,
     _software_versions,
     _resumed_streams,
+    _streams_after_loss,
     _skewed_connections,
 )
 
--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -229,6 +229,13 @@
         "        return None",
         _seeds(500, Kind.GATEWAY_KILL, engines=4),
     ),
+    mutants.Mutant(
+        "streams that callers resume continue",
+        "radishd/sidecar.py",
+        "            self.stream_origins.handle(datagram, sender)\n",
+        "            pass\n",
+        _seeds(630, Kind.GATEWAYS_KILL, engines=4),
+    ),
     mutants.Mutant(
         "one gateway serves all new connections",
         "radishd/request/callers_port.py",
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -43,6 +43,7 @@
     CONNECTIONS_SKEWED = "connections_skewed"
     SECOND_RESPONSES = "second_responses"
     LEAVE_AFTER_SILENCE = "leave_after_silence"
+    GATEWAYS_KILL = "gateways_kill"
     CRASH_LISTENER_LAST = "crash_listener_last"
     LEAVE_UNDER_ANSWERS = "leave_under_answers"
 
@@ -78,6 +79,7 @@
 # Component that the other kinds affect, where it is not the store.
 SITE_VICTIMS = {
     Kind.ALL_KILL: "all",
+    Kind.GATEWAYS_KILL: "all",
     Kind.POISON: CALLERS,
     Kind.POISON_BLOCK: CALLERS,
     Kind.CONNECTIONS_SKEWED: CALLERS,
--- a/soak/streams.py
+++ b/soak/streams.py
@@ -116,12 +116,7 @@
         for one in history.attempts
         if one.route == RESUMABLE and not one.left and is_undisturbed(one)
     ]
-    began_at = {
-        one.attempt_id: version
-        for one in history.attempts
-        if one.route == RESUMABLE
-        for version in parse(one).software_versions
-    }
+    began_at = _versions(history)
     new = [one for one in streams if not one.resumes]
     resumed = [
         one
@@ -139,6 +134,31 @@
     return f"{continued} of {len(resumed)}, {new_share:.2f} of new ones begin"
 
 
+def resumable_at_serving_version(
+    history: history_lib.History,
+) -> list[history_lib.Attempt]:
+    """Returns the attempts that resume a stream whose version serves."""
+    began_at = _versions(history)
+    return [
+        one
+        for one in history.attempts
+        if one.resumes
+        and not one.left
+        and _target_count(history, began_at.get(one.resumes, ""), one)
+        >= MIN_TARGETS
+    ]
+
+
+def _versions(history: history_lib.History) -> dict[str, str]:
+    """Returns the software version of each stream, by its attempt."""
+    return {
+        one.attempt_id: version
+        for one in history.attempts
+        if one.route == RESUMABLE
+        for version in parse(one).software_versions
+    }
+
+
 def _has_progress(attempt: history_lib.Attempt) -> bool:
     return parse(attempt).last > attempt.after_event
 
--- a/soak/world.py
+++ b/soak/world.py
@@ -26,6 +26,7 @@
 from soak import prompts
 from soak import relay
 from soak import schedule
+from soak import streams
 
 Kind = schedule.Kind
 
@@ -51,6 +52,8 @@
 # before lost objects are written again.
 RESTORE_OUTAGE_S = 0.3
 MAX_REWRITE_DELAY_S = 2.0
+# Interval of events before all gateways are killed.
+SLOW_EVENT_MS = 300.0
 # Kinds of objects that the operator and targets write.
 REWRITTEN_KINDS = frozenset({"servers", "config", "versions"})
 # The rate limit that a target advertises, and the minimum time for which it
@@ -633,6 +636,8 @@
                     await program.kill()
                 for program in programs:
                     await self._start(program)
+            case Kind.GATEWAYS_KILL:
+                await self._kill_gateways(for_s)
             case Kind.STORE_REFUSES:
                 faults.refuses = True
                 await asyncio.sleep(for_s)
@@ -676,6 +681,21 @@
                 await asyncio.sleep(for_s + MIN_SKEW_S)
                 self.skew_count -= 1
 
+    async def _kill_gateways(self, for_s: float) -> None:
+        """Kills all gateways at once, with many streams under way."""
+        slow = dataclasses.replace(TIMING, event_ms=SLOW_EVENT_MS)
+        targets = [one.target for one in self.vms if one.engine]
+        for target in targets:
+            target.timing = slow
+        await asyncio.sleep(SLOW_EVENT_MS * streams.EVENT_COUNT / MS_PER_S)
+        for program in self.gateways:
+            await program.kill()
+        for target in targets:
+            target.timing = TIMING
+        await asyncio.sleep(for_s)
+        for program in self.gateways:
+            await self._start(program)
+
     async def _restore_store(self, for_s: float) -> None:
         """Restores the store from an older copy, then rewrites lost objects."""
         snapshot = self.store.snapshot()
--- a/tests/fleet/test_software_versions.py
+++ b/tests/fleet/test_software_versions.py
@@ -1,11 +1,13 @@
 """Streams while targets of several software versions serve side by side."""
 
+import collections
 from collections.abc import AsyncIterator
 import contextlib
 
 from radishd import gateway as gateway_lib
 from radishd.process import clock
 from radishstack.connection import fleet_wire
+from radishstack.process import hash_ring
 from radishstack.process import roster as roster_lib
 from radishstack.process import stream_origins
 from standins import platform_engine
@@ -271,6 +273,142 @@
     fixtures.run(play)
 
 
+async def _replace_gateway(fleet: fixtures.Fleet) -> gateway_lib.Gateway:
+    """Starts a gateway that cannot reach the first one, as after its loss."""
+    fleet.gateway.socket = None
+    gateway = await fleet.add_gateway()
+    await _knows_engines(fleet, gateway)
+    return gateway
+
+
+def test_a_stream_continues_after_all_gateways_were_lost() -> None:
+    """Guards against streams that are lost although their version serves.
+
+    All gateways lose power at once, with all records of streams. The sidecars
+    keep running. A second loss follows.
+    """
+
+    async def play() -> None:
+        async with _fleet("v1", "v1", "v2") as fleet:
+            *_, other = _engines(fleet)
+            await _begin_at_first_engine(fleet, "h0")
+            for number in range(2):
+                gateway = await _replace_gateway(fleet)
+                _prefer(gateway, other)
+                answer = await _resume(fleet, gateway, "h0")
+                assert answer.status == 200 and answer.whole, (number, answer)
+                assert _runners(fleet, "h0-next") == ["v1"] * (number + 1)
+                gateway.socket = None
+            assert not other.ran
+
+    fixtures.run(play)
+
+
+def test_a_stream_is_not_joined_after_all_gateways_were_lost() -> None:
+    """Guards against a stream that continues at the only version left.
+
+    The targets of its version leave while all gateways are down.
+    """
+
+    async def play() -> None:
+        async with _fleet("v1", "v1", "v2") as fleet:
+            *old, other = _engines(fleet)
+            await _begin_at_first_engine(fleet, "i0")
+            for engine in old:
+                await engine.stop()
+                fleet.store.delete("servers", engine.instance)
+                del fleet.targets[engine.instance]
+            gateway = await _replace_gateway(fleet)
+            answer = await _resume(fleet, gateway, "i0")
+            assert answer.status == 503, answer
+            # Neither does it without any record.
+            answer = await _resume(fleet, gateway, "i1")
+            assert answer.status == 503, answer
+            assert not other.ran
+
+    fixtures.run(play)
+
+
+def test_the_rest_of_a_deadline_is_not_the_age_of_a_stream() -> None:
+    """Guards against a join of two versions after a stream of a long deadline.
+
+    A gateway that started after the targets of the old version had left has
+    observed one version for longer than the rest of the caller's deadline, and
+    for less than the stream's age.
+    """
+
+    async def play() -> None:
+        async with _fleet("v2", "v2") as fleet:
+            history = fleet.gateway.stream_origins.history
+            members = fleet.gateway.roster.members.values()
+            listings = [one.listing for one in members]
+            history.restart()
+            observed_ms = stream_origins.MAX_RETENTION_MS - 10_000
+            for ago_ms in (observed_ms, 0):
+                history.observe(
+                    listings, clock.boot_ms() - ago_ms, is_current=True
+                )
+            answer = await _resume(fleet, fleet.gateway, "j0")
+            assert answer.status == 503, answer
+            assert not any(one.ran for one in _engines(fleet))
+
+    fixtures.run(play)
+
+
+def test_a_history_is_never_longer_than_its_process() -> None:
+    """Guards against a gateway that vouches for a time before its start.
+
+    After a start, a pause or an outage, its view begins anew.
+    """
+    history = stream_origins.VersionHistory()
+    assert history.view("llm", LIFETIME_MS, 10**9) == stream_origins.NO_VIEW
+    listing = roster_lib.Listing(
+        instance="i1",
+        service="llm",
+        address="10.0.0.1:80",
+        failure_domain="north",
+        leaving=False,
+        slot_count=8,
+        software_version="v1",
+    )
+    for begin_ms in (10**9, 2 * 10**9):
+        history.observe([listing], begin_ms, is_current=True)
+        view = history.view("llm", LIFETIME_MS, begin_ms + 5)
+        assert view.sole_for_ms == 5
+        history.restart()
+        view = history.view("llm", LIFETIME_MS, begin_ms + 6)
+        assert view == stream_origins.NO_VIEW
+    history.observe([listing], 3 * 10**9, is_current=False)
+    view = history.view("llm", LIFETIME_MS, 3 * 10**9)
+    assert view == stream_origins.NO_VIEW
+
+
+def test_a_key_has_the_same_holders_as_names_change() -> None:
+    """Guards against records that are not found after a sidecar was replaced.
+
+    At most one of the holders changes, and those that are asked include the
+    others.
+    """
+    names = [f"10.0.{number}.1" for number in range(40)]
+    ring = hash_ring.make_ring(names)
+    loads = collections.Counter()
+    for stream in range(400):
+        key = stream_origins.stream_id_of(str(stream))
+        holders = stream_origins.sidecar_holders(key, ring)
+        loads.update(holders)
+        assert len(set(holders)) == stream_origins.SIDECAR_HOLDER_COUNT
+        for gone in (holders[0], names[stream % len(names)]):
+            left = [one for one in names if one != gone] + [f"new-{stream}"]
+            asked = stream_origins.sidecar_candidates(
+                key, hash_ring.make_ring(left)
+            )
+            assert set(holders) - {gone} <= set(asked)
+    assert len(loads) == len(names)
+    assert hash_ring.make_ring([]).successors(1, 2) == []
+    assert hash_ring.make_ring(["a"]).successors(1, 2) == ["a"]
+    assert hash_ring.make_ring(["a"]).successors(1, 0) == []
+
+
 def test_a_stream_of_unknown_origin_does_not_continue() -> None:
     """Guards against a guess where several software versions serve.
 
