Skip expired gateways when a sidecar's status has changed

A sidecar's task broke off with a KeyError, and its updates stopped for 0.2 s, when what its engine held changed while a gateway had just expired: the gateway was selected for an immediate update, and the regular one then removed it before its entry was read. The selection is now limited to the gateways that are left.

Red before (KeyError), green now: test_a_gateway_that_has_expired_gets_no_update; its mutant is caught.

--- a/packages/radishstack/src/radishstack/process/audience.py
+++ b/packages/radishstack/src/radishstack/process/audience.py
@@ -168,7 +168,8 @@
         if now_ms >= self._next_at_ms:
             due |= self._due_by_interval(now_ms)
         by_interval: dict[int, list[Address]] = {}
-        for address in sorted(due):
+        # Some of them may have expired meanwhile.
+        for address in sorted(due & self._gateways.keys()):
             one = self._gateways[address]
             one.updated_at_ms = now_ms
             interval_ms = self._interval_ms(one, now_ms)
--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -105,6 +105,13 @@
 _DRAINED_PROMISE = "a whole answer of a draining target is complete"
 
 MUTANTS = (
+    Mutant(
+        "a sidecar updates the gateways that are known",
+        "radishstack/process/audience.py",
+        "        for address in sorted(due & self._gateways.keys()):\n",
+        "        for address in sorted(due):\n",
+        _test("fleet.test_audience"),
+    ),
     Mutant(
         _CUT_PROMISE,
         _LIVENESS_PATH,
--- a/tests/fleet/test_audience.py
+++ b/tests/fleet/test_audience.py
@@ -47,6 +47,20 @@
     return updates
 
 
+def test_a_gateway_that_has_expired_gets_no_update() -> None:
+    """Guards against an update for a gateway that has just been removed.
+
+    What the engine holds changes after a gateway has sent no demand for its
+    time to live.
+    """
+    audience = _audience(2, users=0)
+    expired_ms = NOW_MS + audience_lib.GATEWAY_TTL_MS + 1
+    _send_demands(audience, 1, 0, expired_ms - 1)
+    due = audience.due(expired_ms, changed=True, held=frozenset())
+    hosts = [host for one in due for host, _ in one.addresses]
+    assert hosts == ["10.0.0.0"], due
+
+
 def test_active_gateways_get_frequent_updates_and_idle_ones_rare() -> None:
     """Guards against control messages that use a tenth of each VM at 100 VMs.
 
