Apply the idle timeout of a configuration that is read early

Callers' idle connections were closed after 15 s although the configuration said otherwise, until the next configuration came: its limits are applied to the callers' server as it is read, and a configuration that was read while the other ports were being opened found no server yet. The limits in force are applied once the server is made.

Red before, green now: test_an_idle_timeout_read_before_the_port_opens_is_applied (first written with the server's own default of 5 s as the limit, where the mutant was missed; with 7 s it is caught).

--- a/packages/radishd/src/radishd/gateway.py
+++ b/packages/radishd/src/radishd/gateway.py
@@ -221,7 +221,7 @@
             configuration_ms=self.own.configuration_ms,
             on_listed=self._on_new_incarnation,
             on_change=self.notifier.notify_all,
-            on_limits=self._apply_limits,
+            on_limits=self.apply_limits,
             on_store_back=self.crash_gossip.request_reports_soon,
             on_store_restored=self._rewrite_crash_records,
         )
@@ -304,7 +304,8 @@
         for lost_record in self.crash_gossip.records_to_rewrite():
             self.kept_crashes.keep(lost_record)
 
-    def _apply_limits(self, limits: route_table.Limits) -> None:
+    def apply_limits(self, limits: route_table.Limits) -> None:
+        """Applies the limits of a configuration to callers' connections."""
         if self.server is not None:
             web.set_idle_timeout(self.server, limits.idle_timeout_ms)
 
@@ -539,9 +540,9 @@
             http=web.caller_protocol(
                 lambda: metrics.connections_refused.inc({})
             ),
-            timeout_keep_alive=route_table.EMPTY.limits.idle_timeout_ms
-            // MS_PER_S,
         )
+        # The configuration may have been read already.
+        gateway.apply_limits(gateway.table.limits)
         await tasks.start(functools.partial(web.serve, gateway.server))
         task_status.started(gateway)
         await stop.wait()
--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -105,6 +105,13 @@
 _DRAINED_PROMISE = "a whole answer of a draining target is complete"
 
 MUTANTS = (
+    Mutant(
+        "limits of the configuration are applied",
+        "radishd/gateway.py",
+        "        gateway.apply_limits(gateway.table.limits)\n",
+        "",
+        _test("fleet.test_connections"),
+    ),
     Mutant(
         "a sidecar updates the gateways that are known",
         "radishstack/process/audience.py",
--- a/tests/fleet/test_connections.py
+++ b/tests/fleet/test_connections.py
@@ -2,8 +2,11 @@
 
 import functools
 import resource
+from typing import Any
+from unittest import mock
 
 import anyio
+from radishd import gateway as gateway_lib
 from radishd.connection import http_client
 from radishd.process import web
 
@@ -76,6 +79,41 @@
     fixtures.run(play)
 
 
+def test_an_idle_timeout_read_before_the_port_opens_is_applied() -> None:
+    """Guards against a default that stays until the next configuration.
+
+    The gateway reads its configuration while its other ports are opened.
+    """
+
+    async def play() -> None:
+        async with fixtures.running_fleet(engines=0, plain=1) as fleet:
+            configuration = fixtures.configuration(3)
+            configuration["limits"]["idleTimeoutMs"] = 7_000
+            fleet.store.put("config", "main", configuration)
+            gateways: list[gateway_lib.Gateway] = []
+            make_app, serve = gateway_lib._admin_app, web.serve
+
+            def capture(gateway: gateway_lib.Gateway) -> web.App:
+                gateways.append(gateway)
+                return make_app(gateway)
+
+            async def serve_late(server: Any, **options: Any) -> None:
+                await fleet.until(
+                    lambda: bool(gateways[0].table.version), "it is read"
+                )
+                await serve(server, **options)
+
+            with (
+                mock.patch.object(gateway_lib, "_admin_app", capture),
+                mock.patch.object(web, "serve", serve_late),
+            ):
+                gateway = await fleet.add_gateway()
+            assert gateway.table.limits.idle_timeout_ms == 7_000
+            assert gateway.server.config.timeout_keep_alive == 7
+
+    fixtures.run(play)
+
+
 def test_callers_leave_descriptors_for_targets() -> None:
     """Guards against a maximum above the process's limit."""
     max_files, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
