Keep the retry budget over a reload

A SIGHUP emptied the counts of extra sends, so that a gateway could spend its whole share of the retry budget again after each reload. The budgets are kept; changed settings apply to what was counted before.

Red before, green now: test_a_reload_keeps_what_retries_have_used; its mutant is caught.

--- a/packages/radishd/src/radishd/gateway.py
+++ b/packages/radishd/src/radishd/gateway.py
@@ -330,15 +330,14 @@
         # fewer were known, all together would send several times the budget.
         gateways = max(MIN_GATEWAYS, self.peers.count)
         part = self.own.retry_extra * BUDGET_FRACTION / gateways
+        ratio = self.own.retry_ratio * BUDGET_FRACTION
+        window_ms = self.own.retry_window_ms
         budget = self.budgets.get(service)
         if budget is None:
-            budget = shared_budget.SharedBudget(
-                self.own.retry_ratio * BUDGET_FRACTION,
-                part,
-                self.own.retry_window_ms,
-            )
+            budget = shared_budget.SharedBudget(ratio, part, window_ms)
             self.budgets[service] = budget
-        budget.part = part
+        # Reloaded settings apply to the sends that were counted before.
+        budget.ratio, budget.part, budget.window_ms = ratio, part, window_ms
         return budget
 
     def release(self, address: str, connection: http_client.Connection) -> None:
@@ -426,7 +425,6 @@
         self.settings = settings
         self.own = settings.gateway
         self.peers.record_peers(settings.seeds)
-        self.budgets.clear()
         self.log.must("reload", config=self.table.version)
 
     def ready(self) -> str:
--- a/packages/radishstack/src/radishstack/process/shared_budget.py
+++ b/packages/radishstack/src/radishstack/process/shared_budget.py
@@ -14,11 +14,13 @@
     """One process's share of the budget for one service.
 
     Attributes:
+        ratio: Extra sends that one request earns.
+        window_ms: Length of the sliding window.
         part: This process' share of the fixed allowance, which shrinks as more
             processes become known.
     """
 
-    __slots__ = ("_ratio", "_requests", "_spent", "_window_ms", "part")
+    __slots__ = ("_requests", "_spent", "part", "ratio", "window_ms")
 
     def __init__(self, ratio: float, part: float, window_ms: int) -> None:
         """Creates a budget with nothing spent.
@@ -28,14 +30,14 @@
             part: This process' share of the fixed allowance.
             window_ms: Length of the sliding window.
         """
-        self._ratio = ratio
+        self.ratio = ratio
         self.part = part
-        self._window_ms = window_ms
+        self.window_ms = window_ms
         self._requests: collections.deque[int] = collections.deque()
         self._spent: collections.deque[int] = collections.deque()
 
     def _drop_old(self, now_ms: int) -> None:
-        oldest_ms = now_ms - self._window_ms
+        oldest_ms = now_ms - self.window_ms
         for times in (self._requests, self._spent):
             while times and times[0] < oldest_ms:
                 times.popleft()
@@ -48,7 +50,7 @@
     def can_spend(self, now_ms: int) -> bool:
         """Whether the budget allows one more extra send."""
         self._drop_old(now_ms)
-        allowed = self._ratio * len(self._requests) + self.part
+        allowed = self.ratio * len(self._requests) + self.part
         return len(self._spent) + 1 <= allowed
 
     def spend(self, now_ms: int) -> bool:
--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -105,6 +105,14 @@
 _DRAINED_PROMISE = "a whole answer of a draining target is complete"
 
 MUTANTS = (
+    Mutant(
+        "a reload keeps what retries have used",
+        "radishd/gateway.py",
+        "        self.peers.record_peers(settings.seeds)\n",
+        "        self.peers.record_peers(settings.seeds)\n"
+        "        self.budgets.clear()\n",
+        _test("fleet.test_fleet_faults"),
+    ),
     Mutant(
         "limits of the configuration are applied",
         "radishd/gateway.py",
--- a/tests/fleet/test_fleet_faults.py
+++ b/tests/fleet/test_fleet_faults.py
@@ -414,3 +414,26 @@
             assert gateway.budget("counter").part < before
 
     fixtures.run(play)
+
+
+def test_a_reload_keeps_what_retries_have_used() -> None:
+    """Guards against a retry budget that each reload fills again."""
+
+    async def play() -> None:
+        async with fixtures.running_fleet(engines=0, plain=1) as fleet:
+            gateway = fleet.gateway
+            now_ms = 1_000
+            while gateway.budget("llm").spend(now_ms):
+                pass
+            gateway.reload(gateway.settings)
+            assert not gateway.budget("llm").can_spend(now_ms)
+            # Changed settings apply to the sends that were counted before.
+            own = dataclasses.replace(gateway.own, retry_extra=10_000)
+            gateway.reload(dataclasses.replace(gateway.settings, gateway=own))
+            assert gateway.budget("llm").can_spend(now_ms)
+            own = dataclasses.replace(own, retry_extra=0, retry_ratio=0.0)
+            gateway.reload(dataclasses.replace(gateway.settings, gateway=own))
+            gateway.budget("llm").earn(now_ms)
+            assert not gateway.budget("llm").can_spend(now_ms)
+
+    fixtures.run(play)
