--- a/packages/radishd/src/radishd/connection/liveness_check.py
+++ b/packages/radishd/src/radishd/connection/liveness_check.py
@@ -1,4 +1,4 @@
-"""Checks whether an incarnation of a target has outlived a moment.
+"""Checks whether an incarnation of a target is still running.
 
 An accepted connection does not show it: the operating system closes the sockets
 of a killed process one by one, and the next process at the address accepts
@@ -26,7 +26,7 @@
 SOCKETS_CLOSED_MS = 150
 # Interval between connections that are closed without an answer.
 RETRY_INTERVAL_MS = 25
-# How long a connection must stay open if no path shows the target's health.
+# How long a connection must stay open if the target has no health endpoint.
 HOLD_MS = 50
 
 TargetState = response_end.TargetState
@@ -48,7 +48,7 @@
 
 
 class LivenessCheck:
-    """Checks targets by the paths that show their health."""
+    """Sends health requests to targets."""
 
     def __init__(
         self,
@@ -65,7 +65,7 @@
         self._find_service = find_service
 
     async def observe(self, listing: roster_lib.Listing) -> Observation:
-        """Observes whether a listed incarnation runs.
+        """Checks whether a listed incarnation is running.
 
         Args:
             listing: The target.
@@ -99,7 +99,7 @@
             await anyio.sleep(RETRY_INTERVAL_MS / MS_PER_S)
 
     def _health_path(self, listing: roster_lib.Listing) -> str:
-        """Returns the path that shows a target's health, empty if none.
+        """Returns the path of a target's health endpoint, empty if none.
 
         Only the report of an engine contains its start time, which differs
         between incarnations of one name.
--- a/packages/radishd/src/radishd/platform/health.py
+++ b/packages/radishd/src/radishd/platform/health.py
@@ -1,4 +1,4 @@
-"""Requests that show which incarnation of a target runs, and their answers."""
+"""Health requests to targets, and the incarnation that answers them."""
 
 from radishstack.process import incarnation
 from radishstack.process import roster as roster_lib
@@ -8,7 +8,7 @@
 from radishd.platform import front
 from radishd.platform import wire
 
-# An engine answers it at any load, and names its start time in it.
+# Engines answer it at any load; the answer contains their start time.
 REPORT_PATH = "/-/report"
 
 TargetState = response_end.TargetState
--- a/packages/radishd/src/radishd/process/entry_watch.py
+++ b/packages/radishd/src/radishd/process/entry_watch.py
@@ -16,7 +16,7 @@
 # Concurrent watches, each of which is a billed call. Further ones wait, and
 # then read the same changes.
 MAX_WATCHES = 4
-# Time for the answer of a watch that has waited for as long as it may.
+# Time after the end of a watch's wait within which the store must answer.
 ANSWER_TIMEOUT_MS = 200
 
 
--- a/packages/radishd/src/radishd/request/closing_check.py
+++ b/packages/radishd/src/radishd/request/closing_check.py
@@ -17,16 +17,16 @@
 from radishd.process import entry_watch as entry_watch_lib
 
 MS_PER_S = 1_000
-# How long the removal of an entry is waited for. Callers have all events of a
-# stream by then, and some abandon it after a gap of two seconds.
+# Maximum wait for the removal of an entry. Callers have all events of a stream
+# by then, and some abandon it after a gap of two seconds.
 DEREGISTRATION_WAIT_MS = 1_700
 # An entry that is removed within this many heartbeat intervals after a response
 # has not expired: entries expire after three intervals, and the last heartbeat
 # was up to one interval before.
 DEREGISTRATION_HEARTBEATS = roster_lib.MIN_TTL_HEARTBEATS
-# Time within which a target that exits has removed its entry.
+# Minimum wait after which an entry that is still listed indicates a crash.
 MIN_DEREGISTRATION_MS = 500
-# Time that is left for the answer of the store and the end of the response.
+# Time reserved for the store's answer and for the end of the response.
 MARGIN_MS = 300
 
 Deregistration = response_end.Deregistration
--- a/packages/radishd/src/radishd/request/response_ends.py
+++ b/packages/radishd/src/radishd/request/response_ends.py
@@ -15,7 +15,7 @@
     forwarding.Outcome.SILENT: End.STALLED,
     forwarding.Outcome.SPOILED: End.INVALID,
 }
-# Ends by which a crash of the target shows in its other responses.
+# Ends that may be due to a crash of the target.
 _CUT_BY_TARGET = frozenset({End.LOST, End.INSIDE_EVENT, End.EMPTY})
 
 
--- a/packages/radishstack/src/radishstack/process/stream_origins.py
+++ b/packages/radishstack/src/radishstack/process/stream_origins.py
@@ -321,7 +321,7 @@
         return answer.origin if answer is not None else None
 
     def found_at(self) -> str:
-        """Returns who knows the origin, empty if nobody does."""
+        """Returns who answered with the origin, empty if nobody did."""
         for name, answer in self.answers.items():
             if answer.origin is not None:
                 return name
--- a/packages/radishstack/src/radishstack/request/response_end.py
+++ b/packages/radishstack/src/radishstack/request/response_end.py
@@ -128,7 +128,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Closing:
-    """What is known of a target that closed a response without a length.
+    """Evidence on a response whose target closed its connection.
 
     Attributes:
         target: What a check after the response found.
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -25,7 +25,7 @@
 DRAINING_SETTLING_MS = 2_000
 # Faults of the link to a target.
 LINK_FAULTS = frozenset({"link_silent", "link_reset", "link_slow"})
-# Faults that end a target with what it has written.
+# Faults after which bytes that a target has written may be lost.
 TARGET_ENDS = frozenset(
     {
         "target_restart",
--- a/soak/world.py
+++ b/soak/world.py
@@ -429,7 +429,7 @@
                 while any(target.running.values()):
                     await asyncio.sleep(POLL_S)
         await self._deregister(target)
-        # What the target has written passes the link.
+        # The link still forwards what the target has written.
         await asyncio.sleep(POLL_S)
         await target.stop()
         vm.link.stop()
