Send health requests on connections of their own

A target that rejects a request may send the rejection once more, later. On an idle connection that second response was read as the answer to the health request of the check that follows the end of an answer without a length: a 421 made a sound target pass for another incarnation, and its whole answer was cut; any other status made a crashed one pass for alive. A health request carries no id that its answer would name, so it is sent on a new connection, as the connection check before it was.

--- a/packages/radishd/src/radishd/connection/liveness_check.py
+++ b/packages/radishd/src/radishd/connection/liveness_check.py
@@ -79,7 +79,9 @@
         began_ms = clock.boot_ms()
         path = self._health_path(listing)
         while True:
-            connection = await self._pool.acquire(listing.address, fresh=True)
+            # On an idle connection, a late second response to an earlier
+            # request could be taken for the answer.
+            connection = await self._pool.open(listing.address)
             if isinstance(connection, http_client.Lost):
                 return TargetState.UNREACHABLE, connection.reason
             if not path:
--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -136,6 +136,15 @@
         "            if not path:\n",
         _CUT_TEST,
     ),
+    Mutant(
+        _ATTRIBUTION_PROMISE,
+        _LIVENESS_PATH,
+        "            connection = await self._pool.open(listing.address)\n",
+        "            connection = await self._pool.acquire(\n"
+        "                listing.address, fresh=True\n"
+        "            )\n",
+        _CUT_TEST,
+    ),
     Mutant(
         _CUT_PROMISE,
         _LIVENESS_PATH,
--- a/tests/fleet/test_response_ends.py
+++ b/tests/fleet/test_response_ends.py
@@ -449,6 +449,43 @@
     fixtures.run(play)
 
 
+def test_a_late_second_response_is_no_answer_to_a_health_request() -> None:
+    """Guards against a sound target that passes for another incarnation.
+
+    A target rejects a request of which it lacks the adapter, and sends the
+    rejection once more on that connection.
+    """
+
+    async def play() -> None:
+        async with fixtures.running_fleet(engines=1, plain=0) as fleet:
+            (engine,) = fleet.targets.values()
+            engine.adapters["a1"] = 1
+            gateway = fleet.gateway
+            member = gateway.roster.members[engine.instance]
+            name = f"{fixtures.MODEL}/a1"
+            await fleet.until(
+                lambda: (
+                    name in gateway.placement.residents(member, clock.boot_ms())
+                ),
+                "the gateway knows the adapter",
+            )
+            engine.adapters.clear()
+            engine.answers_twice = lambda seen, status: status == 421
+            engine.timing.load_ms = 1_000.0
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(
+                    functools.partial(fleet.call, "/chat/x", adapter="a1")
+                )
+                await fleet.until(lambda: bool(engine.seen), "it is rejected")
+                observation = await gateway.liveness_check.observe(
+                    member.listing
+                )
+                tasks.cancel_scope.cancel()
+            assert observation.state is TargetState.ANSWERS, observation
+
+    fixtures.run(play)
+
+
 def test_a_crash_shows_without_a_path_for_the_health() -> None:
     """Guards against half a booking of a service without a health path."""
 
