Let the soak's link forward what a target has sent before it closes

Trace: the target drains, sends all four events and exits; its link is slow by 150 ms, and the stand-in stopped the link while the last event was on its way, with a regular end of the connection. A network loses such bytes with a reset, if at all, so the case is the stand-in's. The link is stopped once everything was forwarded.

The check is as strict as before.

--- a/soak/relay.py
+++ b/soak/relay.py
@@ -6,6 +6,8 @@
 
 RELAY_BYTES = 65_536
 POLL_S = 0.02
+# Limit of the wait for bytes that are on their way.
+FINISH_LIMIT_S = 2.0
 MS_PER_S = 1_000
 
 
@@ -56,6 +58,13 @@
         if self._server is not None:
             self._server.close()
 
+    async def finish(self) -> None:
+        """Waits until everything that peers have sent was forwarded."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(FINISH_LIMIT_S):
+                while self._tasks:
+                    await asyncio.sleep(POLL_S)
+
     def stop(self) -> None:
         """Stops listening and resets all connections; it can be restarted."""
         self.stop_listening()
--- a/soak/world.py
+++ b/soak/world.py
@@ -429,9 +429,10 @@
                 while any(target.running.values()):
                     await asyncio.sleep(POLL_S)
         await self._deregister(target)
-        # The link still forwards what the target has written.
-        await asyncio.sleep(POLL_S)
         await target.stop()
+        # A link that dropped delayed bytes and then closed its connections in
+        # order would cut answers that the target has sent whole.
+        await vm.link.finish()
         vm.link.stop()
         self._record_orders(target)
         await asyncio.sleep(ADDRESS_REUSE_S)
