Fix the clock in the test of the log's rate limit

Cause, from the code: the limit refills with the monotonic clock, so a pause of the test between two of its lines lets one more through, which takes over the number of dropped lines; the count that the test reads afterwards begins anew.

--- a/tests/fleet/test_decision_log.py
+++ b/tests/fleet/test_decision_log.py
@@ -3,6 +3,8 @@
 import contextlib
 import json
 import os
+import time
+from unittest import mock
 
 from radishd.process import decision_log
 
@@ -33,8 +35,12 @@
     read_fd, write_fd = os.pipe()
     try:
         log = decision_log.DecisionLog(write_fd, vm="edge-1")
-        for number in range(10 * round(decision_log.BURST_LINES)):
-            log.write("request", request=str(number))
+        # A pause of the test would refill the limit, and the next line would
+        # take over the number of dropped ones.
+        now_ns = time.monotonic_ns()
+        with mock.patch.object(time, "monotonic_ns", return_value=now_ns):
+            for number in range(10 * round(decision_log.BURST_LINES)):
+                log.write("request", request=str(number))
         dropped = log.dropped
         assert dropped >= 8 * decision_log.BURST_LINES
         log.must("stop")
