Close the connection of a health request

Trace: the response came on connection 304 as its second request; the first one was the health request of the crash check, whose connection had been returned to the pool. A response that names no request is trusted on a connection's first request only, so the caller lost its status. A late second response to the health request could reach the next request in the same way. The connection is closed after the check.

--- a/packages/radishd/src/radishd/connection/liveness_check.py
+++ b/packages/radishd/src/radishd/connection/liveness_check.py
@@ -119,12 +119,18 @@
         connection: http_client.Connection,
         path: str,
     ) -> http_client.Answer | http_client.Lost | None:
-        """Requests the health of a target; returns None after the timeout."""
-        with anyio.move_on_after(ANSWER_TIMEOUT_MS / MS_PER_S):
-            return await self._pool.exchange(
-                listing.address, connection, health.encode(listing, path)
-            )
-        return None
+        """Requests the health of a target; returns None after the timeout.
+
+        The connection is not reused: a late second response to this request
+        could be taken for the response to the next one.
+        """
+        try:
+            with anyio.move_on_after(ANSWER_TIMEOUT_MS / MS_PER_S):
+                connection.send(health.encode(listing, path))
+                return await http_client.read_answer(connection)
+            return None
+        finally:
+            connection.close()
 
     async def _stays_open(
         self, address: str, connection: http_client.Connection
--- a/tests/fleet/test_response_ends.py
+++ b/tests/fleet/test_response_ends.py
@@ -486,6 +486,26 @@
     fixtures.run(play)
 
 
+def test_a_health_request_leaves_no_used_connection() -> None:
+    """Guards against a sound response that cannot be attributed.
+
+    A response that names no request is only trusted on a connection that has
+    carried no other one.
+    """
+
+    async def play() -> None:
+        async with fixtures.running_fleet(engines=0, plain=1) as fleet:
+            (target,) = fleet.targets.values()
+            member = fleet.gateway.roster.members[target.instance]
+            await fleet.gateway.liveness_check.observe(member.listing)
+            target.endless_form = "responses"
+            _inject(fleet, Fault.ENDLESS_BYTES)
+            answer = await fleet.call("/book/1")
+            assert answer.status == 500, answer
+
+    fixtures.run(play)
+
+
 def test_a_crash_shows_without_a_path_for_the_health() -> None:
     """Guards against half a booking of a service without a health path."""
 
