Parse clients' requests one at a time, within bounds on bytes

What callers saw: beside a dozen clients that sent many requests ahead, or a head without end, they got no answer, and the process ran out of memory.

Cause: the HTTP server feeds the parser everything that was read, up to 256 KiB at a time. A request of 18 bytes becomes an object of some kilobytes before anything decides on it, and a request under way that waits for its client's disconnect resumes reading, so the flow control never holds. A header, or the trailers of a body, are collected by the parser without a bound.

Change: one protocol below all servers parses up to the end of one request, in parts, and continues when the response is complete. What follows waits unparsed, up to a high-water mark of 16 KiB. A head is searched for its end before it is parsed, up to a size; beyond it 431, and the rest is read and dropped for a while, so that the client gets its answer. What all connections hold is counted in one account for the process, and large requests are not read further while it is used up. A request that was read whole is answered as before. maxHeaderBytes of the configuration is applied at the callers' port of a gateway (431, code 1009).

test_connections names the maximum in the bounds now, as strictly as before.

--- a/packages/radishd/src/radishd/entry.py
+++ b/packages/radishd/src/radishd/entry.py
@@ -19,6 +19,7 @@
 from radishd.connection import link as link_lib
 from radishd.connection import transfer
 from radishd.process import admin
+from radishd.process import client_ports
 from radishd.process import clock
 from radishd.process import configuration as configuration_lib
 from radishd.process import configuration_gossip as configuration_gossip_lib
@@ -63,6 +64,7 @@
         self.settings = settings
         self.own = settings.entry
         self.metrics = metrics
+        self.client_ports = client_ports.ClientPorts(settings.clients, metrics)
         self.control = control
         self.random = random_source
         self.configuration = configuration_lib.Configuration()
@@ -323,6 +325,7 @@
         """Sets the gauges."""
         self.metrics.version.set({}, self.configuration.held.version)
         self.metrics.in_flight.set({}, len(self.in_flight))
+        self.client_ports.refresh()
 
     def status(self) -> dict[str, Any]:
         """Returns what ``radishctl status`` shows."""
@@ -424,12 +427,15 @@
             refresh=entry.refresh,
         )
         admin_server = web.make_server(
-            admin_app, *settings_lib.split_address(own.admin)
+            admin_app,
+            *settings_lib.split_address(own.admin),
+            entry.client_ports.control_port(),
         )
         await tasks.start(functools.partial(web.serve, admin_server))
         server = web.make_server(
             entry.app,
             *settings_lib.split_address(own.listen),
+            entry.client_ports.callers_port(own.max_header_bytes),
             limit_concurrency=own.max_connections,
             backlog=1_024,
         )
--- a/packages/radishd/src/radishd/gateway.py
+++ b/packages/radishd/src/radishd/gateway.py
@@ -36,6 +36,7 @@
 from radishd.platform import store as store_lib
 from radishd.platform import wire
 from radishd.process import admin
+from radishd.process import client_ports
 from radishd.process import clock
 from radishd.process import crash_gossip as crash_gossip_lib
 from radishd.process import decision_log
@@ -132,6 +133,7 @@
         self.refusals: dict[int, int] = {}
         self.socket: fleet_socket.FleetSocket | None = None
         self.server: web.Server | None = None
+        self.client_ports = client_ports.ClientPorts(settings.clients, metrics)
         store_address = settings.platform.url.removeprefix("http://")
         self.store = store_lib.Store(store_address, metrics)
         self.peers = peers_lib.Peers(
@@ -307,7 +309,13 @@
     def apply_limits(self, limits: route_table.Limits) -> None:
         """Applies the limits of a configuration to callers' connections."""
         if self.server is not None:
-            web.set_idle_timeout(self.server, limits.idle_timeout_ms)
+            web.apply_limits(
+                self.server,
+                self.client_ports.callers_limits(
+                    limits.max_header_bytes,
+                    limits.idle_timeout_ms,
+                ),
+            )
 
     # Methods for requests, see ``gateway_interface``.
 
@@ -474,6 +482,7 @@
         self.metrics.version.set({}, self.table.version)
         self.metrics.in_flight.set({}, self.in_flight)
         self.metrics.log_dropped.set({}, self.log.dropped)
+        self.client_ports.refresh()
 
 
 async def run(
@@ -529,15 +538,19 @@
             (peers_lib.make_app(gateway.discovery.export_objects), own.peers),
             (_readiness_app(gateway), own.readiness),
         ):
-            server = web.make_server(app, *settings_lib.split_address(address))
+            server = web.make_server(
+                app,
+                *settings_lib.split_address(address),
+                gateway.client_ports.control_port(),
+            )
             await tasks.start(functools.partial(web.serve, server))
         gateway.server = web.make_server(
             gateway.callers.app,
             *settings_lib.split_address(own.listen),
-            backlog=1_024,
-            http=web.caller_protocol(
-                lambda: metrics.connections_refused.inc({})
+            gateway.client_ports.callers_port(
+                gateway.table.limits.max_header_bytes
             ),
+            backlog=1_024,
         )
         # The configuration may have been read already.
         gateway.apply_limits(gateway.table.limits)
--- a/packages/radishd/src/radishd/process/metrics.py
+++ b/packages/radishd/src/radishd/process/metrics.py
@@ -80,6 +80,14 @@
             "connections_refused_total",
             "Callers' connections that were closed unread as too many are open",
         )
+        self.clients_refused = counter(
+            "clients_refused_total",
+            "Clients that were refused or closed beyond a limit, by port and "
+            "reason",
+        )
+        self.client_bytes = gauge(
+            "client_bytes", "Bytes that clients' connections hold in memory"
+        )
         self.response_ends = counter(
             "response_ends_total",
             "Ends of targets' responses, by framing and by how they ended",
--- a/packages/radishd/src/radishd/process/settings.py
+++ b/packages/radishd/src/radishd/process/settings.py
@@ -13,6 +13,8 @@
 from radishstack.version import checks
 import yaml
 
+from radishd.process import client_bounds
+
 _settings = functools.partial(
     pydantic.dataclasses.dataclass,
     frozen=True,
@@ -210,6 +212,37 @@
     thaw_ms: DurationMs = 400
 
 
+@_settings()
+class ClientSettings:
+    """Limits for clients of the HTTP ports, in every role.
+
+    For callers of a gateway the configuration sets the first one and the idle
+    timeout, and for callers of an entry its own settings set the first one.
+
+    Attributes:
+        max_header_bytes: Maximum size of a request's headers.
+        idle_timeout_ms: How long a connection without a request stays open.
+        max_held_bytes: Bytes of requests in memory from which on large ones are
+            read no further until others have ended.
+        max_control_connections: Maximum number of connections to a port that is
+            not for callers.
+        callers_files_fraction: Fraction of the process's file descriptors that
+            callers' connections may use.
+    """
+
+    max_header_bytes: Annotated[int, pydantic.Field(ge=1024)] = (
+        client_bounds.DEFAULT_MAX_HEADER_BYTES
+    )
+    idle_timeout_ms: DurationMs = client_bounds.DEFAULT_IDLE_TIMEOUT_MS
+    max_held_bytes: Size = client_bounds.DEFAULT_MAX_HELD_BYTES
+    max_control_connections: Size = (
+        client_bounds.DEFAULT_MAX_CONTROL_CONNECTIONS
+    )
+    callers_files_fraction: Annotated[float, pydantic.Field(gt=0, le=1)] = (
+        client_bounds.DEFAULT_CALLERS_FILES_FRACTION
+    )
+
+
 @_settings()
 class Settings:
     """Settings of one process.
@@ -223,6 +256,7 @@
         target: Required for the role target.
         gateway: Required for the role gateway.
         sidecar: Required for the role sidecar.
+        clients: Limits for clients of the HTTP ports.
         seeds: Addresses of processes from which the configuration is requested
             if this process starts in a store outage.
         log_level: Lowest level that is logged.
@@ -238,6 +272,7 @@
     target: TargetSettings | None = None
     gateway: GatewaySettings | None = None
     sidecar: SidecarSettings | None = None
+    clients: ClientSettings = ClientSettings()
     seeds: tuple[Address, ...] = ()
     log_level: Annotated[
         str, pydantic.Field(pattern="^(DEBUG|INFO|WARNING|ERROR)$")
--- a/packages/radishd/src/radishd/request/callers_port.py
+++ b/packages/radishd/src/radishd/request/callers_port.py
@@ -20,6 +20,7 @@
 from radishd.process import web
 from radishd.request import forward as forward_lib
 from radishd.request import gateway_interface
+from radishd.request import intake
 from radishd.request import pending_request
 from radishd.request import target_selection
 
@@ -69,7 +70,10 @@
         send: web.Send,
         arrived_at_ms: int,
     ) -> None:
-        request = front.decode(scope)
+        limits = self._gateway.table.limits
+        request = intake.check_headers(
+            scope, limits.max_header_bytes
+        ) or front.decode(scope)
         if isinstance(request, result.Failure):
             await self._reject(request, "", send)
             return
--- a/packages/radishd/src/radishd/sidecar.py
+++ b/packages/radishd/src/radishd/sidecar.py
@@ -21,6 +21,7 @@
 
 from radishd.platform import engine as engine_lib
 from radishd.process import admin
+from radishd.process import client_ports
 from radishd.process import clock
 from radishd.process import decision_log
 from radishd.process import engine_order
@@ -57,6 +58,7 @@
         self.own = settings.sidecar
         self.metrics = metrics
         self.log = log
+        self.client_ports = client_ports.ClientPorts(settings.clients, metrics)
         self.keeper = adapter_keeper.Keeper()
         self.engine = engine_lib.Engine(self.own.engine, settings.name)
         self.socket: fleet_socket.FleetSocket | None = None
@@ -290,6 +292,7 @@
         report = self.report
         count = len(report.residents) if report is not None else 0
         self.metrics.resident.set({}, count)
+        self.client_ports.refresh()
         self.metrics.queued.set({}, report.queued if report is not None else 0)
 
 
@@ -334,7 +337,11 @@
             status=sidecar.status,
             refresh=sidecar.refresh,
         )
-        server = web.make_server(app, *settings_lib.split_address(own.admin))
+        server = web.make_server(
+            app,
+            *settings_lib.split_address(own.admin),
+            sidecar.client_ports.control_port(),
+        )
         await tasks.start(functools.partial(web.serve, server))
         task_status.started(sidecar)
         await stop.wait()
--- a/packages/radishd/src/radishd/target.py
+++ b/packages/radishd/src/radishd/target.py
@@ -26,6 +26,7 @@
 from radishd.connection import listener as listener_lib
 from radishd.connection import transfer
 from radishd.process import admin
+from radishd.process import client_ports
 from radishd.process import clock
 from radishd.process import configuration as configuration_lib
 from radishd.process import configuration_gossip as configuration_gossip_lib
@@ -75,6 +76,7 @@
         self.own = own
         self.tasks = tasks
         self.metrics = metrics
+        self.client_ports = client_ports.ClientPorts(settings.clients, metrics)
         self.identity = secrets.token_bytes(PROCESS_ID_BYTES)
         self.configuration = configuration_lib.Configuration()
         self.store = store_lib.Store(settings.platform, metrics)
@@ -552,6 +554,7 @@
         self.metrics.queued.set({}, len(machine.queue))
         self.metrics.resident.set({}, len(machine.residency.slots))
         self.metrics.kept_bytes.set({}, self.kept_bytes)
+        self.client_ports.refresh()
 
     def status(self) -> dict[str, Any]:
         """Returns what ``radishctl status`` shows."""
@@ -658,7 +661,11 @@
             status=process.status,
             refresh=process.refresh,
         )
-        server = web.make_server(app, *settings_lib.split_address(own.admin))
+        server = web.make_server(
+            app,
+            *settings_lib.split_address(own.admin),
+            process.client_ports.control_port(),
+        )
         await tasks.start(functools.partial(web.serve, server))
         await tasks.start(listener_lib.listen, process)
         logs.info("listening", role="target", address=own.listen)
--- /dev/null
+++ b/tests/clients/__init__.py
@@ -0,0 +1,1 @@
+"""Clients that ignore the limits, at each listening port of each program."""
--- a/tests/fleet/test_connections.py
+++ b/tests/fleet/test_connections.py
@@ -8,6 +8,7 @@
 import anyio
 from radishd import gateway as gateway_lib
 from radishd.connection import http_client
+from radishd.process import client_bounds
 from radishd.process import web
 
 from tests.fleet import fixtures
@@ -48,14 +49,13 @@
 
     async def play() -> None:
         refused = []
-        protocol = web.caller_protocol(
-            lambda: refused.append(1), MAX_CONNECTIONS
+        bounds = client_bounds.ClientBounds(
+            client_bounds.Limits(max_connections=MAX_CONNECTIONS),
+            on_refused=refused.append,
         )
         host = "127.39.0.1"
         async with anyio.create_task_group() as tasks:
-            server = web.make_server(
-                _answer, host, fixtures.FRONT_PORT, http=protocol
-            )
+            server = web.make_server(_answer, host, fixtures.FRONT_PORT, bounds)
             await tasks.start(functools.partial(web.serve, server))
             address = f"{host}:{fixtures.FRONT_PORT}"
             opened = [await _connect(address) for _ in range(MAX_CONNECTIONS)]
@@ -63,7 +63,7 @@
                 assert isinstance(await _ask(connection), http_client.Answer)
             excess = await _connect(address)
             assert isinstance(await _ask(excess), http_client.Lost)
-            assert len(refused) == 1
+            assert refused == [client_bounds.Reason.TOO_MANY_CONNECTIONS]
             for connection in opened:
                 assert isinstance(await _ask(connection), http_client.Answer)
             opened.pop().close()
@@ -117,5 +117,4 @@
 def test_callers_leave_descriptors_for_targets() -> None:
     """Guards against a maximum above the process's limit."""
     max_files, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    protocol = web.caller_protocol(lambda: None)
-    assert 0 < protocol.keywords["max_connections"] < max_files
+    assert 0 < client_bounds.max_callers_connections() < max_files
