Close clients' connections past a time limit, and accept no more than fit

What callers saw: beside 200 connections that sent nothing, part of a head, a byte now and then, empty lines, part of a body, or that took no answers, an ordinary request got no place, for as long as those clients liked.

Cause: only a connection that had been answered had a time limit, and each byte restarted it. headerTimeoutMs of the configuration was not read. Only the callers' port had a maximum of connections, and it was applied after asyncio had accepted everything that waited, up to 1,024 descriptors at a time. The kernel's send buffer grows to megabytes, so thousands of responses fit into it unread.

Change: each server checks its connections once a second, with its Date header, against time limits for a head, a body, a response that nobody takes, and a connection that was never used; bytes do not extend them, and a pause of this process gives the time back. A head or body that is late is answered 408, as it was not run. An acceptor keeps each port below its maximum; a connection that has sent nothing for a second gives way to a new one. The kernel's send buffer is bounded.

--- a/packages/radishd/src/radishd/gateway.py
+++ b/packages/radishd/src/radishd/gateway.py
@@ -313,6 +313,7 @@
                 self.server,
                 self.client_ports.callers_limits(
                     limits.max_header_bytes,
+                    limits.header_timeout_ms,
                     limits.idle_timeout_ms,
                 ),
             )
--- a/packages/radishd/src/radishd/platform/wire.py
+++ b/packages/radishd/src/radishd/platform/wire.py
@@ -110,6 +110,11 @@
                 int(limits.get("maxHeaderBytes", 16_384)),
                 int(limits.get("maxBodyBytes", 4 * 1024 * 1024)),
                 int(limits.get("idleTimeoutMs", 15_000)),
+                int(
+                    limits.get(
+                        "headerTimeoutMs", route_table.DEFAULT_HEADER_TIMEOUT_MS
+                    )
+                ),
             ),
             _directory(spec),
         )
--- a/packages/radishd/src/radishd/process/client_bounds.py
+++ b/packages/radishd/src/radishd/process/client_bounds.py
@@ -11,8 +11,13 @@
 import enum
 import resource
 
+MS_PER_S = 1_000
 DEFAULT_MAX_HEADER_BYTES = 16 * 1024
+DEFAULT_HEADER_TIMEOUT_MS = 10_000
+DEFAULT_BODY_TIMEOUT_MS = 60_000
+DEFAULT_SEND_TIMEOUT_MS = 30_000
 DEFAULT_IDLE_TIMEOUT_MS = 5_000
+DEFAULT_SEND_BUFFER_BYTES = 128 * 1024
 # A quarter of the 256 MB that a process has. A body is held once while its
 # request is served and once more while it is sent to a slow target.
 DEFAULT_MAX_HELD_BYTES = 64 * 1024 * 1024
@@ -38,7 +43,11 @@
     """Why a client was refused or its connection closed; a label of metrics."""
 
     TOO_MANY_CONNECTIONS = "too_many_connections"
+    SILENT = "silent"
     HEAD_TOO_LARGE = "head_too_large"
+    HEAD_TIMEOUT = "head_timeout"
+    BODY_TIMEOUT = "body_timeout"
+    SEND_TIMEOUT = "send_timeout"
     MALFORMED = "malformed"
 
 
@@ -48,13 +57,22 @@
 
     Attributes:
         max_header_bytes: Names and values of a request's headers.
+        header_timeout_ms: From the first byte of a head to its end.
+        body_timeout_ms: From the end of a head to the end of its body.
+        send_timeout_ms: How long a client may take none of the bytes of a
+            response that waits for it.
         idle_timeout_ms: How long a connection without a request stays open.
         max_connections: Maximum number of open connections.
+        send_buffer_bytes: Size of the kernel's send buffer of a connection.
     """
 
     max_header_bytes: int = DEFAULT_MAX_HEADER_BYTES
+    header_timeout_ms: int = DEFAULT_HEADER_TIMEOUT_MS
+    body_timeout_ms: int = DEFAULT_BODY_TIMEOUT_MS
+    send_timeout_ms: int = DEFAULT_SEND_TIMEOUT_MS
     idle_timeout_ms: int = DEFAULT_IDLE_TIMEOUT_MS
     max_connections: int = DEFAULT_MAX_CONTROL_CONNECTIONS
+    send_buffer_bytes: int = DEFAULT_SEND_BUFFER_BYTES
 
     @property
     def max_head_bytes(self) -> int:
@@ -168,12 +186,15 @@
 
 
 class ClientBounds:
-    """The bounds of one port.
+    """The bounds of one port, and its connections that were never used.
 
     Attributes:
         limits: Limits of the port; changes apply to open connections.
         account: The account of the process.
         on_refused: Called with the reason when a client is refused.
+        open_count: Number of open connections.
+        unused: Connections that have sent nothing yet, the oldest first, with
+            an action that closes each.
         read_buffer: Where received bytes are placed until they are parsed.
     """
 
@@ -193,6 +214,8 @@
         self.limits = limits or Limits()
         self.account = account or Account()
         self.on_refused = on_refused
+        self.open_count = 0
+        self.unused: dict[object, Callable[[], bool]] = {}
         self.read_buffer = memoryview(bytearray(READ_BYTES))
 
     def receive_buffer(self) -> memoryview:
@@ -201,6 +224,21 @@
             return self.read_buffer[:LOW_MEMORY_READ_BYTES]
         return self.read_buffer
 
+    def admit(self) -> bool:
+        """Returns whether a new connection is kept, and counts it.
+
+        Its client may try elsewhere, as nothing was read. Connections that are
+        kept open are preferred to a new one, as a client that loses one comes
+        back, but not those that were never used.
+        """
+        if self.open_count >= self.limits.max_connections:
+            oldest = next(iter(self.unused.values()), None)
+            if oldest is None or not oldest():
+                self.on_refused(Reason.TOO_MANY_CONNECTIONS)
+                return False
+        self.open_count += 1
+        return True
+
 
 def max_callers_connections(
     fraction: float = DEFAULT_CALLERS_FILES_FRACTION,
--- a/packages/radishd/src/radishd/process/client_connection.py
+++ b/packages/radishd/src/radishd/process/client_connection.py
@@ -21,6 +21,7 @@
 TARGET = "radishstack.target"
 # Headers that offer another protocol, also as tokens of ``Connection``.
 UPGRADE_HEADERS = frozenset({b"upgrade", b"http2-settings"})
+MS_PER_S = 1_000
 HEAD_END = b"\r\n\r\n"
 EMPTY_LINE_BYTES = b"\r\n"
 # Empty lines that a client may send behind a request without beginning a new
@@ -31,11 +32,16 @@
 MAX_PART_BYTES = 8 * 1024
 # Parts that are parsed before other connections are served.
 MAX_PARTS_PER_TURN = 64
-# How many of a refused client's bytes are read. Closed with unread bytes, the
-# connection is reset, and the client may lose its answer.
+# How long a refused client's bytes are read, and how many. Closed with unread
+# bytes, the connection is reset, and the client may lose its answer.
+LINGER_MS = 2_000
 MAX_LINGER_BYTES = 1024 * 1024
+# A new connection is not closed in favour of another one before its client had
+# time to send something.
+MIN_UNUSED_MS = 1_000
 PHRASES = {
     400: b"Bad Request",
+    408: b"Request Timeout",
     431: b"Request Header Fields Too Large",
 }
 
@@ -99,6 +105,7 @@
         self._unparsed = bytearray()
         self._searched_bytes = 0
         self._phase = Phase.IDLE
+        self._phase_began_s = 0.0
         # Empty lines before the request, then bytes of its body without data.
         self._surplus_bytes = 0
         self._headers_complete = False
@@ -109,6 +116,9 @@
         self._request_bytes = 0
         self._parsing_scheduled = False
         self._closes_when_idle = False
+        # Unsent bytes of the response when the client took some of them last.
+        self._unsent_bytes = 0
+        self._unsent_since_s = 0.0
 
     # Connection.
 
@@ -116,15 +126,13 @@
         """Starts to read from an accepted connection."""
         super().connection_made(transport)
         self.flow = _GatedFlow(transport, self._may_read)
-        if len(self.connections) > self._bounds.limits.max_connections:
-            # Its caller may try another gateway, as nothing was read.
-            # Connections that are kept open are preferred: a caller that loses
-            # one comes back.
-            self._bounds.on_refused(client_bounds.Reason.TOO_MANY_CONNECTIONS)
-            transport.abort()
+        self._begin(Phase.IDLE)
+        self._bounds.unused[self] = self._close_unused
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Releases what the connection held."""
+        self._bounds.open_count -= 1
+        self._bounds.unused.pop(self, None)
         self._unparsed.clear()
         self._hold.release()
         super().connection_lost(exc)
@@ -136,8 +144,23 @@
         else:
             super().shutdown()
 
+    def _close_unused(self) -> bool:
+        """Closes the connection if its client had time to send something."""
+        age_s = self.loop.time() - self._phase_began_s
+        if age_s * MS_PER_S < MIN_UNUSED_MS:
+            return False
+        self._close(client_bounds.Reason.SILENT)
+        return True
+
+    def _close(self, reason: client_bounds.Reason) -> None:
+        self._bounds.on_refused(reason)
+        self._bounds.unused.pop(self, None)
+        self._unset_keepalive_if_required()
+        self.transport.abort()
+
     def _begin(self, phase: Phase) -> None:
         self._phase = phase
+        self._phase_began_s = self.loop.time()
 
     # Reading.
 
@@ -157,6 +180,8 @@
             if self._surplus_bytes > MAX_LINGER_BYTES:
                 self.transport.abort()
             return
+        if self._bounds.unused:
+            self._bounds.unused.pop(self, None)
         self._unparsed += data
         self._parse()
 
@@ -417,3 +442,58 @@
         self.transport.write(b"\r\n".join(lines) + HEAD_END)
         self.transport.write_eof()
         self.flow.resume_reading()
+
+    # Time limits.
+
+    def close_if_expired(self, now_s: float) -> None:
+        """Refuses the client, or closes the connection, past a time limit."""
+        limits = self._bounds.limits
+        if self._has_stopped_reading(now_s, limits.send_timeout_ms):
+            self._close(client_bounds.Reason.SEND_TIMEOUT)
+            return
+        if self.transport.is_closing():
+            return
+        took_ms = (now_s - self._phase_began_s) * MS_PER_S
+        match self._phase:
+            case Phase.IDLE:
+                if (
+                    self.timeout_keep_alive_task is None
+                    and took_ms > limits.idle_timeout_ms
+                ):
+                    self._close(client_bounds.Reason.SILENT)
+            case Phase.HEAD:
+                if took_ms > limits.header_timeout_ms:
+                    self._refuse(408, client_bounds.Reason.HEAD_TIMEOUT)
+            case Phase.BODY:
+                if took_ms > limits.body_timeout_ms:
+                    self._expire_body()
+            case Phase.REFUSED:
+                if took_ms > LINGER_MS:
+                    self.transport.abort()
+
+    def _expire_body(self) -> None:
+        if self.cycle.response_complete:
+            self._close(client_bounds.Reason.BODY_TIMEOUT)
+        else:
+            self._refuse(408, client_bounds.Reason.BODY_TIMEOUT)
+
+    def _has_stopped_reading(self, now_s: float, timeout_ms: int) -> bool:
+        """Whether the client has taken no byte of its response for long.
+
+        Nothing is added to a response above the high-water mark, or once its
+        connection is closing, so that its unsent bytes show what was taken.
+        """
+        unsent_bytes = self.transport.get_write_buffer_size()
+        is_waiting = self.flow.write_paused or self.transport.is_closing()
+        if not is_waiting or not unsent_bytes:
+            self._unsent_bytes = 0
+            return False
+        if not self._unsent_bytes or unsent_bytes < self._unsent_bytes:
+            self._unsent_bytes = unsent_bytes
+            self._unsent_since_s = now_s
+        return (now_s - self._unsent_since_s) * MS_PER_S > timeout_ms
+
+    def restart_timeouts(self, late_s: float) -> None:
+        """Gives the client the time back in which this process stood still."""
+        self._phase_began_s += late_s
+        self._unsent_since_s += late_s
--- a/packages/radishd/src/radishd/process/settings.py
+++ b/packages/radishd/src/radishd/process/settings.py
@@ -216,12 +216,16 @@
 class ClientSettings:
     """Limits for clients of the HTTP ports, in every role.
 
-    For callers of a gateway the configuration sets the first one and the idle
+    For callers of a gateway the configuration sets the first two and the idle
     timeout, and for callers of an entry its own settings set the first one.
 
     Attributes:
         max_header_bytes: Maximum size of a request's headers.
+        header_timeout_ms: From the first byte of a request's head to its end.
+        body_timeout_ms: From the end of a head to the end of its body.
+        send_timeout_ms: How long a client may take no byte of a response.
         idle_timeout_ms: How long a connection without a request stays open.
+        send_buffer_bytes: Size of the kernel's send buffer of a connection.
         max_held_bytes: Bytes of requests in memory from which on large ones are
             read no further until others have ended.
         max_control_connections: Maximum number of connections to a port that is
@@ -233,7 +237,11 @@
     max_header_bytes: Annotated[int, pydantic.Field(ge=1024)] = (
         client_bounds.DEFAULT_MAX_HEADER_BYTES
     )
+    header_timeout_ms: DurationMs = client_bounds.DEFAULT_HEADER_TIMEOUT_MS
+    body_timeout_ms: DurationMs = client_bounds.DEFAULT_BODY_TIMEOUT_MS
+    send_timeout_ms: DurationMs = client_bounds.DEFAULT_SEND_TIMEOUT_MS
     idle_timeout_ms: DurationMs = client_bounds.DEFAULT_IDLE_TIMEOUT_MS
+    send_buffer_bytes: Size = client_bounds.DEFAULT_SEND_BUFFER_BYTES
     max_held_bytes: Size = client_bounds.DEFAULT_MAX_HELD_BYTES
     max_control_connections: Size = (
         client_bounds.DEFAULT_MAX_CONTROL_CONNECTIONS
--- a/packages/radishd/src/radishd/process/web.py
+++ b/packages/radishd/src/radishd/process/web.py
@@ -9,6 +9,7 @@
 import anyio
 import uvicorn
 
+from radishd.process import acceptor
 from radishd.process import client_bounds
 from radishd.process import client_connection
 
@@ -22,6 +23,9 @@
 # The Date header has a resolution of one second.
 DATE_REFRESH_S = 1.0
 MS_PER_S = 1_000
+# Connections are checked against their time limits once a second. A check that
+# is later than this means that the process stood still meanwhile.
+MAX_CHECK_DELAY_S = 0.7
 
 
 class Server(uvicorn.Server):
@@ -58,16 +62,49 @@
         """Serves until ``should_exit`` is set."""
         await self._serve(sockets)
 
+    async def startup(self, sockets: Any = None) -> None:
+        """Listens, and accepts connections within the bounds."""
+        del sockets
+        config = self.config
+        await self.lifespan.startup()
+        listener = acceptor.open_listener(
+            config.host,
+            config.port,
+            config.backlog,
+            self.bounds.limits.send_buffer_bytes,
+        )
+        make_protocol = functools.partial(
+            config.http_protocol_class,
+            config=config,
+            server_state=self.server_state,
+            app_state=self.lifespan.state,
+        )
+        self.servers = [acceptor.Acceptor(listener, make_protocol, self.bounds)]
+        self.started = True
+
     async def main_loop(self) -> None:
-        """Waits until the server is to stop; refreshes the Date header.
+        """Waits until the server is to stop; once a second, does upkeep.
+
+        It refreshes the Date header, and closes connections of clients that
+        are past a time limit.
 
         The main loop of Uvicorn polls ten times a second; the four servers of a
         gateway would wake an idle process forty times a second.
         """
         self._exit_requested = anyio.Event()
+        checked_s = anyio.current_time()
         while not await self.on_tick(0):
             with anyio.move_on_after(DATE_REFRESH_S):
                 await self._exit_requested.wait()
+            now_s = anyio.current_time()
+            self._close_expired(now_s, now_s - checked_s - DATE_REFRESH_S)
+            checked_s = now_s
+
+    def _close_expired(self, now_s: float, late_s: float) -> None:
+        for connection in list(self.server_state.connections):
+            if late_s > MAX_CHECK_DELAY_S:
+                connection.restart_timeouts(late_s)
+            connection.close_if_expired(now_s)
 
 
 async def reply(
--- a/packages/radishstack/src/radishstack/version/route_table.py
+++ b/packages/radishstack/src/radishstack/version/route_table.py
@@ -14,6 +14,8 @@
 from radishstack import result
 from radishstack.version import client_account
 
+DEFAULT_HEADER_TIMEOUT_MS = 10_000
+
 
 class Repeat(enum.StrEnum):
     """Whether a request may run more than once."""
@@ -95,11 +97,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Limits:
-    """Limits on request sizes and on idle connections of callers."""
+    """Limits on requests and on idle connections of callers."""
 
     max_header_bytes: int
     max_body_bytes: int
     idle_timeout_ms: int
+    header_timeout_ms: int = DEFAULT_HEADER_TIMEOUT_MS
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/clients/fixtures.py
+++ b/tests/clients/fixtures.py
@@ -10,6 +10,7 @@
 import contextlib
 import dataclasses
 import functools
+import json
 import pathlib
 import resource
 import secrets
@@ -36,6 +37,8 @@
 CROWD = 12
 # A crowd that uses up the descriptors of a process.
 LARGE_CROWD = 200
+# A crowd whose bodies of the longest size exceed the memory.
+BODIES_CROWD = 64
 # How long a crowd goes on, unless each of its connections ends sooner.
 PLAY_S = 3.0
 MEASURE_S = 0.01
@@ -44,6 +47,13 @@
 # Limits that each port has, lowered for the tests.
 HEADER_TIMEOUT_MS = 500
 IDLE_TIMEOUT_MS = 1_000
+CLIENT_SETTINGS = {
+    "header_timeout_ms": HEADER_TIMEOUT_MS,
+    "body_timeout_ms": 1_000,
+    "send_timeout_ms": 1_000,
+    "idle_timeout_ms": IDLE_TIMEOUT_MS,
+    "send_buffer_bytes": 16_384,
+}
 MAX_BODY_BYTES = 4 * BYTES_PER_MIB
 LIMITS = {
     "maxHeaderBytes": 16_384,
@@ -111,12 +121,15 @@
         address: ``ip:port``.
         program: The program that listens.
         ordinary: Returns an ordinary request.
+        asked_at: Address that gets the ordinary request, the port's own one if
+            empty.
     """
 
     name: str
     address: str
     program: Program
     ordinary: Callable[[], bytes]
+    asked_at: str = ""
 
 
 class Watch:
@@ -182,7 +195,9 @@
 
 
 async def _is_answered(port: Port) -> bool:
-    connection = await http_client.open_connection(port.address, 1_000)
+    connection = await http_client.open_connection(
+        port.asked_at or port.address, 1_000
+    )
     if isinstance(connection, http_client.Lost):
         return False
     try:
@@ -243,6 +258,16 @@
     return lambda: f"GET {path} HTTP/1.1\r\nHost: h\r\n\r\n".encode()
 
 
+def _complete() -> bytes:
+    model = daemon_fixtures.ADAPTERS[0]
+    body = json.dumps({"model": model, "prompt": "x"}).encode()
+    head = (
+        "POST /v1/completions HTTP/1.1\r\nHost: h\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    )
+    return head.encode() + body
+
+
 def _book() -> bytes:
     return platform_site.request("POST", "/book/1", secrets.token_hex(8))
 
@@ -266,14 +291,8 @@
 
 
 @contextlib.asynccontextmanager
-async def fleet_ports(
-    **limits: int,
-) -> AsyncIterator[tuple[list[Port], fleet_fixtures.Fleet]]:
-    """Runs a gateway and a sidecar; yields their HTTP ports once they serve.
-
-    Args:
-        **limits: Limits of the configuration that replace the lowered ones.
-    """
+async def fleet_ports() -> AsyncIterator[list[Port]]:
+    """Runs a gateway and a sidecar; yields their HTTP ports."""
     async with anyio.create_task_group() as tasks:
         fleet = fleet_fixtures.Fleet(tasks)
         await tasks.start(
@@ -284,15 +303,14 @@
                 fleet_fixtures.STORE_PORT,
             )
         )
-        configuration = fleet_fixtures.configuration(
-            limits={**LIMITS, **limits}
-        )
+        configuration = fleet_fixtures.configuration(limits=LIMITS)
         fleet.store.put("config", "main", configuration)
         plain_host, engine_host = fleet.host(), fleet.host()
         await fleet.add_target("i-plain", engine=False, host=plain_host)
         await fleet.add_target("i-engine", engine=True, host=engine_host)
         host = fleet.host()
         common = {
+            "clients": CLIENT_SETTINGS,
             "failure_domain": "piedmont/north",
             "platform": {
                 "url": f"http://{fleet.store_host}:{fleet_fixtures.STORE_PORT}"
@@ -330,15 +348,19 @@
                 Port("gateway admin", admin, edge, _get("/healthz")),
                 Port("sidecar admin", sidecar["admin"], side, _get("/healthz")),
             ]
-            yield ports, fleet
+            yield ports
         for target in fleet.targets.values():
             await target.stop()
         tasks.cancel_scope.cancel()
 
 
 @contextlib.contextmanager
-def daemon_ports() -> Iterator[list[Port]]:
-    """Runs an entry and a target process; yields their HTTP ports."""
+def daemon_ports(*, frames: bool = False) -> Iterator[list[Port]]:
+    """Runs an entry and a target process; yields their HTTP ports.
+
+    Args:
+        frames: Whether to yield the target's port for frames in their place.
+    """
     with daemon_fixtures.running_site(
         engines=1,
         plain_targets=0,
@@ -348,6 +370,10 @@
         programs = []
         for name in ("entry-1", "engine-1"):
             site.stop(name)
+            path = site.folder / f"{name}.yaml"
+            settings = yaml.safe_load(path.read_text(encoding="utf-8"))
+            settings["clients"] = CLIENT_SETTINGS
+            path.write_text(yaml.safe_dump(settings), encoding="utf-8")
             log = site.folder / f"{name}.log"
             programs.append(Program(site.commands[name], log))
         running, behind = programs
@@ -372,6 +398,16 @@
                 _get("/healthz"),
             ),
         ]
+        if frames:
+            ports = [
+                Port(
+                    "target frames",
+                    f"{target}:{daemon_fixtures.PORT}",
+                    behind,
+                    _complete,
+                    asked_at=f"{entry}:{daemon_fixtures.PORT}",
+                )
+            ]
         try:
             yield ports
         finally:
@@ -399,22 +435,43 @@
 
 
 def check_each_port(
-    form: Form, crowd: int = CROWD, *, stays: bool = False
+    form: Form, crowd: int = CROWD, *, stays: bool = False, only: str = ""
 ) -> None:
-    """Plays a crowd at each HTTP port of each program in turn."""
+    """Plays a crowd at each HTTP port of each program in turn.
+
+    Args:
+        form: What each client sends.
+        crowd: Number of clients.
+        stays: Whether the crowd goes on while the ordinary request is made.
+        only: Name of the only port to play at.
+    """
     found: list[str] = []
 
+    async def play(ports: list[Port]) -> None:
+        chosen = [port for port in ports if only in port.name]
+        found.extend(await _attack_all(chosen, form, crowd, stays=stays))
+
     async def play_fleet() -> None:
-        async with fleet_ports() as (ports, _):
-            found.extend(await _attack_all(ports, form, crowd, stays=stays))
+        async with fleet_ports() as ports:
+            await play(ports)
+
+    if not only.startswith("entry"):
+        run(play_fleet)
+    if not only.startswith("gateway"):
+        with daemon_ports() as ports:
+            run(functools.partial(play, ports))
+    assert not found, "\n".join(found)
+
 
-    run(play_fleet)
-    with daemon_ports() as ports:
+def check_frames(form: Form, crowd: int) -> None:
+    """Plays a crowd at the port of a target process for other processes."""
+    found: list[str] = []
+    with daemon_ports(frames=True) as ports:
 
-        async def play_daemons() -> None:
-            found.extend(await _attack_all(ports, form, crowd, stays=stays))
+        async def play() -> None:
+            found.extend(await _attack_all(ports, form, crowd, stays=True))
 
-        run(play_daemons)
+        run(play)
     assert not found, "\n".join(found)
 
 
--- a/tests/clients/test_hostile_clients.py
+++ b/tests/clients/test_hostile_clients.py
@@ -99,3 +99,65 @@
 def test_trailers_without_end() -> None:
     """Guards against headers behind a body."""
     fixtures.check_each_port(fixtures.Form(_CHUNKED + b"0\r\n", _LINES))
+
+
+def test_connections_without_a_request() -> None:
+    """Guards against connections that take all descriptors for good."""
+    fixtures.check_each_port(fixtures.Form(), fixtures.LARGE_CROWD, stays=True)
+
+
+def test_connections_with_part_of_a_head() -> None:
+    """Guards against heads that never end, beside ordinary callers."""
+    fixtures.check_each_port(
+        fixtures.Form(_START), fixtures.LARGE_CROWD, stays=True
+    )
+
+
+def test_connections_with_a_slow_head() -> None:
+    """Guards against a byte now and then that restarts a timeout."""
+    form = fixtures.Form(_START + b"X: ", b"a", pause_s=0.1)
+    fixtures.check_each_port(form, fixtures.LARGE_CROWD, stays=True)
+
+
+def test_connections_with_slow_empty_lines() -> None:
+    """Guards against empty lines that restart a timeout."""
+    form = fixtures.Form(b"\r\n", b"\r\n", pause_s=0.1)
+    fixtures.check_each_port(form, fixtures.LARGE_CROWD, stays=True)
+
+
+def test_connections_with_part_of_a_body() -> None:
+    """Guards against bodies that never end, beside ordinary callers."""
+    form = fixtures.Form(_CHUNKED + b"5\r\nabc")
+    fixtures.check_each_port(form, fixtures.LARGE_CROWD, stays=True)
+
+
+def test_connections_that_read_no_answers() -> None:
+    """Guards against answers that wait for their reader for good."""
+    requests = _pipelined(b"GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n")
+    form = fixtures.Form(repeated=requests)
+    fixtures.check_each_port(form, fixtures.LARGE_CROWD, stays=True)
+
+
+def _body_without_its_end(path: bytes) -> fixtures.Form:
+    size = fixtures.MAX_BODY_BYTES
+    head = (
+        b"POST %s HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: a\r\n" % path
+    )
+    length = b"Content-Length: %d\r\n\r\n" % size
+    return fixtures.Form(head + length + (size - 1) * b"a")
+
+
+def test_the_sum_of_bodies_at_a_gateway() -> None:
+    """Guards against bodies inside the limit that exceed the memory in sum."""
+    form = _body_without_its_end(b"/book/1")
+    fixtures.check_each_port(
+        form, fixtures.BODIES_CROWD, stays=True, only="gateway callers"
+    )
+
+
+def test_the_sum_of_bodies_at_an_entry() -> None:
+    """Guards against bodies inside the limit that exceed the memory in sum."""
+    form = _body_without_its_end(b"/v1/completions")
+    fixtures.check_each_port(
+        form, fixtures.BODIES_CROWD, stays=True, only="entry callers"
+    )
