Read bodies of callers until the time-out of their route

Cause: each body was bounded, their sum was not, and a body was waited for without a limit.

Change: one reader serves both interfaces. A gateway waits for a body until the time-out of the route or the caller's deadline, and then rejects the request with 503 and Retry-After, as it was not run.

--- a/packages/radishd/src/radishd/request/callers_port.py
+++ b/packages/radishd/src/radishd/request/callers_port.py
@@ -18,6 +18,7 @@
 from radishd.process import decision_log
 from radishd.process import logs
 from radishd.process import web
+from radishd.request import body_reader
 from radishd.request import forward as forward_lib
 from radishd.request import gateway_interface
 from radishd.request import intake
@@ -70,7 +71,8 @@
         send: web.Send,
         arrived_at_ms: int,
     ) -> None:
-        limits = self._gateway.table.limits
+        gateway = self._gateway
+        limits = gateway.table.limits
         request = intake.check_headers(
             scope, limits.max_header_bytes
         ) or front.decode(scope)
@@ -83,13 +85,21 @@
         if isinstance(admitted, result.Failure):
             await self._reject(admitted, request.attempt_id, send)
             return
-        gateway = self._gateway
-        max_body_bytes = gateway.table.limits.max_body_bytes
-        body = await _read_body(receive, max_body_bytes)
-        if body is None:
-            return
+        body = await body_reader.read_until(
+            receive,
+            limits.max_body_bytes,
+            arrived_at_ms
+            + min(
+                admitted.route.timeout_ms,
+                request.left_ms or admitted.route.timeout_ms,
+            ),
+            retry_after_ms=gateway.random_delay_ms(
+                target_selection.NO_TARGET_RETRY_MS
+            ),
+        )
         if isinstance(body, result.Failure):
-            await self._reject(body, request.attempt_id, send)
+            if body.code is not result.CANCELLED:
+                await self._reject(body, request.attempt_id, send)
             return
         # Admitted again after the body was read, because a new configuration
         # may have come into force in the meantime.
@@ -251,24 +261,3 @@
             left_ms=forward.pending.deadline_at_ms - now_ms,
             **fields,
         )
-
-
-async def _read_body(
-    receive: web.Receive, max_bytes: int
-) -> bytes | result.Failure | None:
-    """Reads a body; returns None if the caller disconnected."""
-    pieces: list[bytes] = []
-    size_bytes = 0
-    while True:
-        message = await receive()
-        if message["type"] == "http.disconnect":
-            return None
-        piece = message.get("body", b"")
-        size_bytes += len(piece)
-        if size_bytes > max_bytes:
-            return result.Failure(
-                result.BODY_TOO_LARGE, f"more than {max_bytes} bytes"
-            )
-        pieces.append(piece)
-        if not message.get("more_body"):
-            return b"".join(pieces)
--- a/packages/radishd/src/radishd/request/intake.py
+++ b/packages/radishd/src/radishd/request/intake.py
@@ -10,6 +10,7 @@
 from radishstack.version import checks
 
 from radishd.process import web
+from radishd.request import body_reader
 
 REQUEST_ID_BYTES = 8
 MAX_REQUEST_ID_CHARS = 128
@@ -70,26 +71,10 @@
     Returns:
         The body, or a failure if it is too large or the caller disconnected.
     """
-    too_large = result.Failure(
-        result.BODY_TOO_LARGE,
-        f"the body may have at most {limit_bytes} bytes",
-    )
     length = headers.get("content-length", "0")
     if length.isdecimal() and int(length) > limit_bytes:
-        return too_large
-    parts = []
-    size_bytes = 0
-    while True:
-        message = await receive()
-        if message["type"] == "http.disconnect":
-            return result.Failure(result.CANCELLED, "the caller has left")
-        part = message.get("body", b"")
-        size_bytes += len(part)
-        if size_bytes > limit_bytes:
-            return too_large
-        parts.append(part)
-        if not message.get("more_body"):
-            return b"".join(parts)
+        return body_reader.too_large(limit_bytes)
+    return await body_reader.read(receive, limit_bytes)
 
 
 def check_route(scope: web.Scope) -> result.Failure | None:
