Bound unfinished frames at the port of a target process

Cause: a frame may have 17 MiB, and nothing bounded the sum of unfinished ones or the time that one may take. anyio reads from an accepted connection all the time until one call of receive has found nothing, so a fast peer fills its queue without a bound. Without descriptors the accept loop ended the process.

Evidence: twenty peers with 16 MiB of a frame took a target process to 251 MiB on, where it was ended; 200 connections without a frame ended the process by itself at 54 MiB, with all 160 descriptors in use.

--- a/packages/radishd/src/radishd/connection/listener.py
+++ b/packages/radishd/src/radishd/connection/listener.py
@@ -14,6 +14,8 @@
 
 from radishd.connection import pump
 from radishd.connection import writer as writer_lib
+from radishd.process import client_bounds
+from radishd.process import client_ports
 from radishd.process import clock
 from radishd.process import logs
 from radishd.process import settings as settings_lib
@@ -51,7 +53,10 @@
         self.writer.write(frame.encode(0, hello))
         try:
             failure = await pump.run(
-                self.stream, self.writer, self._handle_frame
+                self.stream,
+                self.writer,
+                self._handle_frame,
+                self.process.client_ports.frames_port,
             )
             if failure is not None:
                 self._report_bad_frame(failure)
@@ -227,10 +232,20 @@
     host, port = settings_lib.split_address(process.own.listen)
     listener = await anyio.create_tcp_listener(local_host=host, local_port=port)
     count = 0
+    max_connections = min(
+        process.own.max_connections,
+        client_bounds.max_callers_connections(
+            process.settings.clients.callers_files_fraction
+        ),
+    )
 
     async def serve(stream: anyio.abc.SocketStream) -> None:
         nonlocal count
-        if count >= process.own.max_connections:
+        if count >= max_connections:
+            process.client_ports.count_refused(
+                client_ports.FRAMES_PORT,
+                client_bounds.Reason.TOO_MANY_CONNECTIONS,
+            )
             await anyio.aclose_forcefully(stream)
             return
         count += 1
--- a/packages/radishstack/src/radishstack/connection/frame.py
+++ b/packages/radishstack/src/radishstack/connection/frame.py
@@ -380,6 +380,11 @@
         self._buffer = bytearray()
         self.max_frame_bytes = max_frame_bytes
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Number of bytes of the frame that is being received."""
+        return len(self._buffer)
+
     def feed(self, data: bytes) -> list[bytes] | result.Failure:
         """Adds bytes from the socket.
 
