Send responses without delay, and count requests cheaply

A benchmark of one request after the other on one connection did not end within ten minutes: each response of two writes waited for a delayed acknowledgement. Cause, from the code: asyncio disables Nagle's algorithm only for sockets whose protocol is named TCP, and the acceptor's listener did not name one. It does now; test_responses_are_sent_without_delay.

Requests below 8 KiB are not counted in the account of bytes, as the number of connections bounds their sum, and the clock is read less often.

--- a/packages/radishd/src/radishd/platform/wire.py
+++ b/packages/radishd/src/radishd/platform/wire.py
@@ -99,22 +99,17 @@
         The route table, or what could not be decoded.
     """
     try:
-        routes = [_route(raw) for raw in spec.get("routes") or ()]
         services = [_service(raw) for raw in spec.get("services") or ()]
         limits = spec.get("limits") or {}
         return route_table.make_table(
             int(spec["version"]),
-            routes,
+            [_route(raw) for raw in spec.get("routes") or ()],
             services,
             route_table.Limits(
                 int(limits.get("maxHeaderBytes", 16_384)),
                 int(limits.get("maxBodyBytes", 4 * 1024 * 1024)),
                 int(limits.get("idleTimeoutMs", 15_000)),
-                int(
-                    limits.get(
-                        "headerTimeoutMs", route_table.DEFAULT_HEADER_TIMEOUT_MS
-                    )
-                ),
+                int(limits.get("headerTimeoutMs", 10_000)),
             ),
             _directory(spec),
         )
--- a/packages/radishd/src/radishd/process/acceptor.py
+++ b/packages/radishd/src/radishd/process/acceptor.py
@@ -112,7 +112,10 @@
     Raises:
         OSError: If the address cannot be listened on.
     """
-    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    # asyncio disables Nagle's algorithm only for sockets that name TCP.
+    listener = socket.socket(
+        socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP
+    )
     try:
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listener.setsockopt(
--- a/packages/radishd/src/radishd/process/client_bounds.py
+++ b/packages/radishd/src/radishd/process/client_bounds.py
@@ -35,8 +35,9 @@
 LOW_MEMORY_READ_BYTES = 4 * 1024
 # Reading pauses above this many bytes of requests that wait for an earlier one.
 HIGH_WATER_BYTES = 16 * 1024
-# Requests of up to this size are read on while memory is low.
-SMALL_BYTES = 16 * 1024
+# Requests below this size are not counted, as the number of connections bounds
+# their sum, and are read on while memory is low.
+SMALL_BYTES = 8 * 1024
 
 
 class Reason(enum.StrEnum):
@@ -218,12 +219,6 @@
         self.unused: dict[object, Callable[[], bool]] = {}
         self.read_buffer = memoryview(bytearray(READ_BYTES))
 
-    def receive_buffer(self) -> memoryview:
-        """Returns where the next bytes are received."""
-        if self.account.is_low:
-            return self.read_buffer[:LOW_MEMORY_READ_BYTES]
-        return self.read_buffer
-
     def admit(self) -> bool:
         """Returns whether a new connection is kept, and counts it.
 
--- a/packages/radishd/src/radishd/process/client_connection.py
+++ b/packages/radishd/src/radishd/process/client_connection.py
@@ -104,8 +104,10 @@
         # for the end of a head.
         self._unparsed = bytearray()
         self._searched_bytes = 0
+        self._head_bytes = 0
         self._phase = Phase.IDLE
         self._phase_began_s = 0.0
+        self._received_s = 0.0
         # Empty lines before the request, then bytes of its body without data.
         self._surplus_bytes = 0
         self._headers_complete = False
@@ -158,16 +160,20 @@
         self._unset_keepalive_if_required()
         self.transport.abort()
 
-    def _begin(self, phase: Phase) -> None:
+    def _begin(self, phase: Phase, at_s: float = 0.0) -> None:
+        """Begins a phase now, or at a given time."""
         self._phase = phase
-        self._phase_began_s = self.loop.time()
+        self._phase_began_s = at_s or self.loop.time()
 
     # Reading.
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Returns where the next bytes are received."""
         del sizehint
-        return self._bounds.receive_buffer()
+        bounds = self._bounds
+        if bounds.account.is_low:
+            return bounds.read_buffer[: client_bounds.LOW_MEMORY_READ_BYTES]
+        return bounds.read_buffer
 
     def buffer_updated(self, nbytes: int) -> None:
         """Handles received bytes."""
@@ -182,6 +188,7 @@
             return
         if self._bounds.unused:
             self._bounds.unused.pop(self, None)
+        self._received_s = self.loop.time()
         self._unparsed += data
         self._parse()
 
@@ -191,9 +198,7 @@
             return True
         if self._phase is Phase.RESPONSE:
             # Requests wait that were sent ahead.
-            if not self._unparsed:
-                return True
-            return (
+            return not self._unparsed or (
                 len(self._unparsed) < client_bounds.HIGH_WATER_BYTES
                 and not self._bounds.account.is_low
             )
@@ -206,9 +211,14 @@
             self.flow.resume_reading()
 
     def _update_hold(self) -> None:
-        self._hold.resize(len(self._unparsed) + self._request_bytes)
-        if not self._may_read():
-            self.flow.pause_reading()
+        size_bytes = len(self._unparsed) + self._request_bytes
+        if size_bytes < client_bounds.SMALL_BYTES:
+            # Bounded by the number of connections.
+            size_bytes = 0
+        if size_bytes or self._hold.size_bytes:
+            self._hold.resize(size_bytes)
+            if not self._may_read():
+                self.flow.pause_reading()
 
     # Parsing.
 
@@ -253,8 +263,13 @@
         return self._take_chunks()
 
     def _take(self, size_bytes: int) -> bytes:
-        part = bytes(memoryview(self._unparsed)[:size_bytes])
-        del self._unparsed[:size_bytes]
+        unparsed = self._unparsed
+        if size_bytes >= len(unparsed):
+            part = bytes(unparsed)
+            unparsed.clear()
+        else:
+            part = bytes(memoryview(unparsed)[:size_bytes])
+            del unparsed[:size_bytes]
         return part
 
     def _take_head(self) -> bytes:
@@ -267,7 +282,7 @@
         is_head = unparsed or self._surplus_bytes > MAX_TRAILING_BYTES
         if is_head and self._phase is Phase.IDLE:
             self._unset_keepalive_if_required()
-            self._begin(Phase.HEAD)
+            self._begin(Phase.HEAD, self._received_s)
         end = unparsed.find(HEAD_END, max(0, self._searched_bytes - 3))
         size_bytes = len(unparsed) if end < 0 else end + len(HEAD_END)
         limits = self._bounds.limits
@@ -281,6 +296,7 @@
             self._searched_bytes = len(unparsed)
             return b""
         self._searched_bytes = 0
+        self._head_bytes = size_bytes
         return self._take(size_bytes)
 
     def _take_chunks(self) -> bytes:
@@ -351,9 +367,6 @@
         """Handles a header, and drops a trailer."""
         if not self._headers_complete:
             super().on_header(name, value)
-            self._request_bytes += (
-                len(name) + len(value) + client_bounds.HEADER_OVERHEAD_BYTES
-            )
 
     def on_headers_complete(self) -> None:
         """Marks the headers of the request as complete."""
@@ -361,7 +374,9 @@
         self._surplus_bytes = 0
         if self.parser.should_upgrade():
             return
-        self._begin(Phase.BODY)
+        self._begin(Phase.BODY, self._received_s)
+        overhead_bytes = client_bounds.HEADER_OVERHEAD_BYTES * len(self.headers)
+        self._request_bytes = self._head_bytes + overhead_bytes
         for name, value in self.headers:
             if name == b"content-length":
                 self._body_left_bytes = int(value)
@@ -382,8 +397,9 @@
         if self.cycle.response_complete:
             self._begin_idle()
         else:
-            self._begin(Phase.RESPONSE)
-            self._hold.settle()
+            self._begin(Phase.RESPONSE, self._received_s)
+            if self._hold.size_bytes:
+                self._hold.settle()
         super().on_message_complete()
 
     # Responses.
@@ -391,7 +407,8 @@
     def on_response_complete(self) -> None:
         """Continues with the requests that were sent ahead."""
         self._request_bytes = 0
-        self._hold.release()
+        if self._hold.size_bytes:
+            self._hold.release()
         super().on_response_complete()
         if not self._message_complete:
             # The rest of the body is skipped; its own time limit applies.
--- a/packages/radishd/src/radishd/request/callers_port.py
+++ b/packages/radishd/src/radishd/request/callers_port.py
@@ -73,9 +73,11 @@
     ) -> None:
         gateway = self._gateway
         limits = gateway.table.limits
-        request = intake.check_headers(
-            scope, limits.max_header_bytes
-        ) or front.decode(scope)
+        too_large = intake.check_headers(scope, limits.max_header_bytes)
+        if too_large is not None:
+            await self._reject(too_large, "", send)
+            return
+        request = front.decode(scope)
         if isinstance(request, result.Failure):
             await self._reject(request, "", send)
             return
--- a/tests/clients/test_client_bounds.py
+++ b/tests/clients/test_client_bounds.py
@@ -7,6 +7,9 @@
 import contextlib
 import functools
 import itertools
+import os
+import random
+import socket
 
 import anyio
 import hypothesis
@@ -16,11 +19,12 @@
 
 from tests.fleet import fixtures as fleet_fixtures
 
-HOST = "127.38.0.1"
 PORT = 8_150
 LIMIT_S = fleet_fixtures.LIMIT_S
 LARGE_BYTES = 4 * 1024 * 1024
-_ports = itertools.count(PORT)
+_hosts = itertools.count(1)
+_random = random.Random(os.getpid() * 104_729)
+_SUBNET = f"127.{_random.randint(20, 250)}.{_random.randint(0, 255)}"
 
 
 class Client:
@@ -97,7 +101,7 @@
 async def _serving(
     bounds: client_bounds.ClientBounds, app: web.App = _echo
 ) -> AsyncIterator[Server]:
-    address = (HOST, next(_ports))
+    address = (f"{_SUBNET}.{next(_hosts) % 250 + 1}", PORT)
     async with anyio.create_task_group() as tasks:
         server = web.make_server(app, *address, bounds)
         await tasks.start(functools.partial(web.serve, server))
@@ -434,3 +438,17 @@
         assert not account.held_bytes
 
     _run(play, _echo, account)
+
+
+def test_responses_are_sent_without_delay() -> None:
+    """Guards against small responses that wait for an acknowledgement."""
+
+    async def play(server: Server) -> None:
+        await server.connect()
+        await server.count(1)
+        [connection] = server.server.server_state.connections
+        accepted = connection.transport.get_extra_info("socket")
+        option = (socket.IPPROTO_TCP, socket.TCP_NODELAY)
+        assert accepted.getsockopt(*option)
+
+    _run(play)
