--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -97,6 +97,10 @@
 _PAGES_TEST = _test("fleet.test_paged_lists")
 _PAGES_PROMISE = "a change between pages is not lost"
 
+_CLIENT_CONNECTION_PATH = "radishd/process/client_connection.py"
+_CLIENT_BOUNDS_PATH = "radishd/process/client_bounds.py"
+_CLIENT_PROMISE = "no client uses up a process"
+_CLIENT_TEST = _test("clients.test_client_bounds")
 _UPGRADE_TEST = _test("fleet.test_upgrade_requests")
 _UPGRADE_PROMISE = "a request that offers an upgrade is served whole"
 
@@ -258,20 +262,124 @@
         "        ended = False",
         _CUT_TEST,
     ),
+    Mutant(
+        _CLIENT_PROMISE,
+        _CLIENT_CONNECTION_PATH,
+        "        while self._unparsed and self._phase is not Phase.RESPONSE:\n",
+        "        while self._unparsed:\n",
+        _CLIENT_TEST,
+    ),
+    Mutant(
+        _CLIENT_PROMISE,
+        _CLIENT_CONNECTION_PATH,
+        "        if size_bytes + self._surplus_bytes > "
+        "limits.max_head_bytes:\n",
+        "        if False:\n",
+        _CLIENT_TEST,
+    ),
+    Mutant(
+        "a refused client gets its answer",
+        _CLIENT_CONNECTION_PATH,
+        "        self.transport.write_eof()\n",
+        "        self.transport.abort()\n",
+        _CLIENT_TEST,
+    ),
+    Mutant(
+        "a client inside the limits is served",
+        _CLIENT_CONNECTION_PATH,
+        "        is_head = unparsed or self._surplus_bytes > "
+        "MAX_TRAILING_BYTES\n",
+        "        is_head = True\n",
+        _CLIENT_TEST,
+    ),
+    Mutant(
+        "a client inside the limits is served",
+        _CLIENT_CONNECTION_PATH,
+        "        if not self._unsent_bytes or unsent_bytes < "
+        "self._unsent_bytes:\n",
+        "        if not self._unsent_bytes:\n",
+        _CLIENT_TEST,
+    ),
+    Mutant(
+        "a client inside the limits is served",
+        _CLIENT_CONNECTION_PATH,
+        "        self._phase_began_s += late_s\n",
+        "",
+        _CLIENT_TEST,
+    ),
+    Mutant(
+        "what was read whole is answered",
+        _CLIENT_CONNECTION_PATH,
+        "            self._closes_when_idle = True\n",
+        "            super().shutdown()\n",
+        _CLIENT_TEST,
+    ),
+    Mutant(
+        _CLIENT_PROMISE,
+        _CLIENT_CONNECTION_PATH,
+        "                if took_ms > limits.header_timeout_ms:\n",
+        "                if False:\n",
+        _CLIENT_TEST,
+    ),
+    Mutant(
+        _CLIENT_PROMISE,
+        _CLIENT_CONNECTION_PATH,
+        "                if took_ms > limits.body_timeout_ms:\n",
+        "                if False:\n",
+        _CLIENT_TEST,
+    ),
+    Mutant(
+        _CLIENT_PROMISE,
+        _CLIENT_CONNECTION_PATH,
+        "        if self._has_stopped_reading(now_s, "
+        "limits.send_timeout_ms):\n",
+        "        if False:\n",
+        _CLIENT_TEST,
+    ),
+    Mutant(
+        _CLIENT_PROMISE,
+        _CLIENT_BOUNDS_PATH,
+        "            if oldest is None or not oldest():\n",
+        "            if True:\n",
+        _CLIENT_TEST,
+    ),
+    Mutant(
+        _CLIENT_PROMISE,
+        _CLIENT_BOUNDS_PATH,
+        "        return not self._settled and "
+        "next(iter(self._growing)) is hold\n",
+        "        return True\n",
+        _CLIENT_TEST,
+    ),
+    Mutant(
+        "large requests do not wait for each other",
+        _CLIENT_BOUNDS_PATH,
+        "        return not self._settled and "
+        "next(iter(self._growing)) is hold\n",
+        "        return False\n",
+        _CLIENT_TEST,
+    ),
+    Mutant(
+        "small requests go on beside large ones",
+        _CLIENT_BOUNDS_PATH,
+        "        return self.size_bytes < SMALL_BYTES or "
+        "self._account.may_grow(self)\n",
+        "        return self._account.may_grow(self)\n",
+        _CLIENT_TEST,
+    ),
     Mutant(
         _UPGRADE_PROMISE,
-        "radishd/process/web.py",
-        "                data = self._head_without_upgrade() + "
-        "data[parsed_bytes:]\n",
-        "                data = self._head_without_upgrade()\n",
+        _CLIENT_CONNECTION_PATH,
+        "            self.parser.feed_data(head)\n",
+        "            self._message_complete = True\n",
         _UPGRADE_TEST,
     ),
     Mutant(
         _UPGRADE_PROMISE,
-        "radishd/process/web.py",
-        "        self._headers_complete = True\n"
-        "        if not self.parser.should_upgrade():\n",
-        "        self._headers_complete = True\n        if True:\n",
+        _CLIENT_CONNECTION_PATH,
+        "        self._surplus_bytes = 0\n"
+        "        if self.parser.should_upgrade():\n",
+        "        self._surplus_bytes = 0\n        if False:\n",
         _UPGRADE_TEST,
     ),
     Mutant(
@@ -443,8 +551,8 @@
     ),
     Mutant(
         "descriptors are left for targets",
-        "radishd/process/web.py",
-        "        if len(self.connections) > self._max_connections:",
+        "radishd/process/client_bounds.py",
+        "        if self.open_count >= self.limits.max_connections:",
         "        if False:",
         _test("fleet.test_connections"),
     ),
@@ -913,7 +1021,7 @@
     ),
     Mutant(
         "only a known key is served",
-        "radishd/process/web.py",
+        _CLIENT_CONNECTION_PATH,
         "        if not self._headers_complete:\n",
         "        if True:\n",
         _test("fleet.test_accounts"),
