--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -28,6 +28,13 @@
 
 
 MUTANTS = (
+    mutants.Mutant(
+        "memory is bounded",
+        "radishd/process/client_connection.py",
+        "        while self._unparsed and self._phase is not Phase.RESPONSE:\n",
+        "        while self._unparsed:\n",
+        _seeds(800, Kind.HOSTILE_CLIENTS),
+    ),
     mutants.Mutant(
         "at most once",
         "radishd/platform/front.py",
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -46,6 +46,7 @@
     GATEWAYS_KILL = "gateways_kill"
     CRASH_LISTENER_LAST = "crash_listener_last"
     LEAVE_UNDER_ANSWERS = "leave_under_answers"
+    HOSTILE_CLIENTS = "hostile_clients"
 
 
 # Kinds by affected component; other kinds affect the store or the whole site.
@@ -84,6 +85,7 @@
     Kind.POISON_BLOCK: CALLERS,
     Kind.CONNECTIONS_SKEWED: CALLERS,
     Kind.RUSH: CALLERS,
+    Kind.HOSTILE_CLIENTS: CALLERS,
     Kind.KEYS: "operator",
     Kind.CONFIGURATION: "operator",
 }
--- a/soak/world.py
+++ b/soak/world.py
@@ -20,6 +20,7 @@
 from soak import accounts as accounts_lib
 from soak import callers
 from soak import history as history_lib
+from soak import hostile_clients
 from soak import judge
 from soak import poison
 from soak import processes
@@ -38,6 +39,8 @@
 STORE_PORT = 8_145
 TARGET_PORT = 8_146
 LINK_PORT = 8_147
+# Ports of a gateway that speak HTTP.
+HTTP_PORTS = (GATEWAY_PORT, READY_PORT, PEERS_PORT, ADMIN_PORT)
 CALLER_COUNT = 10
 # Versions of the software of targets, and how many targets begin with each.
 SOFTWARE_VERSIONS = ("v1", "v2")
@@ -676,7 +679,14 @@
                     self._choose_gateway,
                     by_block=kind is Kind.POISON_BLOCK,
                 ).run(for_s + MIN_POISON_S)
-
+            case Kind.HOSTILE_CLIENTS:
+                source = random.Random(self.random.random())
+                hosts = [
+                    self._gateway_host(number)
+                    for number in range(self.size.gateways)
+                ]
+                address = (source.choice(hosts), source.choice(HTTP_PORTS))
+                await hostile_clients.run_crowd(address, source, for_s)
             case Kind.CONNECTIONS_SKEWED:
                 self.skew_count += 1
                 await asyncio.sleep(for_s + MIN_SKEW_S)
@@ -832,11 +842,11 @@
             )
             for _ in range(CALLER_COUNT)
         ]
+        calling.append(asyncio.create_task(self._measure()))
         try:
             await self._run_schedule(length_ms)
             self.history.quiet_from_ms = history_lib.now_ms()
             await asyncio.sleep(judge.RECOVERY_MS / MS_PER_S + LAST_WINDOW_S)
-            self._measure()
             await self._stop_gracefully()
         finally:
             for task in calling:
@@ -889,10 +899,13 @@
         sidecars = [one.sidecar for one in self.vms if one.sidecar]
         return [*self.gateways, *sidecars]
 
-    def _measure(self) -> None:
-        for program in self._programs():
-            program.measure()
-            self.history.memory_mib[program.name] = program.memory_mib
+    async def _measure(self) -> None:
+        """Measures the programs until cancelled."""
+        while True:
+            for program in self._programs():
+                program.measure()
+                self.history.memory_mib[program.name] = program.memory_mib
+            await asyncio.sleep(POLL_S)
 
     async def _stop_all(self) -> None:
         for program in self._programs():
--- a/tests/clients/fixtures.py
+++ b/tests/clients/fixtures.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
@@ -14,7 +13,6 @@
 import pathlib
 import resource
 import secrets
-import socket
 import subprocess
 import sys
 import tempfile
@@ -27,6 +25,7 @@
 from standins import web as standins_web
 import yaml
 
+from soak import hostile_clients
 from tests.daemon import fixtures as daemon_fixtures
 from tests.fleet import fixtures as fleet_fixtures
 
@@ -42,8 +41,10 @@
 # How long a crowd goes on, unless each of its connections ends sooner.
 PLAY_S = 3.0
 MEASURE_S = 0.01
-RECEIVE_BYTES = 65_536
 HTTP_OK = 200
+
+Form = hostile_clients.Form
+
 # Limits that each port has, lowered for the tests.
 HEADER_TIMEOUT_MS = 500
 IDLE_TIMEOUT_MS = 1_000
@@ -63,23 +64,6 @@
 }
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Form:
-    """What each client of a crowd sends.
-
-    Attributes:
-        first: Sent once.
-        repeated: Sent again and again after it, empty to send nothing more.
-        reads: Whether answers are read.
-        pause_s: Pause between two repetitions.
-    """
-
-    first: bytes = b""
-    repeated: bytes = b""
-    reads: bool = False
-    pause_s: float = 0.0
-
-
 class Program:
     """One radishd process with few descriptors, which can be restarted."""
 
@@ -164,34 +148,7 @@
 
 
 async def _misbehave(address: str, form: Form) -> None:
-    """Sends a form until the connection ends or this is cancelled."""
-    host, port = settings_lib.split_address(address)
-    loop = asyncio.get_running_loop()
-    with socket.socket() as connection, contextlib.suppress(OSError):
-        connection.setblocking(False)
-        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
-        await loop.sock_connect(connection, (host, port))
-        reads = _discard(connection) if form.reads else _wait()
-        reader = asyncio.create_task(reads)
-        try:
-            await loop.sock_sendall(connection, form.first)
-            while form.repeated:
-                await loop.sock_sendall(connection, form.repeated)
-                await anyio.sleep(form.pause_s)
-            await anyio.sleep_forever()
-        finally:
-            reader.cancel()
-
-
-async def _wait() -> None:
-    """Reads nothing."""
-
-
-async def _discard(connection: socket.socket) -> None:
-    loop = asyncio.get_running_loop()
-    with contextlib.suppress(OSError):
-        while await loop.sock_recv(connection, RECEIVE_BYTES):
-            pass
+    await hostile_clients.misbehave(settings_lib.split_address(address), form)
 
 
 async def _is_answered(port: Port) -> bool:
--- a/tests/clients/test_hostile_clients.py
+++ b/tests/clients/test_hostile_clients.py
@@ -161,3 +161,31 @@
     fixtures.check_each_port(
         form, fixtures.BODIES_CROWD, stays=True, only="entry callers"
     )
+
+
+def _whole_body(path: bytes, start: bytes, end: bytes) -> fixtures.Form:
+    size = fixtures.MAX_BODY_BYTES
+    head = (
+        b"POST %s HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: a\r\n" % path
+    )
+    length = b"Content-Length: %d\r\n\r\n" % size
+    body = start + (size - len(start) - len(end)) * b"a" + end
+    return fixtures.Form(head + length + body)
+
+
+def test_the_sum_of_whole_bodies_at_a_gateway() -> None:
+    """Guards against copies of bodies while their requests are served."""
+    form = _whole_body(b"/book/1", b"", b"")
+    fixtures.check_each_port(
+        form, fixtures.BODIES_CROWD, stays=True, only="gateway callers"
+    )
+
+
+def test_the_sum_of_whole_bodies_at_an_entry() -> None:
+    """Guards against copies of bodies while their requests are served."""
+    form = _whole_body(
+        b"/v1/completions", b'{"model": "adapter-0", "prompt": "', b'"}'
+    )
+    fixtures.check_each_port(
+        form, fixtures.BODIES_CROWD, stays=True, only="entry callers"
+    )
