Begin time limits when parsing resumes, and read no faster than it parses

Two faults of the bounds on clients, found by reading the change.

A part of a head that waited for an earlier response was timed from its receipt, so a client inside the limits could be answered 408 when that response took longer than a head may. Time limits begin when parsing resumes.

A chunked body of empty lines is parsed in parts of four bytes, 64 a turn, while each read brings 32 KiB, so received bytes piled up. Reading pauses above the high-water mark while parsing is scheduled. A connection whose response is complete is read on, whatever the application left of its body.

--- a/packages/radishd/src/radishd/process/client_connection.py
+++ b/packages/radishd/src/radishd/process/client_connection.py
@@ -196,8 +196,8 @@
         """Whether further bytes may be received."""
         if self._phase is Phase.REFUSED:
             return True
-        if self._phase is Phase.RESPONSE:
-            # Requests wait that were sent ahead.
+        if self._phase is Phase.RESPONSE or self._parsing_scheduled:
+            # Received bytes wait, mostly requests that were sent ahead.
             return not self._unparsed or (
                 len(self._unparsed) < client_bounds.HIGH_WATER_BYTES
                 and not self._bounds.account.is_low
@@ -207,7 +207,11 @@
     def _resume_reading(self) -> None:
         """Reads on, unless the application has not taken what was read."""
         cycle = self.cycle
-        if cycle is None or len(cycle.body) <= flow_control.HIGH_WATER_LIMIT:
+        if (
+            cycle is None
+            or cycle.response_complete
+            or len(cycle.body) <= flow_control.HIGH_WATER_LIMIT
+        ):
             self.flow.resume_reading()
 
     def _update_hold(self) -> None:
@@ -248,6 +252,8 @@
 
     def _continue_parsing(self) -> None:
         self._parsing_scheduled = False
+        # Time limits begin now for bytes that waited for a response.
+        self._received_s = self.loop.time()
         if self.parser is not None and self._phase is not Phase.REFUSED:
             self._parse()
             self._resume_reading()
--- a/tests/clients/test_client_bounds.py
+++ b/tests/clients/test_client_bounds.py
@@ -195,6 +195,57 @@
     _run(play)
 
 
+def test_a_part_of_a_head_may_wait_for_an_earlier_response() -> None:
+    """Guards against a time limit that begins while a request waits."""
+    goes_on = anyio.Event()
+
+    async def wait(
+        scope: web.Scope, receive: web.Receive, send: web.Send
+    ) -> None:
+        await goes_on.wait()
+        await _echo(scope, receive, send)
+
+    async def play(server: Server) -> None:
+        client = await server.connect()
+        request, expected = _REQUESTS[0]
+        await client.send(request + request[:20])
+        await server.count(1)
+        [connection] = server.server.server_state.connections
+        while not connection._unparsed:
+            await anyio.sleep(fleet_fixtures.POLL_S)
+        # The earlier response takes longer than a head may.
+        connection._received_s -= 60
+        goes_on.set()
+        assert await client.answer() == (200, expected)
+        server.server._close_expired(anyio.current_time(), 0.0)
+        await client.send(request[20:])
+        assert await client.answer() == (200, expected)
+
+    _run(play, wait, header_timeout_ms=30_000)
+
+
+def test_a_body_is_read_no_faster_than_it_is_parsed() -> None:
+    """Guards against received bytes that pile up before they are parsed."""
+
+    async def play(server: Server) -> None:
+        client = await server.connect()
+        chunk = b"8000\r\n" + 16_384 * b"\r\n" + b"\r\n"
+        request = b"PUT / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        most_bytes = 0
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(client.send, request + 8 * chunk + b"0\r\n\r\n")
+            await server.count(1)
+            [connection] = server.server.server_state.connections
+            while connection.cycle is None or connection.cycle.more_body:
+                most_bytes = max(most_bytes, len(connection._unparsed))
+                await anyio.sleep(0)
+            assert (await client.answer())[0] == 200
+        bound = client_bounds.HIGH_WATER_BYTES + client_bounds.READ_BYTES
+        assert most_bytes <= bound, most_bytes
+
+    _run(play)
+
+
 def test_a_head_just_below_the_bound_is_served() -> None:
     """Guards against a bound that a long head inside the limits meets."""
     limit = client_bounds.Limits().max_header_bytes
--- a/tests/clients/test_hostile_clients.py
+++ b/tests/clients/test_hostile_clients.py
@@ -91,6 +91,12 @@
     fixtures.check_each_port(fixtures.Form(_CHUNKED, chunk))
 
 
+def test_chunks_of_empty_lines() -> None:
+    """Guards against a body that is parsed more slowly than it is read."""
+    chunk = b"10000\r\n" + 32_768 * b"\r\n" + b"\r\n"
+    fixtures.check_each_port(fixtures.Form(_CHUNKED, chunk))
+
+
 def test_a_chunk_extension_without_end() -> None:
     """Guards against bytes of a body that are no data."""
     fixtures.check_each_port(fixtures.Form(_CHUNKED + b"1;", _PART))
