Catch four mutants of the bounds on clients that tests missed

The tests play each now: a refused client that sends on before it reads, a slow reader that takes longer than the timeout in all, the bytes held once all connections wait or are served, and the account itself.

--- a/tests/clients/test_client_bounds.py
+++ b/tests/clients/test_client_bounds.py
@@ -15,6 +15,7 @@
 import hypothesis
 import hypothesis.strategies as st
 from radishd.process import client_bounds
+from radishd.process import client_connection
 from radishd.process import web
 
 from tests.fleet import fixtures as fleet_fixtures
@@ -22,6 +23,7 @@
 PORT = 8_150
 LIMIT_S = fleet_fixtures.LIMIT_S
 LARGE_BYTES = 4 * 1024 * 1024
+PHASE = client_connection.Phase
 _hosts = itertools.count(1)
 _random = random.Random(os.getpid() * 104_729)
 _SUBNET = f"127.{_random.randint(20, 250)}.{_random.randint(0, 255)}"
@@ -266,7 +268,17 @@
     async def play(server: Server) -> None:
         client = await server.connect()
         size = server.bounds.limits.max_head_bytes
-        await client.send(b"GET / HTTP/1.1\r\nX: " + 10 * size * b"a")
+        refused: list[client_bounds.Reason] = []
+        server.bounds.on_refused = refused.append
+        # The client reads its answer once it has sent everything.
+        client.writer.transport.pause_reading()
+        await client.send(b"GET / HTTP/1.1\r\nX: " + 2 * size * b"a")
+        while not refused:
+            await anyio.sleep(fleet_fixtures.POLL_S)
+        for _ in range(4):
+            await anyio.sleep(0.05)
+            await client.send(size * b"a")
+        client.writer.transport.resume_reading()
         assert (await client.answer())[0] == 431
         assert await client.is_closed()
         assert not server.bounds.account.held_bytes
@@ -359,14 +371,19 @@
             *server.address, limit=4_096
         )
         writer.write(_REQUESTS[0][0])
-        received = 0
+        received = checks = 0
+        now_s = anyio.current_time()
         while received < len(body):
             part = await reader.read(65_536)
             assert part, received
             received += len(part)
-            await anyio.sleep(0.02)
+            await anyio.sleep(0)
+            # Each part takes a while, all of them longer than the timeout.
+            if received > checks * 65_536:
+                checks += 1
+                server.server._close_expired(now_s + checks / 10, 0.0)
 
-    _run(play, large, send_timeout_ms=1_000)
+    _run(play, large, send_timeout_ms=4_000)
 
 
 def test_a_client_that_reads_nothing_is_closed() -> None:
@@ -458,6 +475,12 @@
                 tasks.start_soon(client.send, request + LARGE_BYTES * b"a")
             while not account.is_low or len(large) < len(clients):
                 await anyio.sleep(fleet_fixtures.POLL_S)
+            connections = server.server.server_state.connections
+            while not all(
+                one.flow.read_paused or one._phase is PHASE.RESPONSE
+                for one in connections
+            ):
+                await anyio.sleep(fleet_fixtures.POLL_S)
             small = await server.connect()
             for _ in range(20):
                 await small.send(_REQUESTS[0][0])
@@ -472,6 +495,20 @@
     _run(play, hold, account)
 
 
+def test_a_small_hold_may_grow_while_memory_is_low() -> None:
+    """Guards against small requests that wait for large ones."""
+    account = client_bounds.Account(LARGE_BYTES)
+    large = client_bounds.Hold(account, lambda: None)
+    large.resize(2 * LARGE_BYTES)
+    large.settle()
+    small = client_bounds.Hold(account, lambda: None)
+    small.resize(client_bounds.SMALL_BYTES - 1)
+    assert account.is_low
+    assert small.may_grow()
+    small.resize(client_bounds.SMALL_BYTES)
+    assert not small.may_grow()
+
+
 def test_large_requests_that_share_all_room_are_completed() -> None:
     """Guards against requests that wait for each other's room for good."""
     account = client_bounds.Account(LARGE_BYTES)
