--- a/packages/standins/src/standins/platform_store.py
+++ b/packages/standins/src/standins/platform_store.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 import copy
 import dataclasses
+import json
 import time
 from typing import Any
 
@@ -35,6 +36,27 @@
     holds: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RawJson:
+    """JSON that is stored as text, such as a value that Python cannot hold."""
+
+    text: str
+
+
+def encode(body: dict[str, Any]) -> bytes:
+    """Encodes an answer of the store, which may contain ``RawJson``."""
+    raw: list[str] = []
+
+    def mark(value: RawJson) -> str:
+        raw.append(value.text)
+        return f"\0raw {len(raw) - 1}\0"
+
+    text = json.dumps(body, default=mark)
+    for number, value in enumerate(raw):
+        text = text.replace(json.dumps(f"\0raw {number}\0"), value)
+    return text.encode()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Snapshot:
     """A copy of the store's objects at a revision."""
@@ -69,7 +91,7 @@
         self._clients: set[tuple[str, int]] = set()
         self._silent_clients: set[tuple[str, int]] = set()
 
-    def put(self, kind: str, name: str, spec: dict[str, Any]) -> None:
+    def put(self, kind: str, name: str, spec: dict[str, Any] | RawJson) -> None:
         """Writes an object, as the operator or a target does."""
         self.revision += 1
         kinds = self.objects.setdefault(kind, {})
@@ -181,7 +203,7 @@
         body = copy.deepcopy(body)
         if more:
             self.on_page(kind)
-        await request.reply(body)
+        await request.reply(encode(body))
 
     def _is_silent(self, request: web.Request) -> bool:
         return self.faults.silent or request.client in self._silent_clients
@@ -191,12 +213,12 @@
         name = body["metadata"]["name"]
         known = self.objects.get(kind, {}).get(name)
         if known is not None:
-            await request.reply(known, status=409)
+            await request.reply(encode(known), status=409)
             return
         self.put(kind, name, body["spec"])
         if self.faults.loses_answers:
             await anyio.sleep_forever()
-        await request.reply(self.objects[kind][name], status=201)
+        await request.reply(encode(self.objects[kind][name]), status=201)
 
     async def _remove(self, request: web.Request, kind: str, name: str) -> None:
         if name not in self.objects.get(kind, {}):
@@ -233,7 +255,8 @@
                 await self._changed.wait()
                 continue
             if events or remaining_s <= 0:
-                await request.reply({"events": events, "at": self.revision})
+                body = {"events": events, "at": self.revision}
+                await request.reply(encode(body))
                 return
             with anyio.move_on_after(remaining_s):
                 await self._changed.wait()
