Decode each entry of the store by itself

What callers saw: while one entry of another writer stood in the list of targets, a restarted fleet served almost nothing, and a running one learned of no change.

Cause: a list and a watch were parsed as one document, so that one value, nested deeper than the parser's recursion limit or with more digits than Python converts, made all of them unreadable, again at each retry. A name in the query was not percent-encoded, so that the next page was another one or the same. A page without usable entries ended the list. Numbers beyond 64 bits, infinite ones and versions beyond the 32 bits of a datagram were used, and ended later tasks: an announced version of 2**32 stopped the demand of each gateway.

Change: if a document can't be decoded as a whole, its values are decoded one by one over the levels that have different writers (untrusted_json); an entry that can't be is unreadable by itself, logged and counted once. Names are percent-encoded, the mark of a page is the last name whatever its entry holds, a list whose mark doesn't advance fails. A watch whose answer can't be read is replaced by a list, since a repeated one has the same bytes. Objects that a peer tells are decoded one by one as well, an exception while one object is applied rejects that object alone, and names and reasons in log lines are bounded.

Ruled out: another parser (each one that we could use has a limit of depth as well); a parser without a limit for the whole answer, as the next step (validation, encoding for peers) has one too.

--- a/packages/radishd/src/radishd/gateway.py
+++ b/packages/radishd/src/radishd/gateway.py
@@ -210,6 +210,7 @@
             self.store,
             functools.partial(self.crash_gossip.merge, source="store"),
             log,
+            metrics,
         )
         self.discovery = discovery_lib.Discovery(
             self.store,
--- a/packages/radishd/src/radishd/peers.py
+++ b/packages/radishd/src/radishd/peers.py
@@ -11,6 +11,8 @@
 from radishd.connection import http_client
 from radishd.process import clock
 from radishd.process import logs
+from radishd.process import peer_objects
+from radishd.process import untrusted_json
 from radishd.process import web
 
 # During a store outage, one peer is queried at this interval.
@@ -124,7 +126,7 @@
             if at_ms >= oldest_ms
         }
 
-    async def query_peer(self) -> dict[str, Any] | None:
+    async def query_peer(self) -> Any:
         """Queries a random peer for the objects that it knows."""
         if not self.addresses:
             return None
@@ -146,8 +148,12 @@
                     return None
                 if answer.head.status != HTTP_OK:
                     return None
-                known: dict[str, Any] = json.loads(answer.body)
-                return known
+                return untrusted_json.decode(
+                    answer.body, isolated_levels=peer_objects.ISOLATED_LEVELS
+                )
+            return None
+        except ValueError:
+            logs.warn("peer_answer_invalid", peer=address)
             return None
         finally:
             connection.close()
--- a/packages/radishd/src/radishd/platform/store.py
+++ b/packages/radishd/src/radishd/platform/store.py
@@ -1,19 +1,20 @@
 """Client for the platform's object store."""
 
 from collections.abc import Callable
-import dataclasses
 import json
 from typing import Any
 
 from radishstack import result
 from radishstack.process import availability
-from radishstack.process import paged_list
 
 from radishd import store_client
 from radishd.connection import http_client
-from radishd.platform import wire
+from radishd.platform import entries
+from radishd.process import header_numbers
 from radishd.process import metrics as metrics_lib
+from radishd.process import paged_read
 from radishd.process import stored
+from radishd.process import untrusted_json
 
 HTTP_SUCCESS = range(200, 300)
 HTTP_OK = 200
@@ -24,7 +25,6 @@
 _ERA_HEADER = b"store-era"
 # Wait time of a watch that is repeated.
 SECOND_WAIT_MS = 50
-MAX_PAGES = 1_000
 
 
 class Store:
@@ -56,14 +56,11 @@
             kind: Kind of object.
             stale: Whether data that is seconds old suffices; it costs less.
         """
-        pages: paged_list.PagedList[stored.Record] = paged_list.PagedList()
-        nameless_count = 0
-        after = ""
-        era: int | None = None
-        for _ in range(MAX_PAGES):
+
+        async def read_page(mark: str) -> result.Outcome[paged_read.Page]:
             fields = ["staleOk=1"] if stale else []
-            if after:
-                fields.append(f"after={after}")
+            if mark:
+                fields.append(f"after={entries.encode_name(mark)}")
             query = "?" + "&".join(fields) if fields else ""
             body = await self._client.read(
                 store_client.Read(kind, f"{PATH_PREFIX}{kind}{query}"),
@@ -71,29 +68,19 @@
             )
             if isinstance(body, result.Failure):
                 return body
-            if isinstance(body, stored.Expired):
+            is_answer = isinstance(body, stored.Answer)
+            items = body.entries("items") if is_answer else None
+            if items is None or body.revision is None:
                 return result.Failure(result.STORE_CORRUPT, f"list of {kind}")
-            era = body.era if era is None else era
-            if body.era != era:
-                return result.Failure(
-                    result.STORE_UNAVAILABLE,
-                    f"store restored while listing {kind}",
-                )
-            read = [_record(raw, era) for raw in body.entries("items")]
-            page = [record for record in read if record is not None]
-            nameless_count += len(read) - len(page)
-            at = body.fields.get("at")
-            if not isinstance(at, int):
-                break
-            pages.add_page(page, at)
-            if not body.fields.get("hasMore") or not page:
-                return stored.Batch(
-                    tuple(pages.records), pages.revision, nameless_count, era
-                )
-            after = page[-1].name
-        return result.Failure(
-            result.STORE_CORRUPT, f"{kind}: no end, or no revision"
-        )
+            return paged_read.Page(
+                [entries.record(raw, body.era) for raw in items],
+                [entries.name(raw) for raw in items],
+                body.revision,
+                body.era,
+                bool(body.fields.get("hasMore")),
+            )
+
+        return await paged_read.read_all(kind, read_page)
 
     async def watch(
         self, kind: str, revision: int, wait_ms: int
@@ -106,7 +93,8 @@
             wait_ms: Maximum time that the store holds the call.
 
         Returns:
-            The changes, possibly none, or that their history has expired.
+            The changes, possibly none, or that they have to be read from a
+            list: their history has expired, or cannot be read as a whole.
         """
         path = f"{PATH_PREFIX}{kind}?watch={revision}&waitMs="
         body = await self._client.read(
@@ -115,14 +103,18 @@
             ),
             self._interpret,
         )
-        if isinstance(body, result.Failure | stored.Expired):
+        if isinstance(body, result.Failure):
+            if body.code is result.STORE_CORRUPT:
+                # The answer to another watch would contain the same bytes.
+                return stored.Expired()
             return body
-        read = [_change(raw, body.era) for raw in body.entries("events")]
-        records = tuple(record for record in read if record is not None)
-        at = body.fields.get("at")
-        if not isinstance(at, int):
-            at = revision
-        return stored.Batch(records, at, len(read) - len(records), body.era)
+        if isinstance(body, stored.Expired):
+            return body
+        events = body.entries("events") or []
+        at = revision if body.revision is None else body.revision
+        return stored.make_batch(
+            [entries.change(raw, body.era) for raw in events], at, body.era
+        )
 
     async def create(
         self, kind: str, name: str, spec: dict[str, Any]
@@ -147,7 +139,10 @@
     async def delete(self, kind: str, name: str) -> result.Failure | None:
         """Removes an object; returns why it may still exist, or None."""
         return await self._change(
-            "DELETE", kind, f"{kind}/{name}", settled=HTTP_NOT_FOUND
+            "DELETE",
+            kind,
+            f"{kind}/{entries.encode_name(name)}",
+            settled=HTTP_NOT_FOUND,
         )
 
     async def _change(
@@ -230,40 +225,17 @@
 
 
 def _era(head: http_client.Head) -> int:
-    value = head.get(_ERA_HEADER) or b""
-    return int(value) if value.isdigit() else 0
+    return header_numbers.decimal(head.get(_ERA_HEADER) or b"") or 0
 
 
 def _fields(data: bytes) -> result.Outcome[dict[str, Any]]:
-    """Decodes an answer; invalid UTF-8 affects only its own field."""
+    """Decodes an answer; unreadable values affect only their entries."""
     try:
-        body = json.loads(data.decode("utf-8", "replace"), strict=False)
-    except (ValueError, RecursionError) as error:
+        body = untrusted_json.decode(
+            data, isolated_levels=entries.ISOLATED_LEVELS
+        )
+    except ValueError as error:
         return result.Failure(result.STORE_CORRUPT, repr(error))
     if not isinstance(body, dict):
         return result.Failure(result.STORE_CORRUPT, "not an object")
     return body
-
-
-def _record(raw: Any, era: int) -> stored.Record | None:
-    """Decodes an object; returns None without a valid name or revision."""
-    try:
-        metadata = raw["metadata"]
-        name = metadata["name"]
-        created = int(metadata.get("created") or 0)
-        revision = int(metadata.get("revision") or 0)
-    except (KeyError, TypeError, ValueError, AttributeError):
-        return None
-    if not isinstance(name, str):
-        return None
-    spec = wire.without_secrets(raw.get("spec"))
-    return stored.Record(name, spec, created, revision, era=era)
-
-
-def _change(raw: Any, era: int) -> stored.Record | None:
-    if not isinstance(raw, dict):
-        return None
-    record = _record(raw.get("object"), era)
-    if record is None or not raw.get("deleted"):
-        return record
-    return dataclasses.replace(record, deleted=True)
--- a/packages/radishd/src/radishd/platform/wire.py
+++ b/packages/radishd/src/radishd/platform/wire.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 import json
+import re
 from typing import Annotated
 from typing import Any
 from typing import Literal
@@ -17,6 +18,7 @@
 
 from radishd.process import checked
 from radishd.process import logs
+from radishd.process import untrusted_json
 
 KIND_CONFIGURATION = "config"
 KIND_TARGETS = "servers"
@@ -38,16 +40,19 @@
 
 Fields = Mapping[str, Any]
 
-_Text = Annotated[str, pydantic.Field(min_length=1, pattern=r"^[!-~]+$")]
-_Count = Annotated[int, pydantic.Field(ge=0)]
-_Time = Annotated[float, pydantic.Field(ge=0)]
+# A target registers under its id, which stands in paths and headers as it is.
+_TARGET_NAME = re.compile(r"[A-Za-z0-9._~:@-]{1,256}")
+
+_Text = checked.Text
+_Count = checked.Count
+_Time = checked.TimeMs
 _StartTimeMs = checked.StartTimeMs
 _Address = Annotated[str, pydantic.AfterValidator(checked.check_address)]
 
 
 class _Model(checked.StrictModel):
     name: _Text
-    version: _Count = 0
+    version: checked.Version = 0
     adapters: list[_Text] = []
 
 
@@ -56,7 +61,7 @@
     address: _Address
     zone: _Text
     version: _Text
-    slots: Annotated[int, pydantic.Field(ge=1)]
+    slots: Annotated[int, pydantic.Field(ge=1, lt=2**63)]
     state: Literal["ready", "draining"]
     coldRemainingMs: _Time  # noqa: N815
     sequence: _Count
@@ -85,8 +90,10 @@
 
 class _Version(checked.StrictModel):
     model: _Text
-    adapter: Annotated[str, pydantic.Field(pattern=r"^[!-~]*$")] = ""
-    version: _Count
+    adapter: Annotated[
+        str, pydantic.Field(max_length=256, pattern=r"^[!-~]*$")
+    ] = ""
+    version: checked.Version
 
 
 def configuration(spec: Fields) -> result.Outcome[route_table.RouteTable]:
@@ -278,6 +285,8 @@
     Returns:
         The target, or what could not be decoded.
     """
+    if not _TARGET_NAME.fullmatch(name):
+        return result.Failure(result.STORE_CORRUPT, "the name is no id")
     try:
         entry = _Target.model_validate(spec)
         residents = _residents(spec.get("models") or ())
@@ -310,11 +319,11 @@
 def _residents(models: Any) -> dict[str, int]:
     residents = {}
     for model in models:
-        base = model["name"]
-        residents[base] = int(model.get("version") or 0)
+        base = checked.check_text(model["name"])
+        residents[base] = checked.parse_version(str(model.get("version") or ""))
         for adapter in model.get("adapters") or ():
-            name, _, version = str(adapter).partition("@")
-            residents[f"{base}/{name}"] = int(version or 0)
+            name, _, version = checked.check_text(adapter).partition("@")
+            residents[f"{base}/{name}"] = checked.parse_version(version)
     return residents
 
 
@@ -336,20 +345,29 @@
     """Decodes an engine's report on its state."""
     try:
         raw = json.loads(body)
+        problem = untrusted_json.find_problem(raw)
+        if problem:
+            return result.Failure(result.STORE_CORRUPT, f"report: {problem}")
         in_transit = {}
         for entry in raw.get("incoming") or ():
-            name, _, version = str(entry).partition("@")
-            in_transit[name] = int(version or 0)
+            name, _, version = checked.check_text(entry).partition("@")
+            in_transit[name] = checked.parse_version(version)
         return adapter_keeper.Report(
-            accepted_count=int(raw["sequence"]),
+            accepted_count=checked.check_count(raw["sequence"]),
             residents=_residents(raw.get("models") or ()),
             in_transit=in_transit,
             busy=bool(raw.get("busy")),
-            running=int(raw.get("running") or 0),
-            queued=int(raw.get("waiting") or 0),
+            running=checked.check_count(raw.get("running")),
+            queued=checked.check_count(raw.get("waiting")),
             born_ms=_born_ms(raw),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except (
+        KeyError,
+        TypeError,
+        ValueError,
+        AttributeError,
+        RecursionError,
+    ) as error:
         return result.Failure(result.STORE_CORRUPT, f"report: {error!r}")
 
 
--- a/packages/radishd/src/radishd/process/checked.py
+++ b/packages/radishd/src/radishd/process/checked.py
@@ -1,6 +1,7 @@
 """Validation of stored objects, which any client of the store may write."""
 
 import ipaddress
+import re
 from typing import Annotated
 from typing import Any
 
@@ -10,6 +11,18 @@
 # The writer's clock may be wrong, but the value must fit the 64-bit integer
 # in which it is forwarded.
 StartTimeMs = Annotated[int, pydantic.Field(ge=0, lt=2**63)]
+Count = Annotated[int, pydantic.Field(ge=0, lt=2**63)]
+TimeMs = Annotated[float, pydantic.Field(ge=0, lt=2**63, allow_inf_nan=False)]
+# Versions of adapters are forwarded in 32 bits.
+MAX_VERSION = 2**32 - 1
+Version = Annotated[int, pydantic.Field(ge=0, le=MAX_VERSION)]
+# A longer text would not fit into a datagram beside others.
+Text = Annotated[
+    str, pydantic.Field(min_length=1, max_length=256, pattern=r"^[!-~]+$")
+]
+_TEXT_VALIDATOR = pydantic.TypeAdapter(Text)
+_COUNT_VALIDATOR = pydantic.TypeAdapter(Count)
+_VERSION_DIGITS = re.compile(r"[0-9]{1,10}")
 MAX_PORT = 65_535
 _MAX_PORT_DIGITS = 5
 
@@ -26,6 +39,36 @@
     )
 
 
+def check_text(value: Any) -> str:
+    """Returns a name that datagrams can hold.
+
+    Raises:
+        ValueError: If the value is none.
+    """
+    return _TEXT_VALIDATOR.validate_python(value, strict=True)
+
+
+def check_count(value: Any) -> int:
+    """Returns a count, 0 if the value is null.
+
+    Raises:
+        ValueError: If the value is none.
+    """
+    return _COUNT_VALIDATOR.validate_python(value or 0, strict=True)
+
+
+def parse_version(digits: str) -> int:
+    """Returns the version of an adapter or a model, 0 if the text is empty.
+
+    Raises:
+        ValueError: If it is none.
+    """
+    is_number = not digits or _VERSION_DIGITS.fullmatch(digits)
+    if not is_number or int(digits or 0) > MAX_VERSION:
+        raise ValueError("a version is no 32-bit number")
+    return int(digits or 0)
+
+
 def check_address(address: str) -> str:
     """Returns an address ``ip:port`` that can be connected to.
 
--- a/packages/radishd/src/radishd/process/crash_record.py
+++ b/packages/radishd/src/radishd/process/crash_record.py
@@ -12,14 +12,15 @@
 
 KIND = "crashes"
 
-_Text = Annotated[str, pydantic.Field(min_length=1, pattern=r"^[!-~]+$")]
+# Fits the 64-bit field in which the age of such a time is reported.
+_UnixMs = Annotated[int, pydantic.Field(ge=-(2**62), lt=2**62)]
 
 
 class _Observation(checked.StrictModel):
-    target: _Text
+    target: checked.Text
     born_ms: checked.StartTimeMs
-    began_unix_ms: int
-    ended_unix_ms: int
+    began_unix_ms: _UnixMs
+    ended_unix_ms: _UnixMs
 
 
 class _CrashRecord(checked.StrictModel):
--- a/packages/radishd/src/radishd/process/discovery.py
+++ b/packages/radishd/src/radishd/process/discovery.py
@@ -25,8 +25,12 @@
 from radishd.process import clock
 from radishd.process import decision_log
 from radishd.process import follow
+from radishd.process import logs
 from radishd.process import metrics as metrics_lib
+from radishd.process import peer_objects
+from radishd.process import rejected_objects
 from radishd.process import stored
+from radishd.process import untrusted_json
 
 MS_PER_S = 1_000
 # The short watch of the targets detects a store that no longer answers. The
@@ -51,10 +55,6 @@
 # later. After a shorter outage, the retry of a failed call is about as fast,
 # and replacements that fail again would trigger one another.
 RENEW_AFTER_MS = 500
-# Maximum number of invalid objects whose position is remembered, so that each
-# revision is logged only once, and maximum length of the logged reason.
-MAX_REJECTED_OBJECTS = 1_024
-MAX_REASON_CHARS = 400
 # Maximum number of configuration versions whose changes are kept for operators,
 # and maximum number of changes that are logged for one version.
 MAX_CHANGES = 32
@@ -141,20 +141,11 @@
         self.known: dict[str, dict[str, stored.Record]] = {
             kind: {} for kind in self.followers
         }
-        self._rejected_positions: dict[
-            tuple[str, str], store_position.StorePosition
-        ] = {}
+        self.rejected = rejected_objects.RejectedObjects(log, metrics)
         self.peer_positions = dict.fromkeys(
             self.followers, store_position.StorePosition()
         )
 
-    def record_nameless(self, kind: str, count: int) -> None:
-        """Counts and logs objects without a name."""
-        for _ in range(count):
-            self._metrics.unreadable.inc({"kind": kind})
-        if count:
-            self._log.write("objects_nameless", kind=kind, count=count)
-
     def notify_change(self) -> None:
         """Calls the listener for changes."""
         self._on_change()
@@ -175,7 +166,7 @@
             kind: follow.Follower(
                 self._store,
                 kind,
-                _Sink(self, kind, self._apply_functions[kind]),
+                _Sink(self, kind),
                 self._log,
                 wait_ms=wait_ms,
                 coalesce_ms=coalesce_ms,
@@ -273,9 +264,10 @@
             listing = wire.target(
                 record.name, record.spec, record.created, record.revision, era
             )
-            if isinstance(listing, result.Failure):
+            if not isinstance(listing, result.Failure):
+                listings.append(listing)
+            elif record.deleted and record.spec is None:
                 return None
-            listings.append(listing)
         return listings
 
     def _enter_era(self, era: int, *, told_by: str) -> None:
@@ -325,30 +317,26 @@
         if before.services.keys() != table.services.keys():
             # Targets may belong to a service that was added or removed.
             for target in list(self.known[wire.KIND_TARGETS].values()):
-                self._apply_target(target)
+                self.apply(wire.KIND_TARGETS, target)
 
-    def _reject(self, kind: str, record: stored.Record, reason: str) -> None:
-        """Counts and logs an invalid object, once for each revision."""
-        key = (kind, record.name)
-        if self._rejected_positions.get(key) == record.position:
+    def apply(self, kind: str, record: stored.Record) -> None:
+        """Applies one object; its errors affect no other object."""
+        is_unreadable = isinstance(record.spec, untrusted_json.Unreadable)
+        if is_unreadable and not record.deleted:
+            self._reject(kind, record, record.spec.reason)
             return
-        if len(self._rejected_positions) >= MAX_REJECTED_OBJECTS:
-            self._rejected_positions.clear()
-        self._rejected_positions[key] = record.position
-        self._metrics.unreadable.inc({"kind": kind})
-        self._log.write(
-            "object_refused",
-            kind=kind,
-            object=record.name,
-            revision=record.revision,
-            reason=reason[:MAX_REASON_CHARS],
-        )
+        try:
+            self._apply_functions[kind](record)
+        except Exception as error:
+            logs.exception("object_failed", kind=kind)
+            self._metrics.broken.inc({"code": "object_failed"})
+            self._reject(kind, record, repr(error))
 
-    def _reject_target(self, record: stored.Record, reason: str) -> None:
-        self._reject(wire.KIND_TARGETS, record, reason)
-        # The earlier content is outdated, and the new content is no valid
-        # target to send requests to.
-        if self._roster.drop(record.name):
+    def _reject(self, kind: str, record: stored.Record, reason: str) -> None:
+        self.rejected.add(kind, record, reason)
+        # The earlier content of a target's entry is outdated, and the new
+        # content is no valid target to send requests to.
+        if kind == wire.KIND_TARGETS and self._roster.drop(record.name):
             self._log.write("target_dropped", target=record.name)
 
     def _apply_target(self, record: stored.Record) -> None:
@@ -363,13 +351,15 @@
             record.era,
         )
         if isinstance(listing, result.Failure):
-            self._reject_target(record, listing.message)
+            self._reject(wire.KIND_TARGETS, record, listing.message)
             return
         table = self._holder.table
         if table.version and listing.service not in table.services:
             # If applied, this entry would supersede another target at the same
             # address, which would get no more requests.
-            self._reject_target(record, f"no service {listing.service!r}")
+            self._reject(
+                wire.KIND_TARGETS, record, f"no service {listing.service!r}"
+            )
             return
         known = self._roster.members.get(record.name)
         lapsed = known is not None and bool(known.expires_at_ms)
@@ -459,31 +449,21 @@
             if known is not None:
                 self.apply_peer_objects(known)
 
-    def apply_peer_objects(self, known: dict[str, Any]) -> None:
+    def apply_peer_objects(self, known: Any) -> None:
         """Applies objects of another gateway, of the kinds that fail here.
 
         Args:
             known: Result of its ``export_objects``.
         """
-        for kind, names in known.get("objects", {}).items():
+        told = peer_objects.decode(known)
+        if told.invalid_count:
+            self._log.write("peer_objects_refused", count=told.invalid_count)
+        for kind, records in told.records.items():
             follower = self.followers.get(kind)
-            if follower is None or not follower.failing_since_ms:
-                continue
-            peer_position = store_position.StorePosition(
-                int(known.get("eras", {}).get(kind, 0)),
-                int(known.get("revisions", {}).get(kind, 0)),
-            )
-            records = [
-                stored.Record(
-                    name,
-                    wire.without_secrets(spec, from_peer=True),
-                    *rest,
-                    era=peer_position.era,
+            if follower is not None and follower.failing_since_ms:
+                self._apply_newer_objects(
+                    kind, records, told.positions[kind], fresh=told.is_fresh
                 )
-                for name, (spec, *rest) in names.items()
-            ]
-            fresh = bool(known.get("fresh"))
-            self._apply_newer_objects(kind, records, peer_position, fresh=fresh)
 
     def _apply_newer_objects(
         self,
@@ -508,7 +488,7 @@
         for record in records:
             if record.position > known_position:
                 self.known[kind][record.name] = record
-                self._apply_functions[kind](record)
+                self.apply(kind, record)
 
     def _known_position(self, kind: str) -> store_position.StorePosition:
         read_position = self.followers[kind].read_position
@@ -535,44 +515,19 @@
             clock.boot_ms()
         )
         positions = {kind: self._known_position(kind) for kind in self.known}
-        # The message has one era per kind: the receiver would read a revision
-        # of a former era as one of the current era.
-        objects = {
-            kind: {
-                name: (record.spec, record.created, record.revision)
-                for name, record in records.items()
-                if record.era == positions[kind].era
-            }
-            for kind, records in self.known.items()
-        }
-        return {
-            "objects": objects,
-            "revisions": {
-                kind: position.revision for kind, position in positions.items()
-            },
-            "eras": {
-                kind: position.era for kind, position in positions.items()
-            },
-            "fresh": fresh,
-        }
+        return peer_objects.encode(self.known, positions, is_fresh=fresh)
 
 
 class _Sink:
     """Stores the objects of one kind, and applies each of them."""
 
-    def __init__(
-        self,
-        discovery: Discovery,
-        kind: str,
-        apply: Callable[[stored.Record], None],
-    ) -> None:
+    def __init__(self, discovery: Discovery, kind: str) -> None:
         self._discovery = discovery
         self._kind = kind
-        self._apply = apply
 
     def replace_all(self, batch: stored.Batch) -> None:
         """Replaces all objects."""
-        self._discovery.record_nameless(self._kind, batch.nameless_count)
+        self._discovery.rejected.add_nameless(self._kind, batch.nameless_count)
         known = {record.name: record for record in batch.records}
         missing = [
             name
@@ -582,14 +537,16 @@
         self._discovery.known[self._kind] = known
         self._discovery.record_missing(self._kind, missing)
         for name in missing:
-            self._apply(stored.Record(name, None, deleted=True))
+            self._discovery.apply(
+                self._kind, stored.Record(name, None, deleted=True)
+            )
         for record in batch.records:
-            self._apply(record)
+            self._discovery.apply(self._kind, record)
         self._discovery.notify_change()
 
     def changes(self, batch: stored.Batch) -> None:
         """Applies changed objects."""
-        self._discovery.record_nameless(self._kind, batch.nameless_count)
+        self._discovery.rejected.add_nameless(self._kind, batch.nameless_count)
         known = self._discovery.known[self._kind]
         self._discovery.record_missing(
             self._kind, (one.name for one in batch.records if one.deleted)
@@ -599,5 +556,5 @@
                 known.pop(record.name, None)
             else:
                 known[record.name] = record
-            self._apply(record)
+            self._discovery.apply(self._kind, record)
         self._discovery.notify_change()
--- a/packages/radishd/src/radishd/process/kept_crashes.py
+++ b/packages/radishd/src/radishd/process/kept_crashes.py
@@ -17,6 +17,8 @@
 from radishd.process import clock
 from radishd.process import crash_record
 from radishd.process import decision_log
+from radishd.process import metrics as metrics_lib
+from radishd.process import rejected_objects
 
 MS_PER_S = 1_000
 # Exponential backoff after failed calls. It may be long: calls are billed, and
@@ -38,6 +40,7 @@
         store: store_lib.Store,
         apply_records: ApplyRecords,
         log: decision_log.DecisionLog,
+        metrics: metrics_lib.Metrics,
     ) -> None:
         """Starts without records.
 
@@ -45,7 +48,9 @@
             store: The platform's store.
             apply_records: Called with the records that were read.
             log: Where reads and writes of records are logged.
+            metrics: Where invalid records are counted.
         """
+        self._rejected = rejected_objects.RejectedObjects(log, metrics)
         self._store = store
         self._apply_records = apply_records
         self._log = log
@@ -85,13 +90,7 @@
         for stored in batch.records:
             record = crash_record.decode(stored.spec, now_ms, clock.unix_ms())
             if isinstance(record, result.Failure):
-                self._log.write(
-                    "object_refused",
-                    kind=crash_record.KIND,
-                    object=stored.name,
-                    revision=stored.revision,
-                    reason=record.message,
-                )
+                self._rejected.add(crash_record.KIND, stored, record.message)
                 continue
             if crash_evidence.is_expired(record, now_ms):
                 await self._store.delete(crash_record.KIND, stored.name)
--- a/packages/radishd/src/radishd/process/stored.py
+++ b/packages/radishd/src/radishd/process/stored.py
@@ -1,10 +1,19 @@
 """Objects of the platform's store, as returned by its client."""
 
+from collections.abc import Iterable
 import dataclasses
 from typing import Any
 
 from radishstack.process import store_position
 
+_REVISIONS = range(2**63)
+
+
+def revision_of(value: Any) -> int | None:
+    """Returns a revision of the store, None if the value is none."""
+    is_valid = type(value) is int and value in _REVISIONS
+    return value if is_valid else None
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answer:
@@ -18,10 +27,15 @@
     fields: dict[str, Any]
     era: int
 
-    def entries(self, field: str) -> list[Any]:
-        """Returns the list in a field, or an empty one if it holds none."""
+    def entries(self, field: str) -> list[Any] | None:
+        """Returns the list in a field, None if it holds none."""
         entries = self.fields.get(field)
-        return entries if isinstance(entries, list) else []
+        return entries if isinstance(entries, list) else None
+
+    @property
+    def revision(self) -> int | None:
+        """The store's revision as of the answer, None if it has none."""
+        return revision_of(self.fields.get("at"))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -30,7 +44,8 @@
 
     Attributes:
         name: Name of the object.
-        spec: Content of the object.
+        spec: Content of the object, ``untrusted_json.Unreadable`` if it cannot
+            be decoded.
         created: Store revision at which the object was created.
         revision: Store revision at which the object last changed.
         deleted: Whether the object was deleted.
@@ -73,6 +88,21 @@
         return store_position.StorePosition(self.era, self.revision)
 
 
+def make_batch(
+    decoded: Iterable[Record | None], revision: int, era: int
+) -> Batch:
+    """Makes a batch of decoded objects.
+
+    Args:
+        decoded: The objects, None for one without a name or a revision.
+        revision: Store revision of the read.
+        era: Store era of the revision.
+    """
+    decoded = list(decoded)
+    records = tuple(one for one in decoded if one is not None)
+    return Batch(records, revision, len(decoded) - len(records), era)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Expired:
     """Sentinel: the history since the revision of a watch has expired."""
--- a/packages/radishd/src/radishd/store_client.py
+++ b/packages/radishd/src/radishd/store_client.py
@@ -167,7 +167,12 @@
         if isinstance(answer, http_client.Lost):
             if not answer.timed_out:
                 self._availability.connection_broken(clock.boot_ms())
-            return result.Failure(result.STORE_UNAVAILABLE, answer.reason)
+            code = (
+                result.STORE_CORRUPT
+                if answer.malformed
+                else result.STORE_UNAVAILABLE
+            )
+            return result.Failure(code, answer.reason)
         return answer
 
     def drop_connections(self) -> None:
--- a/packages/standins/src/standins/platform_store.py
+++ b/packages/standins/src/standins/platform_store.py
@@ -14,6 +14,8 @@
 
 MS_PER_S = 1_000.0
 PAGE_SIZE = 50
+# A page ends with the object that reaches this size.
+PAGE_BYTES = 1_000_000
 PATH_PREFIX = "/-/objects/"
 
 
@@ -196,8 +198,16 @@
             return
         names = sorted(self.objects.get(kind, {}))
         after = request.query.get("after", "")
-        page = [name for name in names if name > after][: self.page_size]
-        items = [self.objects[kind][name] for name in page]
+        page: list[str] = []
+        items: list[dict[str, Any]] = []
+        size_bytes = 0
+        for name in names:
+            if len(page) >= self.page_size or size_bytes >= PAGE_BYTES:
+                break
+            if name > after:
+                page.append(name)
+                items.append(self.objects[kind][name])
+                size_bytes += len(encode(items[-1]))
         more = bool(page) and page[-1] != names[-1]
         body = {"items": items, "hasMore": more, "at": self.revision}
         body = copy.deepcopy(body)
--- a/tests/fleet/test_poison_entries.py
+++ b/tests/fleet/test_poison_entries.py
@@ -1,16 +1,23 @@
 """Poison entries: values of other writers that a reader cannot decode."""
 
+from collections.abc import AsyncIterator
 from collections.abc import Iterator
+import contextlib
 import functools
 import json
 from typing import Any
 
 import anyio
+import hypothesis
+from hypothesis import strategies
 from radishd import gateway as gateway_lib
+from radishd.connection import http_client
+from radishd.platform import entries
 from radishd.platform import store as store_lib
 from radishd.platform import wire
 from radishd.process import metrics as metrics_lib
 from radishd.process import stored
+from radishd.process import untrusted_json
 from radishstack.process import roster as roster_lib
 from standins import platform_engine
 from standins import platform_site
@@ -99,12 +106,13 @@
     }
 
 
-async def _play_forms(forms: Forms, *, page_size: int = 50) -> None:
-    """Reads each form beside sound entries, in a list and in a watch."""
+@contextlib.asynccontextmanager
+async def _serving_store() -> AsyncIterator[
+    tuple[platform_store.PlatformStore, store_lib.Store]
+]:
+    """Runs a store; yields it and a client."""
     host = fixtures.Fleet(None).store_host
     store = platform_store.PlatformStore()
-    store.page_size = page_size
-    failed = []
     async with anyio.create_task_group() as tasks:
         app = standins_web.make_app(store.handle)
         await tasks.start(
@@ -112,9 +120,16 @@
                 standins_web.serve, app, host, fixtures.STORE_PORT
             )
         )
-        client = store_lib.Store(
-            f"{host}:{fixtures.STORE_PORT}", metrics_lib.Metrics()
-        )
+        address = f"{host}:{fixtures.STORE_PORT}"
+        yield store, store_lib.Store(address, metrics_lib.Metrics())
+        tasks.cancel_scope.cancel()
+
+
+async def _play_forms(forms: Forms, *, page_size: int = 50) -> None:
+    """Reads each form beside sound entries, in a list and in a watch."""
+    failed = []
+    async with _serving_store() as (store, client):
+        store.page_size = page_size
         for form, name, value in forms:
             store.put(TARGETS, "i-sound0", SPEC)
             began = store.revision
@@ -133,7 +148,6 @@
                 if found != expected
             )
             store.delete(TARGETS, name)
-        tasks.cancel_scope.cancel()
     assert not failed, "\n" + "\n".join(failed)
 
 
@@ -208,3 +222,89 @@
                 assert not gateway.metrics.broken.get_all()
 
     fixtures.run(play)
+
+
+_JSON_TEXT = strategies.recursive(
+    strategies.sampled_from(
+        ("null", "true", "9", "-1", "1e999", "NaN", "9" * 30, "9" * 5_000)
+    )
+    | strategies.text(max_size=5).map(json.dumps)
+    | strategies.integers(1, 5_000).map(lambda n: "[" * n + "]" * n)
+    | strategies.integers(1, 5_000).map(lambda n: '{"":[' * n + "]}" * n),
+    lambda inner: (
+        strategies.lists(inner, max_size=3).map(lambda o: f"[{','.join(o)}]")
+        | inner.map(lambda one: f'{{ "a" : {one} , "]": "}}" }}')
+    ),
+    max_leaves=4,
+)
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=60)
+@hypothesis.given(
+    generated=strategies.lists(
+        strategies.tuples(
+            strategies.text(min_size=1, max_size=6),
+            strategies.sampled_from([*SPEC, "x", ""]),
+            _JSON_TEXT,
+        ),
+        min_size=1,
+        max_size=6,
+    ),
+    page_size=strategies.integers(1, 4),
+)
+def test_generated_entries_hide_no_others(
+    generated: list[tuple[str, str, str]], page_size: int
+) -> None:
+    """Guards against an entry of any form that hides sound ones."""
+
+    async def play() -> None:
+        async with _serving_store() as (store, client):
+            store.page_size = page_size
+            began = store.revision
+            for name in SOUND:
+                store.put(TARGETS, name, SPEC)
+            for name, field, text in generated:
+                value = _with(SPEC, field, text) if field else _raw(text)
+                store.put(TARGETS, f"i-{name}", value)
+            listed = await client.list(TARGETS)
+            assert _usable(listed) >= SOUND, listed
+            watched = await client.watch(TARGETS, began, 50)
+            assert _usable(watched) == _usable(listed)
+
+    fixtures.run(play)
+
+
+def test_a_watch_whose_answer_is_too_large_is_replaced_by_a_list() -> None:
+    """Guards against a watch that is repeated with the same answer for ever."""
+
+    async def play() -> None:
+        async with _serving_store() as (store, client):
+            store.put(TARGETS, "i-sound0", SPEC)
+            began = store.revision
+            large = _raw('"' + "a" * 1_000_000 + '"')
+            for number in range(12):
+                store.put(TARGETS, f"i-large{number}", large)
+            for name in ("i-sound1", "i-sound2"):
+                store.put(TARGETS, name, SPEC)
+            answer = await client.watch(TARGETS, began, 50)
+            assert isinstance(answer, stored.Expired), answer
+            assert _usable(await client.list(TARGETS)) == SOUND
+
+    fixtures.run(play)
+
+
+def test_a_position_out_of_range_is_not_taken() -> None:
+    """Guards against a revision or an era that no later one can exceed."""
+    for text in ("9" * 30, "true", "1.5", '"7"', "-1", "null", "9" * 5_000):
+        body = untrusted_json.decode(
+            b'{"items": [], "at": ' + text.encode() + b"}",
+            isolated_levels=entries.ISOLATED_LEVELS,
+        )
+        assert stored.Answer(body, era=1).revision is None, text
+        entry = f'{{"metadata": {{"name": "i", "revision": {text}}}}}'
+        raw = untrusted_json.decode(entry.encode(), isolated_levels=2)
+        if text != "null":
+            assert entries.record(raw, era=1) is None, text
+    for value in (b"9" * 30, b"9" * 5_000, b"-1", b"x"):
+        head = http_client.Head(200, ((b"store-era", value),))
+        assert store_lib._era(head) == 0, value
