--- a/packages/radishctl/src/radishctl/processes.py
+++ b/packages/radishctl/src/radishctl/processes.py
@@ -46,7 +46,12 @@
             async with httpcore.AsyncConnectionPool() as pool:
                 answer = await pool.request("GET", f"http://{address}/status")
         return json.loads(answer.content)
-    except (*store_lib.NETWORK_ERRORS, TimeoutError, ValueError) as error:
+    except (
+        *store_lib.NETWORK_ERRORS,
+        TimeoutError,
+        ValueError,
+        RecursionError,
+    ) as error:
         return {"name": address, "ready": f"no answer: {type(error).__name__}"}
 
 
--- a/packages/radishd/src/radishd/connection/http_client.py
+++ b/packages/radishd/src/radishd/connection/http_client.py
@@ -484,5 +484,5 @@
     for part in value.split(b","):
         name, _, number = part.strip().partition(b"=")
         if name.lower() == b"timeout" and number.strip().isdigit():
-            return int(number)
+            return int(number[: response_bounds.MAX_SECONDS_DIGITS])
     return 0
--- a/packages/radishd/src/radishd/connection/transfer.py
+++ b/packages/radishd/src/radishd/connection/transfer.py
@@ -39,7 +39,14 @@
         head = json.loads(chunks[0])
         document = document_lib.parse(json.loads(b"".join(chunks[1:])))
         version, write_id = int(head["version"]), str(head["write_id"])
-    except (ValueError, KeyError, IndexError, TypeError) as error:
+    except (
+        ValueError,
+        KeyError,
+        IndexError,
+        TypeError,
+        OverflowError,
+        RecursionError,
+    ) as error:
         return result.Failure(result.STORE_CORRUPT, f"a peer's: {error!r}")
     if isinstance(document, tuple):
         return result.Failure(result.STORE_CORRUPT, f"a peer's: {document[0]}")
--- a/packages/radishd/src/radishd/platform/front.py
+++ b/packages/radishd/src/radishd/platform/front.py
@@ -1,8 +1,6 @@
 """Decodes and encodes headers of requests and responses."""
 
-import dataclasses
 import enum
-import math
 
 from radishstack import result
 from radishstack.process import target_rate_limits
@@ -10,8 +8,11 @@
 from radishstack.version import client_account
 
 from radishd.connection import http_client
+from radishd.process import header_numbers
+from radishd.process import target_signals as target_signals_lib
 from radishd.process import web
 from radishd.request import error_body
+from radishd.request import received_request
 
 _ATTEMPT = b"x-attempt-id"
 _DEADLINE = b"x-deadline-ms"
@@ -77,45 +78,13 @@
 # Callers rely on these as a guarantee that the request did not run.
 NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
 MS_PER_S = 1_000
+# Far more than the longest backoff that is followed.
+_MAX_RETRY_AFTER_S = 1e9
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Request:
-    """A caller's request.
-
-    Attributes:
-        attempt_id: The caller's id of this attempt.
-        method: HTTP method.
-        target: Path and query as sent.
-        path: Path without the query.
-        host: Host header.
-        left_ms: Time until the caller's deadline, 0 if not stated.
-        adapter: ``model/name``, or a base model, empty for a plain service.
-        last_event_id: Event after which a stream resumes.
-        resumed_attempt_id: The attempt that began the stream, empty if none.
-        headers: Headers that are forwarded to the target.
-        key_digest: Digest of the API key, ``client_account.NO_KEY`` if there
-            is no single well-formed one. The key itself is not forwarded.
-        token_count: Prompt plus maximum output tokens, None if not stated.
-        prompt_blocks: Ids of its prompt's blocks, the broadest first.
-    """
-
-    attempt_id: str
-    method: str
-    target: bytes
-    path: str
-    host: str
-    left_ms: int
-    adapter: str
-    last_event_id: bytes
-    resumed_attempt_id: str
-    headers: http_client.Headers
-    key_digest: bytes = dataclasses.field(repr=False)
-    token_count: int | None
-    prompt_blocks: tuple[bytes, ...]
-
-
-def decode(scope: web.Scope) -> result.Outcome[Request]:
+def decode(
+    scope: web.Scope,
+) -> result.Outcome[received_request.ReceivedRequest]:
     """Decodes the head of a caller's request.
 
     Args:
@@ -135,13 +104,13 @@
     }
     dropped = _DROPPED | (named - _UNDROPPABLE)
     deadline = first.get(_DEADLINE, b"").strip()
-    return Request(
+    return received_request.ReceivedRequest(
         attempt_id=first[_ATTEMPT].decode("latin-1"),
         method=scope["method"],
         target=scope["radishstack.target"],
         path=scope["path"],
         host=first.get(_HOST, b"").decode("latin-1"),
-        left_ms=int(deadline) if deadline.isdigit() else 0,
+        left_ms=header_numbers.decimal(deadline) or 0,
         adapter=first.get(_MODEL, b"").decode("latin-1").strip(),
         last_event_id=first.get(_LAST_EVENT, b"").strip(),
         resumed_attempt_id=first.get(_RESUMES, b"").decode("latin-1").strip(),
@@ -168,14 +137,13 @@
 
 def _token_count(value: bytes | None) -> int | None:
     """Returns how many tokens a request may use, None if not stated."""
-    counts = [part.strip() for part in (value or b"").split(b",")]
-    if not all(one.isdigit() for one in counts):
-        return None
-    return sum(map(int, counts))
+    parts = (value or b"").split(b",")
+    counts = [header_numbers.decimal(part.strip()) for part in parts]
+    return None if None in counts else sum(counts)
 
 
 def encode(
-    request: Request,
+    request: received_request.ReceivedRequest,
     body: bytes,
     *,
     instance: str,
@@ -290,23 +258,9 @@
     return Kind.FAILURE
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class TargetSignals:
-    """State of a target that a response reports in its headers.
-
-    Attributes:
-        leaving: Whether the target drains and soon stops, even if requests run.
-        backoff_ms: Requested pause in requests from this VM, 0 if not stated.
-    """
-
-    leaving: bool = False
-    backoff_ms: int = 0
-
-
-NO_SIGNALS = TargetSignals()
-
-
-def target_signals(head: http_client.Head, instance: str) -> TargetSignals:
+def target_signals(
+    head: http_client.Head, instance: str
+) -> target_signals_lib.TargetSignals:
     """Decodes what a response reports about its target.
 
     Args:
@@ -315,8 +269,8 @@
     """
     if is_other_instance(head, instance):
         # Another incarnation at that address reports its own state.
-        return NO_SIGNALS
-    return TargetSignals(is_leaving(head), _backoff_ms(head))
+        return target_signals_lib.NO_SIGNALS
+    return target_signals_lib.TargetSignals(is_leaving(head), _backoff_ms(head))
 
 
 def is_other_instance(head: http_client.Head, instance: str) -> bool:
@@ -333,14 +287,10 @@
 def _backoff_ms(head: http_client.Head) -> int:
     if head.status != HTTP_UNAVAILABLE:
         return 0
-    try:
-        retry_after_s = float(head.get(_RETRY_AFTER) or b"0")
-    except ValueError:
-        # The value is a date, which targets do not send, or invalid.
-        return 0
-    if not math.isfinite(retry_after_s):
-        return 0
-    return round(max(0.0, retry_after_s) * MS_PER_S)
+    # A date, which targets do not send, counts as no value.
+    value = head.get(_RETRY_AFTER) or b"0"
+    retry_after_s = header_numbers.non_negative(value) or 0.0
+    return round(min(retry_after_s, _MAX_RETRY_AFTER_S) * MS_PER_S)
 
 
 def rate_limit_per_s(head: http_client.Head, instance: str) -> float | None:
@@ -359,13 +309,7 @@
     value = head.get(_RATE_LIMIT)
     if value is None:
         return target_rate_limits.UNLIMITED_PER_S
-    try:
-        limit_per_s = float(value)
-    except ValueError:
-        return None
-    if not math.isfinite(limit_per_s) or limit_per_s < 0:
-        return None
-    return limit_per_s
+    return header_numbers.non_negative(value)
 
 
 def response_headers(head: http_client.Head) -> list[tuple[bytes, bytes]]:
--- a/packages/radishd/src/radishd/process/engine.py
+++ b/packages/radishd/src/radishd/process/engine.py
@@ -70,7 +70,7 @@
         try:
             listed = json.loads(response.content)["data"]
             names = frozenset(str(one["id"]) for one in listed)
-        except (ValueError, KeyError, TypeError) as error:
+        except (ValueError, KeyError, TypeError, RecursionError) as error:
             return result.Failure(
                 result.TARGET_FAILED, f"/v1/models: {error!r}"
             )
--- a/packages/radishd/src/radishd/process/response_bounds.py
+++ b/packages/radishd/src/radishd/process/response_bounds.py
@@ -22,6 +22,8 @@
 # Maximum number of responses that wait on one connection, or are skipped before
 # the one that is due: late second responses to earlier requests.
 MAX_WAITING_RESPONSES = 8
+# Digits of a number of seconds that are read.
+MAX_SECONDS_DIGITS = 9
 # Reading from a socket pauses above this many unread bytes of its responses.
 HIGH_WATER_BYTES = 64 * 1024
 # Response bytes in memory, over all connections, from which on memory is low: a
--- a/packages/radishd/src/radishd/process/store.py
+++ b/packages/radishd/src/radishd/process/store.py
@@ -1,7 +1,7 @@
 """Client of the platform's object API and VM list, over HTTP."""
 
 import dataclasses
-import json
+from typing import Any
 import urllib.parse
 
 import httpcore
@@ -11,11 +11,16 @@
 from radishstack.version import holder as holder_lib
 from radishstack.version import publish
 
+from radishd.process import logs
 from radishd.process import metrics as metrics_lib
 from radishd.process import settings as settings_lib
+from radishd.process import untrusted_json
 from radishd.process import whole_response
 
 MS_PER_S = 1000.0
+# Levels of the list of VMs whose values are decoded one by one.
+VM_LEVELS = 3
+MAX_REVISION_DIGITS = 18
 OK = 200
 NOT_MODIFIED = 304
 NOT_FOUND = 404
@@ -190,24 +195,36 @@
                 result.STORE_UNAVAILABLE, f"GET /vms: {response.status}"
             )
         try:
-            vms = tuple(
-                Vm(
-                    name=str(raw["name"]),
-                    control=str(raw["control"]),
-                    failure_domain=str(raw["failure_domain"]),
-                    leaving=raw.get("state") == "leaving",
-                )
-                for raw in json.loads(response.content)["vms"]
+            body = untrusted_json.decode(
+                response.content, isolated_levels=VM_LEVELS
             )
+            listed = list(body["vms"])
         except (ValueError, KeyError, TypeError) as error:
             return result.Failure(result.STORE_CORRUPT, f"/vms: {error!r}")
-        return _revision(response), vms
+        vms = [vm for raw in listed if (vm := _vm(raw)) is not None]
+        if len(vms) < len(listed):
+            logs.warn("vms_refused", count=len(listed) - len(vms))
+        return _revision(response), tuple(vms)
+
+
+def _vm(raw: Any) -> Vm | None:
+    """Decodes an entry of the list of VMs, None if it is invalid."""
+    try:
+        return Vm(
+            name=str(raw["name"]),
+            control=str(raw["control"]),
+            failure_domain=str(raw["failure_domain"]),
+            leaving=raw.get("state") == "leaving",
+        )
+    except (KeyError, TypeError, AttributeError):
+        return None
 
 
 def _revision(response: whole_response.WholeResponse) -> int:
     for name, value in response.headers:
         if name.lower() == b"etag":
-            return int(value)
+            is_number = value.isdigit() and len(value) <= MAX_REVISION_DIGITS
+            return int(value) if is_number else 0
     return 0
 
 
--- a/packages/radishd/src/radishd/request/callers_port.py
+++ b/packages/radishd/src/radishd/request/callers_port.py
@@ -23,6 +23,7 @@
 from radishd.request import gateway_interface
 from radishd.request import intake
 from radishd.request import pending_request
+from radishd.request import received_request
 from radishd.request import target_selection
 
 
@@ -131,7 +132,7 @@
         await self._run(forward, receive)
 
     def _admit(
-        self, request: front.Request
+        self, request: received_request.ReceivedRequest
     ) -> result.Outcome[admission.Admission]:
         return admission.admit(
             self._gateway.table,
--- a/packages/radishd/src/radishd/request/engine_call.py
+++ b/packages/radishd/src/radishd/request/engine_call.py
@@ -207,7 +207,7 @@
 def _parse_model(body: bytes) -> str:
     try:
         value = json.loads(body)
-    except ValueError:
+    except (ValueError, RecursionError):
         return ""
     return str(value.get("model", "")) if isinstance(value, dict) else ""
 
--- a/packages/radishd/src/radishd/request/intake.py
+++ b/packages/radishd/src/radishd/request/intake.py
@@ -9,6 +9,7 @@
 from radishstack.request import resolve
 from radishstack.version import checks
 
+from radishd.process import untrusted_json
 from radishd.process import web
 from radishd.request import body_reader
 
@@ -164,6 +165,11 @@
         return result.Failure(
             result.BODY_MALFORMED, f"the body is not JSON: {str(error)[:100]}"
         )
+    if untrusted_json.is_too_deep(fields):
+        return result.Failure(
+            result.BODY_MALFORMED,
+            f"the body has more than {untrusted_json.MAX_DEPTH} levels",
+        )
     if not isinstance(fields, dict):
         return result.Failure(
             result.BODY_MALFORMED, "the body must be a JSON object"
--- a/packages/radishd/src/radishd/request/pending_request.py
+++ b/packages/radishd/src/radishd/request/pending_request.py
@@ -8,8 +8,8 @@
 from radishstack.request import forwarding
 from radishstack.version import route_table
 
-from radishd.platform import front
 from radishd.process import clock
+from radishd.request import received_request
 
 
 class PendingRequest:
@@ -39,7 +39,7 @@
 
     def __init__(
         self,
-        request: front.Request,
+        request: received_request.ReceivedRequest,
         admission: admission_lib.Admission,
         service: str,
         spec: route_table.ServiceSpec | None,
--- a/packages/radishd/src/radishd/request/response_reader.py
+++ b/packages/radishd/src/radishd/request/response_reader.py
@@ -14,6 +14,7 @@
 from radishd.connection import http_client
 from radishd.platform import front
 from radishd.process import clock
+from radishd.process import target_signals
 from radishd.request import gateway_interface
 from radishd.request import pending_request
 from radishd.request import target_selection
@@ -91,7 +92,7 @@
             if not isinstance(head, http_client.Head):
                 return head
             signals = front.target_signals(head, instance)
-            if signals != front.NO_SIGNALS:
+            if signals != target_signals.NO_SIGNALS:
                 self._gateway.evidence.apply_target_signals(
                     send.member, signals, self._pending.request.attempt_id
                 )
--- a/packages/radishd/src/radishd/target_evidence.py
+++ b/packages/radishd/src/radishd/target_evidence.py
@@ -11,9 +11,9 @@
 
 from radishd.connection import crash_watch as crash_watch_lib
 from radishd.connection import pool as pool_lib
-from radishd.platform import front
 from radishd.process import clock
 from radishd.process import decision_log
+from radishd.process import target_signals
 
 HTTP_SERVER_ERROR = 500
 MS_PER_S = 1_000
@@ -114,7 +114,7 @@
     def apply_target_signals(
         self,
         member: roster_lib.Member,
-        signals: front.TargetSignals,
+        signals: target_signals.TargetSignals,
         attempt_id: str,
     ) -> None:
         """Applies the signals in the headers of a target's response."""
--- a/packages/radishstack/src/radishstack/connection/fleet_wire.py
+++ b/packages/radishstack/src/radishstack/connection/fleet_wire.py
@@ -277,8 +277,8 @@
 def _(datagram: StatusUpdate) -> bytes:
     body = {
         "instance": datagram.instance,
-        "running": datagram.running,
-        "queued": datagram.queued,
+        "running": min(datagram.running, MAX_COUNT),
+        "queued": min(datagram.queued, MAX_COUNT),
         "residents": _encode_holdings(datagram.residents),
         "pending": _encode_holdings(dict.fromkeys(sorted(datagram.pending), 0)),
         "peerAddresses": list(datagram.peer_addresses),
--- a/packages/radishstack/src/radishstack/request/event_stream.py
+++ b/packages/radishstack/src/radishstack/request/event_stream.py
@@ -88,7 +88,7 @@
         if number is None:
             return True
         if self.last_id.isdigit() and number.isdigit():
-            if int(number) <= int(self.last_id):
+            if _magnitude(number) <= _magnitude(self.last_id):
                 return False
         elif number == self.last_id:
             return False
@@ -96,6 +96,12 @@
         return True
 
 
+def _magnitude(digits: bytes) -> tuple[int, bytes]:
+    """Returns a key that orders numbers of any length."""
+    significant = digits.lstrip(b"0")
+    return len(significant), significant
+
+
 def _event_id(event: bytes) -> bytes | None:
     for line in event.removeprefix(BYTE_ORDER_MARK).splitlines():
         if line.startswith(ID_FIELD):
--- a/packages/radishstack/src/radishstack/request/resolve.py
+++ b/packages/radishstack/src/radishstack/request/resolve.py
@@ -14,6 +14,8 @@
 
 MAX_KEY_CHARS = 256
 MAX_CANDIDATES = 48
+# Longer numbers are no valid version or time.
+MAX_DIGITS = 18
 _HASH_RANGE = 2**64
 
 
@@ -173,7 +175,8 @@
         )
     version = adapter.current
     if separator:
-        if not version_text.isdecimal():
+        is_number = version_text.isdecimal()
+        if not is_number or len(version_text) > MAX_DIGITS:
             return _version_unknown(name, version_text)
         version = int(version_text)
     return _select_adapter(adapter, version, document)
@@ -243,7 +246,8 @@
 ) -> result.Outcome[int]:
     if not text:
         return service.timeout_ms
-    if not (text.isascii() and text.isdecimal()) or int(text) < 1:
+    is_number = text.isascii() and text.isdecimal()
+    if not is_number or len(text) > MAX_DIGITS or int(text) < 1:
         return result.Failure(
             result.TIMEOUT_INVALID,
             f"X-Request-Timeout-Ms is {text[:20]!r}; write whole milliseconds "
--- a/packages/radishstack/src/radishstack/version/commit.py
+++ b/packages/radishstack/src/radishstack/version/commit.py
@@ -164,7 +164,7 @@
     """Joins and decodes the parts of a document."""
     try:
         raw: Any = json.loads(b"".join(parts))
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         return result.Failure(result.STORE_CORRUPT, f"snapshot: {error}")
     document = document_lib.parse(raw)
     if isinstance(document, tuple):
--- a/tests/fleet/test_accounts.py
+++ b/tests/fleet/test_accounts.py
@@ -10,6 +10,7 @@
 from radishd.connection import http_client
 from radishd.platform import front
 from radishd.platform import wire
+from radishd.request import received_request
 from radishstack import result
 from radishstack.request import admission
 from radishstack.request import fingerprint
@@ -47,7 +48,7 @@
     return [one for target in fleet.targets.values() for one in target.seen]
 
 
-def _decode(*headers: tuple[bytes, bytes]) -> front.Request:
+def _decode(*headers: tuple[bytes, bytes]) -> received_request.ReceivedRequest:
     scope = {
         "headers": [(b"x-attempt-id", b"a1"), *headers],
         "method": "POST",
@@ -55,7 +56,7 @@
         "path": "/chat/x",
     }
     request = front.decode(scope)
-    assert isinstance(request, front.Request)
+    assert isinstance(request, received_request.ReceivedRequest)
     return request
 
 
--- a/tests/fleet/test_target_news.py
+++ b/tests/fleet/test_target_news.py
@@ -4,6 +4,7 @@
 from radishd.connection import http_client
 from radishd.platform import front
 from radishd.process import clock
+from radishd.process import target_signals
 from radishstack.process import incarnation
 from radishstack.process import roster as roster_lib
 from standins import platform_engine
@@ -234,18 +235,22 @@
     """
     leaving = (b"server-leaving", b"1")
     for headers, status, expected in (
-        ((leaving,), 200, front.TargetSignals(leaving=True)),
-        (((b"server-leaving", b"0"),), 200, front.NO_SIGNALS),
-        ((leaving, (b"x-instance-id", b"other")), 421, front.NO_SIGNALS),
+        ((leaving,), 200, target_signals.TargetSignals(leaving=True)),
+        (((b"server-leaving", b"0"),), 200, target_signals.NO_SIGNALS),
+        (
+            (leaving, (b"x-instance-id", b"other")),
+            421,
+            target_signals.NO_SIGNALS,
+        ),
         (
             ((b"retry-after", b"1.5"),),
             503,
-            front.TargetSignals(backoff_ms=1_500),
+            target_signals.TargetSignals(backoff_ms=1_500),
         ),
-        (((b"retry-after", b"1.5"),), 429, front.NO_SIGNALS),
-        (((b"retry-after", b"soon"),), 503, front.NO_SIGNALS),
-        (((b"retry-after", b"nan"),), 503, front.NO_SIGNALS),
-        (((b"retry-after", b"-3"),), 503, front.NO_SIGNALS),
+        (((b"retry-after", b"1.5"),), 429, target_signals.NO_SIGNALS),
+        (((b"retry-after", b"soon"),), 503, target_signals.NO_SIGNALS),
+        (((b"retry-after", b"nan"),), 503, target_signals.NO_SIGNALS),
+        (((b"retry-after", b"-3"),), 503, target_signals.NO_SIGNALS),
     ):
         head = http_client.Head(status, headers)
         assert front.target_signals(head, "mine") == expected, headers
