--- a/packages/standins/src/standins/platform_store.py
+++ b/packages/standins/src/standins/platform_store.py
@@ -5,6 +5,7 @@
 import copy
 import dataclasses
 import json
+import random
 import time
 from typing import Any
 
@@ -30,12 +31,16 @@
             answered.
         holds: Whether watches are answered only after this is cleared, as by
             a paused store.
+        delay_ms: How late each answer is.
+        throttled_fraction: Fraction of the calls that return 429.
     """
 
     loses_answers: bool = False
     refuses: bool = False
     silent: bool = False
     holds: bool = False
+    delay_ms: float = 0.0
+    throttled_fraction: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -88,6 +93,7 @@
         self.on_page: Callable[[str], None] = lambda kind: None
         self.calls: collections.Counter[str] = collections.Counter()
         self.faults = Faults()
+        self._random = random.Random(1)
         self._changed = anyio.Event()
         self._cut_count = 0
         self._clients: set[tuple[str, int]] = set()
@@ -187,6 +193,10 @@
         if self.faults.refuses:
             await request.reply({}, status=503)
             return
+        await anyio.sleep(self.faults.delay_ms / MS_PER_S)
+        if self._random.random() < self.faults.throttled_fraction:
+            await request.reply({}, status=429)
+            return
         if request.method == "POST":
             await self._create(request, kind)
             return
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -47,6 +47,9 @@
     CRASH_LISTENER_LAST = "crash_listener_last"
     LEAVE_UNDER_ANSWERS = "leave_under_answers"
     HOSTILE_CLIENTS = "hostile_clients"
+    FOREIGN_ENTRIES = "foreign_entries"
+    STORE_SLOW = "store_slow"
+    STORE_THROTTLES = "store_throttles"
 
 
 # Kinds by affected component; other kinds affect the store or the whole site.
@@ -86,6 +89,8 @@
     Kind.CONNECTIONS_SKEWED: CALLERS,
     Kind.RUSH: CALLERS,
     Kind.HOSTILE_CLIENTS: CALLERS,
+    # What another writer leaves in the store is no excuse.
+    Kind.FOREIGN_ENTRIES: "writer",
     Kind.KEYS: "operator",
     Kind.CONFIGURATION: "operator",
 }
--- a/soak/world.py
+++ b/soak/world.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 import anyio
+from standins import foreign_entries
 from standins import platform_engine
 from standins import platform_site
 from standins import platform_store
@@ -57,6 +58,11 @@
 MAX_REWRITE_DELAY_S = 2.0
 # Interval of events before all gateways are killed.
 SLOW_EVENT_MS = 300.0
+STORE_DELAY_MS = (50.0, 900.0)
+STORE_THROTTLED_FRACTION = 0.6
+# Kinds of objects that gateways read, and how many entries one fault writes.
+FOREIGN_KINDS = ("servers", "servers", "versions", "config", "crashes")
+FOREIGN_ENTRY_COUNT = 8
 # Kinds of objects that the operator and targets write.
 REWRITTEN_KINDS = frozenset({"servers", "config", "versions"})
 # The rate limit that a target advertises, and the minimum time for which it
@@ -654,6 +660,16 @@
                 faults.holds = True
                 await asyncio.sleep(for_s)
                 self.store.release()
+            case Kind.STORE_SLOW:
+                faults.delay_ms = self.random.uniform(*STORE_DELAY_MS)
+                await asyncio.sleep(for_s)
+                faults.delay_ms = 0.0
+            case Kind.STORE_THROTTLES:
+                faults.throttled_fraction = STORE_THROTTLED_FRACTION
+                await asyncio.sleep(for_s)
+                faults.throttled_fraction = 0.0
+            case Kind.FOREIGN_ENTRIES:
+                await self._write_foreign_entries(for_s)
             case Kind.STORE_CUTS:
                 self.store.cut_watches()
             case Kind.STORE_FORGETS:
@@ -692,6 +708,23 @@
                 await asyncio.sleep(for_s + MIN_SKEW_S)
                 self.skew_count -= 1
 
+    async def _write_foreign_entries(self, for_s: float) -> None:
+        """Writes entries as another writer; half of them stay for good."""
+        address = f"{self.subnet}.250:{TARGET_PORT}"
+        spec = platform_engine.PlatformEngine("i", model="").listing(
+            platform_site.PLAIN, address, "north"
+        )
+        entries = list(foreign_entries.all_entries(spec))
+        written = [
+            (self.random.choice(FOREIGN_KINDS), *entry)
+            for entry in self.random.sample(entries, FOREIGN_ENTRY_COUNT)
+        ]
+        for kind, name, value in written:
+            self.store.put(kind, name, value)
+        await asyncio.sleep(for_s)
+        for kind, name, _ in written[::2]:
+            self.store.delete(kind, name)
+
     async def _kill_gateways(self, for_s: float) -> None:
         """Kills all gateways at once, with many streams under way."""
         slow = dataclasses.replace(TIMING, event_ms=SLOW_EVENT_MS)
--- a/tests/fleet/test_poison_entries.py
+++ b/tests/fleet/test_poison_entries.py
@@ -19,6 +19,7 @@
 from radishd.process import stored
 from radishd.process import untrusted_json
 from radishstack.process import roster as roster_lib
+from standins import foreign_entries
 from standins import platform_engine
 from standins import platform_site
 from standins import platform_store
@@ -28,24 +29,6 @@
 
 TARGETS = "servers"
 KINDS = (TARGETS, "versions", "config", "crashes")
-DEPTH = 20_000
-# An entry under each of these names is the last of its page.
-NAMES = (
-    "i-a&b",
-    "i-a+b",
-    "i-a#b",
-    "i-a%41b",
-    "i-a%",
-    "i-a b",
-    "i-a?b=c",
-    "i-a=b",
-    "i-a/b",
-    'i-a"b',
-    "i-\u00e9",
-)
-TOO_LARGE = ("9" * 30, "9" * 5_000, "1e999", "-" + "9" * 30)
-WRONG_TYPES = ("true", '"6"', "6.5", "[6]", "{}", "NaN", "-Infinity")
-NUMBERS = ("slots", "sequence", "coldRemainingMs", "remainingMs", "born")
 SPEC = platform_engine.PlatformEngine("i-sound0", model="").listing(
     platform_site.PLAIN, "10.0.0.1:8080", "north"
 )
@@ -53,46 +36,6 @@
 Forms = Iterator[tuple[str, str, Any]]
 
 
-def _raw(text: str) -> platform_store.RawJson:
-    return platform_store.RawJson(text)
-
-
-def _with(spec: dict[str, Any], field: str, value: str) -> Any:
-    """Returns a target's entry with one field of any JSON text."""
-    members = {name: json.dumps(one) for name, one in spec.items()}
-    members[field] = value
-    text = ", ".join(f'"{name}": {one}' for name, one in members.items())
-    return _raw("{" + text + "}")
-
-
-def _nested(spec: dict[str, Any]) -> Iterator[tuple[str, Any]]:
-    arrays = "[" * DEPTH + "]" * DEPTH
-    objects = '{"a":' * DEPTH + "1" + "}" * DEPTH
-    mixed = '[{"]":' * DEPTH + '"}"' + "}]" * DEPTH
-    yield "arrays", _raw(arrays)
-    yield "objects", _raw(objects)
-    yield "mixed", _raw(mixed)
-    yield "in an unknown field", _with(spec, "x", arrays)
-    yield "in a known field", _with(spec, "models", arrays)
-    for depth in (100, 300, 900, 990):
-        few = "[" * depth + "]" * depth
-        yield f"{depth} levels", _with(spec, "x", few)
-
-
-def _numbers(spec: dict[str, Any]) -> Iterator[tuple[str, Any]]:
-    for field in NUMBERS:
-        for value in (*TOO_LARGE, *WRONG_TYPES):
-            # A time may have a fraction.
-            if not (field.endswith("Ms") and value == "6.5"):
-                yield f"{field} {value[:9]}", _with(spec, field, value)
-    for value in (*TOO_LARGE, *WRONG_TYPES):
-        model = f'[{{"name": "base7", "version": {value}, "adapters": []}}]'
-        yield f"model {value[:9]}", _with(spec, "models", model)
-    for version in ("9" * 30, "9" * 5_000, "x", "-1"):
-        model = f'[{{"name": "base7", "adapters": ["a1@{version}"]}}]'
-        yield f"adapter {version[:9]}", _with(spec, "models", model)
-
-
 def _usable(answer: Any) -> set[str] | str:
     """Returns the names of the usable targets that a read contains."""
     if not isinstance(answer, stored.Batch):
@@ -160,7 +103,9 @@
 
 def test_a_deeply_nested_entry_hides_no_others() -> None:
     """Guards against a parser that stops at the depth of one value."""
-    forms = ((form, "i-other", value) for form, value in _nested(SPEC))
+    forms = (
+        (form, "i-other", value) for form, value in foreign_entries.nested(SPEC)
+    )
     fixtures.run(lambda: _play_forms(forms))
 
 
@@ -168,27 +113,24 @@
     """Guards against a page mark that changes its meaning in the query."""
     forms = (
         (f"{name!r} {what}", name, value)
-        for name in NAMES
-        for what, value in (("sound", SPEC), ("unusable", _raw("[]")))
+        for name in foreign_entries.NAMES
+        for what, value in (
+            ("sound", SPEC),
+            ("unusable", platform_store.RawJson("[]")),
+        )
     )
     fixtures.run(lambda: _play_forms(forms, page_size=1))
 
 
 def test_a_number_out_of_range_makes_only_its_entry_invalid() -> None:
     """Guards against a conversion whose overflow stops the reader."""
-    forms = ((form, "i-other", value) for form, value in _numbers(SPEC))
+    forms = (
+        (form, "i-other", value)
+        for form, value in foreign_entries.with_invalid_numbers(SPEC)
+    )
     fixtures.run(lambda: _play_forms(forms))
 
 
-def _poison_entries(spec: dict[str, Any]) -> Iterator[tuple[str, Any]]:
-    """Yields one entry of each form, all of them beside the sound ones."""
-    for number, (_, value) in enumerate((*_nested(spec), *_numbers(spec))):
-        yield f"i-other{number}", value
-    for name in NAMES:
-        yield name, spec
-        yield f"{name}0", _raw("[]")
-
-
 async def _until_used(
     fleet: fixtures.Fleet, gateway: gateway_lib.Gateway, expected: set[str]
 ) -> None:
@@ -209,7 +151,7 @@
             host = fleet.host()
             spec["address"] = f"{host}:{fixtures.TARGET_PORT}"
             for kind in KINDS:
-                for name, value in _poison_entries(spec):
+                for name, value in foreign_entries.all_entries(spec):
                     store.put(kind, name, value)
             await fleet.add_target("i-plain2", engine=False)
             sound = {"i-plain0", "i-plain1", "i-plain2"}
@@ -264,7 +206,11 @@
             for name in SOUND:
                 store.put(TARGETS, name, SPEC)
             for name, field, text in generated:
-                value = _with(SPEC, field, text) if field else _raw(text)
+                value = (
+                    foreign_entries.with_field(SPEC, field, text)
+                    if field
+                    else platform_store.RawJson(text)
+                )
                 store.put(TARGETS, f"i-{name}", value)
             listed = await client.list(TARGETS)
             assert _usable(listed) >= SOUND, listed
@@ -281,7 +227,7 @@
         async with _serving_store() as (store, client):
             store.put(TARGETS, "i-sound0", SPEC)
             began = store.revision
-            large = _raw('"' + "a" * 1_000_000 + '"')
+            large = platform_store.RawJson('"' + "a" * 1_000_000 + '"')
             for number in range(12):
                 store.put(TARGETS, f"i-large{number}", large)
             for name in ("i-sound1", "i-sound2"):
