Answer each request before the exit of a planned stop

What callers saw: in a planned stop of one gateway, in calm, requests that came late in the grace were passed on; at the end of the grace they were cut without an answer, among them requests that must not be repeated.

Cause: a shutdown bounded the wait for an adapter and the connections, not the requests: whatever ran at the exit was cancelled with the process. A body that ended after the gateway had stopped accepting was passed on, however little time was left.

Requests under way, and those still being read, get their answer before the exit, 504 if one may have run. Once the balancer has removed the VM, a request is taken only if its deadline lies before the exit; others get 503, which their callers repeat elsewhere at once. Deadlines that are handed to targets end there as well.

Ruled out: rejecting from the signal on, since the balancer still sends connections for two seconds.

--- a/packages/radishd/src/radishd/gateway.py
+++ b/packages/radishd/src/radishd/gateway.py
@@ -58,19 +58,12 @@
 from radishd.process import web
 from radishd.request import callers_port
 from radishd.request import closing_check as closing_check_lib
+from radishd.request import connection_draining as connection_draining_lib
 
 MS_PER_S = 1_000
 CONNECT_TIMEOUT_MS = 400
 SWEEP_INTERVAL_MS = 500
 VIEW_TTL_MS = 30_000
-# The balancer removes a VM after two failed checks a second apart. It opens new
-# connections until then, so a draining gateway accepts them for this long.
-UNREADY_MS = 2_600
-EXIT_MARGIN_MS = 700
-# Fraction of the shutdown time for which a request may wait for its adapter;
-# the rest is for its response. A request that waited longer would be aborted
-# when the process exits, although it was read and never sent to a target.
-ADAPTER_WAIT_FRACTION = 0.5
 # Number of gateways assumed to share an allowance while fewer are known, as in
 # the first second after a start.
 MIN_GATEWAYS = 12
@@ -126,9 +119,7 @@
             # Requests waiting for a load on that target choose another one.
             on_draining=self.notifier.notify_all,
         )
-        self.draining = False
-        self.waits_end_at_ms = 0
-        self.exits_at_ms = 0
+        self.connection_draining = connection_draining_lib.ConnectionDraining()
         self.in_flight = 0
         self.refusals: dict[int, int] = {}
         self.socket: fleet_socket.FleetSocket | None = None
@@ -236,7 +227,7 @@
                 self.store, self.discovery.followers[wire.KIND_TARGETS]
             ),
             self.own.heartbeat_ms,
-            lambda: self.exits_at_ms,
+            self.connection_draining.exits_at_ms,
         )
 
     @property
@@ -244,6 +235,11 @@
         """The route table in force here."""
         return self.holder.table
 
+    @property
+    def draining(self) -> bool:
+        """Whether the process is shutting down."""
+        return self.connection_draining.schedule is not None
+
     def _on_new_incarnation(self, member: roster_lib.Member) -> None:
         """Handles an incarnation of a target that was not known before."""
         # Connections to the previous incarnation are dead. A request that must
@@ -587,16 +583,12 @@
 
 async def _drain(gateway: Gateway) -> None:
     """Serves until the balancer removes the VM, then finishes open requests."""
-    began_ms = clock.boot_ms()
-    gateway.draining = True
-    gateway.waits_end_at_ms = began_ms + round(
-        ADAPTER_WAIT_FRACTION * gateway.own.shutdown_ms
-    )
-    gateway.exits_at_ms = began_ms + gateway.own.shutdown_ms - EXIT_MARGIN_MS
+    schedule = gateway.connection_draining.begin(gateway.own.shutdown_ms)
     gateway.log.must("draining", in_flight=gateway.in_flight)
-    await anyio.sleep(UNREADY_MS / MS_PER_S)
+    accepts_ms = schedule.accepts_until_ms - clock.boot_ms()
+    await anyio.sleep(accepts_ms / MS_PER_S)
     gateway.server.should_exit = True
-    left_ms = gateway.exits_at_ms - clock.boot_ms()
+    left_ms = schedule.exits_at_ms - clock.boot_ms()
     with anyio.move_on_after(max(0, left_ms) / MS_PER_S):
         while gateway.in_flight or gateway.server.server_state.connections:
             await anyio.sleep(web.START_POLL_S)
--- a/packages/radishd/src/radishd/request/body_reader.py
+++ b/packages/radishd/src/radishd/request/body_reader.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
+import contextlib
+
 import anyio
 from radishstack import result
 
-from radishd.process import clock
 from radishd.process import web
 
-MS_PER_S = 1_000
-
 
 async def read(receive: web.Receive, max_bytes: int) -> result.Outcome[bytes]:
     """Reads a body.
@@ -46,24 +45,23 @@
 async def read_until(
     receive: web.Receive,
     max_bytes: int,
-    deadline_at_ms: int,
+    limit: contextlib.AbstractContextManager[anyio.CancelScope],
     *,
     retry_after_ms: int,
 ) -> result.Outcome[bytes]:
-    """Reads a body until a deadline.
+    """Reads a body within a time limit.
 
     Args:
         receive: The ASGI channel.
         max_bytes: Maximum size of the body.
-        deadline_at_ms: When its caller stops waiting, on the boot clock.
+        limit: Cancels the block in which the body is read.
         retry_after_ms: When the caller may retry if the body came too late.
 
     Returns:
         The body, or a failure if it is too large or too late, or the caller
         disconnected.
     """
-    left_ms = max(0, deadline_at_ms - clock.boot_ms())
-    with anyio.move_on_after(left_ms / MS_PER_S):
+    with limit:
         return await read(receive, max_bytes)
     return result.Failure(
         result.ROUTE_TIMEOUT_UNSENT,
--- a/packages/radishd/src/radishd/request/callers_port.py
+++ b/packages/radishd/src/radishd/request/callers_port.py
@@ -88,22 +88,28 @@
         if isinstance(admitted, result.Failure):
             await self._reject(admitted, request.attempt_id, send)
             return
+        timeout_ms = admitted.route.timeout_ms
+        deadline_at_ms = arrived_at_ms + min(
+            timeout_ms, request.left_ms or timeout_ms
+        )
+        retry_after_ms = gateway.random_delay_ms(
+            target_selection.NO_TARGET_RETRY_MS
+        )
+        draining = gateway.connection_draining
         body = await body_reader.read_until(
             receive,
             limits.max_body_bytes,
-            arrived_at_ms
-            + min(
-                admitted.route.timeout_ms,
-                request.left_ms or admitted.route.timeout_ms,
-            ),
-            retry_after_ms=gateway.random_delay_ms(
-                target_selection.NO_TARGET_RETRY_MS
-            ),
+            draining.limit(deadline_at_ms),
+            retry_after_ms=retry_after_ms,
         )
         if isinstance(body, result.Failure):
             if body.code is not result.CANCELLED:
                 await self._reject(body, request.attempt_id, send)
             return
+        rejection = draining.rejection(deadline_at_ms, retry_after_ms)
+        if rejection is not None:
+            await self._reject(rejection, request.attempt_id, send)
+            return
         # Admitted again after the body was read, because a new configuration
         # may have come into force in the meantime.
         admitted = self._admit(request)
@@ -127,6 +133,7 @@
             body,
             arrived_at_ms,
         )
+        pending.deadline_at_ms = draining.bound(pending.deadline_at_ms)
         forward = forward_lib.Forward(gateway, pending, send, reservation)
         gateway.budget(service).earn(arrived_at_ms)
         await self._run(forward, receive)
--- a/packages/radishd/src/radishd/request/forward.py
+++ b/packages/radishd/src/radishd/request/forward.py
@@ -100,8 +100,8 @@
             ResponseAbortedError: If a response that has started cannot be
                 completed.
         """
-        left_s = max(0, self.pending.left_ms()) / MS_PER_S
-        with anyio.move_on_after(left_s) as scope:
+        draining = self._gateway.connection_draining
+        with draining.limit(self.pending.deadline_at_ms) as scope:
             await self._serve()
         if not scope.cancelled_caught:
             return
--- a/packages/radishd/src/radishd/request/gateway_interface.py
+++ b/packages/radishd/src/radishd/request/gateway_interface.py
@@ -24,6 +24,7 @@
 from radishd.process import stream_origin_exchange
 from radishd.process import usage_caps
 from radishd.request import closing_check as closing_check_lib
+from radishd.request import connection_draining as connection_draining_lib
 
 
 class GatewayInterface(typing.Protocol):
@@ -45,8 +46,7 @@
         incarnation_check: Checks which incarnation runs at an address.
         closing_check: Decides how a response ended as its connection closed.
         draining: Whether the process is shutting down.
-        waits_end_at_ms: Until when a request may wait for an adapter while
-            the process drains.
+        connection_draining: The graceful shutdown of the process.
     """
 
     roster: roster_lib.Roster
@@ -64,7 +64,7 @@
     incarnation_check: incarnation_check.IncarnationCheck
     closing_check: closing_check_lib.ClosingCheck
     draining: bool
-    waits_end_at_ms: int
+    connection_draining: connection_draining_lib.ConnectionDraining
 
     @property
     def table(self) -> route_table.RouteTable:
--- a/packages/radishd/src/radishd/request/target_selection.py
+++ b/packages/radishd/src/radishd/request/target_selection.py
@@ -238,8 +238,9 @@
                 if rejection is not None:
                     return rejection
                 now_ms = clock.boot_ms()
-                if gateway.draining:
-                    waiting.limit_until(gateway.waits_end_at_ms)
+                schedule = gateway.connection_draining.schedule
+                if schedule is not None:
+                    waiting.limit_until(schedule.waits_end_at_ms)
                 usable = self._usable_targets(now_ms)
                 choice = self._choose(usable, now_ms, waiting.patience(now_ms))
                 member = choice.send or choice.load
