Show that a gateway out of step joins no streams of a release

The report: a gateway cut off from the others, or standing still, while targets of a new software version joined, took up their broken streams and went on at another version.

It can't happen here: a gateway without a record of a stream assumes a version only after it has read the changes of the list from the store since its last read, and rejects the attempt if the store doesn't answer; a pause of the process ends what it vouches for. The tests that show it stay: a gateway with a long history of one version, cut off from gateways and sidecars, with the store and without, answers 503, and continues at the right version once it is back; a paused one answers 503.

--- a/tests/fleet/test_software_versions.py
+++ b/tests/fleet/test_software_versions.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 import contextlib
 
 from radishd import gateway as gateway_lib
@@ -11,6 +12,7 @@
 from radishstack.process import roster as roster_lib
 from radishstack.process import stream_origins
 from standins import platform_engine
+from standins import platform_store
 
 from tests.fleet import fixtures
 
@@ -460,6 +462,87 @@
     fixtures.run(play)
 
 
+def _observe_for_long(gateway: gateway_lib.Gateway) -> None:
+    """Makes a gateway vouch for the versions that it knows now."""
+    history = gateway.stream_origins.history
+    listings = [one.listing for one in gateway.roster.members.values()]
+    history.restart()
+    for ago_ms in (stream_origins.MAX_RETENTION_MS, 0):
+        history.observe(listings, clock.boot_ms() - ago_ms, is_current=True)
+
+
+def test_a_gateway_out_of_step_does_not_join_streams_of_a_release() -> None:
+    """Guards against a view of the versions from before a cut or a pause.
+
+    Targets of a new version join meanwhile, and a stream that began at one of
+    them through another gateway is resumed at this one.
+    """
+
+    async def play(cut: Callable[[platform_store.Faults], None]) -> None:
+        async with _fleet("v1", "v1") as fleet:
+            store_faults = await fleet.add_store_address()
+            late = await fleet.add_gateway(store_host=fleet.second_store_host)
+            await _knows_engines(fleet, late)
+            _observe_for_long(late)
+            socket, late.socket = late.socket, None
+            handle, late.stream_origins.handle = (
+                late.stream_origins.handle,
+                lambda message, sender: None,
+            )
+            cut(store_faults)
+            joined = [
+                await fleet.add_target(
+                    f"i-new{number}", engine=True, software_version="v2"
+                )
+                for number in range(2)
+            ]
+            for engine in joined:
+                engine.adapters[ADAPTER] = 1
+                engine.fault = lambda request: Fault.CUT_MIDWAY
+            await _knows_engines(fleet, fleet.gateway)
+            _prefer(fleet.gateway, *joined)
+            answer = await fleet.call("/long/x", adapter=ADAPTER, attempt="k0")
+            assert set(_runners(fleet, "k0")) == {"v2"}, answer
+            assert not answer.whole
+            for engine in joined:
+                engine.fault = lambda request: Fault.NONE
+            answer = await _resume(fleet, late, "k0")
+            assert answer.status == 503, answer
+            assert not _runners(fleet, "k0-next")
+            # Back in touch, it asks the holders of the record.
+            late.socket = socket
+            late.stream_origins.handle = handle
+            store_faults.refuses = False
+            await _knows_engines(fleet, late)
+            answer = await _resume(fleet, late, "k0")
+            assert answer.status == 200 and answer.whole, answer
+            assert _runners(fleet, "k0-next") == ["v2"]
+
+    def cut_from_store(faults: platform_store.Faults) -> None:
+        faults.refuses = True
+
+    async def play_all() -> None:
+        await play(lambda faults: None)
+        await play(cut_from_store)
+
+    fixtures.run(play_all)
+
+
+def test_a_gateway_that_was_paused_vouches_for_no_version() -> None:
+    """Guards against a history that includes a pause of its process."""
+
+    async def play() -> None:
+        async with _fleet("v1", "v1") as fleet:
+            gateway = fleet.gateway
+            _observe_for_long(gateway)
+            gateway.on_process_pause(3_000)
+            answer = await _resume(fleet, gateway, "l0")
+            assert answer.status == 503, answer
+            assert not _runners(fleet, "l0-next")
+
+    fixtures.run(play)
+
+
 def test_a_request_does_not_trust_an_outdated_listing() -> None:
     """Guards against a stream that continues at a restarted target.
 
