Take a status outside 100 to 599 for no answer

What callers saw: a target in trouble answered with status 000; the request waited for another response until its deadline (504 after 2.5 s here), as a status below 200 counts as an interim one. A status above 599 would end in the server, which can't send it.

Change: such a status is a malformed response, so that the send fails at once (502, or another target where the route allows it).

The own interface's client (h11) refuses such statuses itself.

--- a/packages/radishd/src/radishd/connection/http_client.py
+++ b/packages/radishd/src/radishd/connection/http_client.py
@@ -202,7 +202,7 @@
     def on_headers_complete(self) -> None:
         """Stores status and headers of the response."""
         incoming = self._parsing
-        status = self._parser.get_status_code()
+        status = response_bounds.check_status(self._parser.get_status_code())
         incoming.head = Head(status, tuple(incoming.header_list))
         incoming.keeps_alive = self._parser.should_keep_alive()
 
--- a/packages/radishd/src/radishd/process/response_bounds.py
+++ b/packages/radishd/src/radishd/process/response_bounds.py
@@ -31,6 +31,19 @@
 # that is held is cut, at a smaller size that most responses stay below.
 MAX_HELD_BYTES = 64 * 1024 * 1024
 LOW_MEMORY_BYTES = 16 * 1024
+# Parsers let other numbers pass, which a server cannot send.
+STATUSES = range(100, 600)
+
+
+def check_status(status: int) -> int:
+    """Returns the status of a response.
+
+    Raises:
+        ValueError: If it is none.
+    """
+    if status not in STATUSES:
+        raise ValueError(f"{status} is no status")
+    return status
 
 
 @dataclasses.dataclass(slots=True)
