Show that targets that send without end don't stop other requests

The report: a faulty target sent bytes that were no answer, in a head or a body, until its caller closed; the process that had called it ran out of memory, and the requests of other clients ended with it.

It can't happen here: responses are bounded in every form (docs/design/response-bounds.md). The test that shows it beside other callers stays: requests at three targets that send each form without end, twice at once, hold at most twice the bound, and each request to a sound target meanwhile gets 200.

--- a/tests/fleet/test_endless_bytes.py
+++ b/tests/fleet/test_endless_bytes.py
@@ -317,3 +317,46 @@
             assert target.endless_bytes <= MAX_TAKEN_BYTES
 
     fixtures.run(play)
+
+
+def test_other_requests_end_while_many_targets_send_without_end() -> None:
+    """Guards against targets that use up the memory of all callers' gateway."""
+
+    async def play() -> None:
+        async with fixtures.running_fleet(engines=3, plain=1) as fleet:
+            engines = [one for one in fleet.targets.values() if one.model]
+            for engine in engines:
+                engine.adapters["a1"] = 1
+                engine.fault = lambda request: Fault.ENDLESS_BYTES
+            most = 0
+            statuses: list[int] = []
+
+            async def flood(number: int) -> None:
+                form = list(FORMS)[number % len(FORMS)]
+                engines[number % len(engines)].endless_form = form
+                for route in ("chat", "long"):
+                    await fleet.call(f"/{route}/x", adapter="a1")
+
+            async def watch() -> None:
+                nonlocal most
+                while True:
+                    most = max(most, response_bounds.HELD.count)
+                    await anyio.sleep(0)
+
+            async def call() -> None:
+                while True:
+                    answer = await fleet.call("/book/1")
+                    statuses.append(answer.status)
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(watch)
+                tasks.start_soon(call)
+                async with anyio.create_task_group() as floods:
+                    for number in range(2 * len(FORMS)):
+                        floods.start_soon(flood, number)
+                tasks.cancel_scope.cancel()
+            assert set(statuses) == {200} and len(statuses) > 3, statuses
+            assert most <= 2 * response_bounds.MAX_HELD_BYTES, most
+            assert response_bounds.HELD.count == 0
+
+    fixtures.run(play)
