Read changes again that other gateways have read

Cause: kinds that change rarely are watched for 15 s, and a watch whose answer was lost shows only by its own late answer.

Change: gateways tell each other the store position of the newest change that they have read: a change to three others at once, and each second to one (change_gossip, change_lag). One that has read less 300 ms later replaces its watch by a probe, at most twice for one claim, so that a wrong claim costs two calls. A position that an entry claims beyond its read isn't told. Bytes per gateway don't depend on the number of gateways.

Weighed: a probe for each answer of the targets' watch that names a later revision (a billed call every 2 s in each gateway, since targets change their entries about once a second); a watch of 2 s (the same price).

--- a/packages/radishd/src/radishd/gateway.py
+++ b/packages/radishd/src/radishd/gateway.py
@@ -36,6 +36,7 @@
 from radishd.platform import store as store_lib
 from radishd.platform import wire
 from radishd.process import admin
+from radishd.process import change_gossip as change_gossip_lib
 from radishd.process import client_ports
 from radishd.process import clock
 from radishd.process import crash_gossip as crash_gossip_lib
@@ -219,6 +220,17 @@
             on_store_back=self.crash_gossip.request_reports_soon,
             on_store_restored=self._rewrite_crash_records,
         )
+        self.change_gossip = change_gossip_lib.ChangeGossip(
+            {
+                kind: self.discovery.followers[kind]
+                for kind in discovery_lib.RARE_KINDS
+            },
+            self._other_gateways,
+            self._send_to_gateways,
+            log,
+            random_source,
+        )
+        self.discovery.on_read = self.change_gossip.record_read
         self.closing_check = closing_check_lib.ClosingCheck(
             self.roster,
             self.liveness_check,
@@ -287,6 +299,7 @@
         addresses: Iterable[fleet_socket.Address],
         report: fleet_wire.CrashReport
         | fleet_wire.RateLimitReport
+        | fleet_wire.ChangeReport
         | fleet_wire.StreamMessage,
     ) -> None:
         if self.socket is not None:
@@ -369,6 +382,8 @@
             self.crash_gossip.handle_report(datagram, sender)
         elif isinstance(datagram, fleet_wire.RateLimitReport):
             self.rate_limits.handle(datagram, sender)
+        elif isinstance(datagram, fleet_wire.ChangeReport):
+            self.change_gossip.handle(datagram)
         elif isinstance(datagram, fleet_wire.StreamMessage):
             # Sidecars answer queries as well, but make none.
             if not isinstance(datagram, stream_origins.Answer):
@@ -520,6 +535,8 @@
             "pass_on_crashes": gateway.crash_gossip.gossip_recurring,
             "ask_for_crashes": gateway.crash_gossip.request_reports_at_start,
             "ask_peers": gateway.discovery.ask_peers,
+            "tell_changes": gateway.change_gossip.tell,
+            "check_changes": gateway.change_gossip.check,
             "usage_caps": gateway.usage_caps.run,
             "report_rate_limits": gateway.rate_limits.run,
             "answer_stream_queries": gateway.stream_origins.answer_queries,
@@ -534,7 +551,7 @@
         for app, address in (
             (_admin_app(gateway), own.admin),
             (peers_lib.make_app(gateway.discovery.export_objects), own.peers),
-            (_readiness_app(gateway), own.readiness),
+            (admin.make_readiness_app(gateway.ready), own.readiness),
         ):
             server = web.make_server(
                 app,
@@ -569,18 +586,6 @@
     )
 
 
-def _readiness_app(gateway: Gateway) -> web.App:
-    async def app(
-        scope: web.Scope, receive: web.Receive, send: web.Send
-    ) -> None:
-        del scope, receive
-        status = 503 if gateway.ready() else 200
-        headers = [(b"content-length", b"0")]
-        await web.reply(send, status, headers, b"")
-
-    return app
-
-
 async def _drain(gateway: Gateway) -> None:
     """Serves until the balancer removes the VM, then finishes open requests."""
     schedule = gateway.connection_draining.begin(gateway.own.shutdown_ms)
--- a/packages/radishd/src/radishd/process/admin.py
+++ b/packages/radishd/src/radishd/process/admin.py
@@ -71,3 +71,21 @@
         await send({"type": "http.response.body", "body": body})
 
     return app
+
+
+def make_readiness_app(ready: Callable[[], str]) -> web.App:
+    """Makes the application that tells a balancer whether to use this VM.
+
+    Args:
+        ready: Returns why the process is not ready, empty if it is.
+    """
+
+    async def app(
+        scope: web.Scope, receive: web.Receive, send: web.Send
+    ) -> None:
+        del scope, receive
+        status = 503 if ready() else 200
+        headers = [(b"content-length", b"0")]
+        await web.reply(send, status, headers, b"")
+
+    return app
--- a/packages/radishd/src/radishd/process/discovery.py
+++ b/packages/radishd/src/radishd/process/discovery.py
@@ -13,6 +13,7 @@
 import anyio
 from radishstack import result
 from radishstack.process import availability
+from radishstack.process import change_lag
 from radishstack.process import placement as placement_lib
 from radishstack.process import roster as roster_lib
 from radishstack.process import store_position
@@ -44,6 +45,7 @@
 # second.
 TARGETS_COALESCE_FRACTION = 0.55
 RARE_WATCH_MS = 15_000
+RARE_KINDS = (wire.KIND_CONFIGURATION, wire.KIND_VERSIONS)
 # The first change of the configuration is applied at once; further changes are
 # coalesced for this fraction of the time within which a change must be in
 # force. Changes of a burst are tens of milliseconds apart, and each would cost
@@ -70,6 +72,8 @@
         peer_positions: By kind, the newest store position of a complete list
             received from another gateway.
         changes: Changes of the configuration, the newest last.
+        on_read: Called with a kind and the position of its newest change that
+            was read from the store.
     """
 
     def __init__(
@@ -125,6 +129,9 @@
         self._on_limits = on_limits
         self._on_store_back = on_store_back
         self._on_store_restored = on_store_restored
+        self.on_read: Callable[[str, store_position.StorePosition], None] = (
+            lambda kind, position: None
+        )
         self._outage_reason = ""
         self._era = 0
         store.listen_for_outages(self._store_back)
@@ -525,9 +532,16 @@
         self._discovery = discovery
         self._kind = kind
 
+    def _record(self, batch: stored.Batch) -> None:
+        self._discovery.rejected.add_nameless(self._kind, batch.nameless_count)
+        positions = (record.position for record in batch.records)
+        self._discovery.on_read(
+            self._kind, change_lag.newest_change(positions, batch.position)
+        )
+
     def replace_all(self, batch: stored.Batch) -> None:
         """Replaces all objects."""
-        self._discovery.rejected.add_nameless(self._kind, batch.nameless_count)
+        self._record(batch)
         known = {record.name: record for record in batch.records}
         missing = [
             name
@@ -546,7 +560,7 @@
 
     def changes(self, batch: stored.Batch) -> None:
         """Applies changed objects."""
-        self._discovery.rejected.add_nameless(self._kind, batch.nameless_count)
+        self._record(batch)
         known = self._discovery.known[self._kind]
         self._discovery.record_missing(
             self._kind, (one.name for one in batch.records if one.deleted)
--- a/packages/radishstack/src/radishstack/connection/fleet.capnp
+++ b/packages/radishstack/src/radishstack/connection/fleet.capnp
@@ -13,6 +13,7 @@
     streamRecord @6 :StreamRecord;
     streamQuery @7 :StreamQuery;
     streamAnswer @8 :StreamAnswer;
+    changeReport @9 :ChangeReport;
   }
 }
 
@@ -165,3 +166,14 @@
   soleForMs @4 :UInt32;
   service @5 :Text;
 }
+
+struct ReadPosition {
+  # Position of the newest change of a kind of object in the store.
+  kind @0 :Text;
+  era @1 :UInt64;
+  revision @2 :UInt64;
+}
+
+struct ChangeReport {
+  positions @0 :List(ReadPosition);
+}
--- a/packages/radishstack/src/radishstack/connection/fleet_wire.py
+++ b/packages/radishstack/src/radishstack/connection/fleet_wire.py
@@ -17,6 +17,7 @@
 from radishstack import result
 from radishstack.process import adapter_keeper
 from radishstack.process import incarnation
+from radishstack.process import store_position
 from radishstack.process import stream_origins
 from radishstack.process import suspicion
 from radishstack.process import target_rate_limits
@@ -173,12 +174,24 @@
     lifetime_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChangeReport:
+    """Reports up to which changes a gateway has read the store.
+
+    Attributes:
+        positions: Position of the newest change by kind of object.
+    """
+
+    positions: Mapping[str, store_position.StorePosition]
+
+
 StreamMessage = StreamRecord | StreamQuery | stream_origins.Answer
 Datagram = (
     DemandDatagram
     | StatusUpdate
     | CrashReport
     | RateLimitReport
+    | ChangeReport
     | StreamMessage
     | usage_loan.Message
 )
@@ -336,6 +349,17 @@
     return message.to_bytes_packed()
 
 
+@encode.register
+def _(datagram: ChangeReport) -> bytes:
+    body = {
+        "positions": [
+            {"kind": kind, "era": one.era, "revision": one.revision}
+            for kind, one in datagram.positions.items()
+        ]
+    }
+    return _wire.FleetDatagram.new_message(changeReport=body).to_bytes_packed()
+
+
 @encode.register
 def _(datagram: usage_loan.LoanRequest) -> bytes:
     body = dataclasses.asdict(datagram)
@@ -431,6 +455,8 @@
                 return _decode_crash_report(message.crashReport)
             case "rateLimitReport":
                 return _decode_rate_limit_report(message.rateLimitReport)
+            case "changeReport":
+                return _decode_change_report(message.changeReport)
             case "streamRecord":
                 return _decode_stream_record(message.streamRecord)
             case "streamQuery":
@@ -519,6 +545,14 @@
     return RateLimitReport(incarnation_id, limit_per_s, body.agoMs)
 
 
+def _decode_change_report(body: object) -> ChangeReport:
+    positions = {
+        one.kind: store_position.StorePosition(one.era, one.revision)
+        for one in body.positions
+    }
+    return ChangeReport(positions)
+
+
 def _decode_stream_record(body: object) -> StreamRecord:
     origin = stream_origins.Origin(body.service, body.softwareVersion)
     return StreamRecord(body.streamId, origin, body.retentionMs)
--- a/packages/standins/src/standins/platform_store.py
+++ b/packages/standins/src/standins/platform_store.py
@@ -78,6 +78,8 @@
     Attributes:
         era: Number of the store's history; each restore increments it.
         page_size: Maximum number of objects on a page of a list.
+        loses: Whether the answer to a watch, by its kind and request, is lost;
+            its connection stays open.
         on_page: Called with the kind after each page that is not the last, so
             that a test can change objects between pages.
     """
@@ -91,6 +93,9 @@
         self.era = 1
         self.page_size = PAGE_SIZE
         self.on_page: Callable[[str], None] = lambda kind: None
+        self.loses: Callable[[str, web.Request], bool] = lambda kind, request: (
+            False
+        )
         self.calls: collections.Counter[str] = collections.Counter()
         self.faults = Faults()
         self._random = random.Random(1)
@@ -275,6 +280,8 @@
                 await self._changed.wait()
                 continue
             if events or remaining_s <= 0:
+                if self.loses(kind, request):
+                    await anyio.sleep_forever()
                 body = {"events": events, "at": self.revision}
                 await request.reply(encode(body))
                 return
