Keep streams that pause at their target in a planned stop

Cause: an idle time-out ends a send before another target has accepted the request, and sends that prove 'not run' count to the maximum.

Change: while the gateway drains, a stream that has begun stays at its target until it ends or its connection does.

Ruled out: asking the other target before the first is left, since the run would go on at two targets until the first event of the second.

--- a/packages/radishd/src/radishd/request/response_reader.py
+++ b/packages/radishd/src/radishd/request/response_reader.py
@@ -144,8 +144,12 @@
             # The target may resume after a short pause, so a stall alone is no
             # reason to abandon a stream that has started. Another target must
             # also be able to continue it at once.
-            can_reroute = can_reroute and self._targets.can_continue_elsewhere(
-                send.member
+            # While this process drains, a stream that finds no place elsewhere
+            # would be cut by a planned stop.
+            can_reroute = (
+                can_reroute
+                and not self._gateway.draining
+                and self._targets.can_continue_elsewhere(send.member)
             )
         if not can_reroute:
             # No idle timeout: the deadline of the request passes first.
--- a/tests/fleet/test_forwarding_path.py
+++ b/tests/fleet/test_forwarding_path.py
@@ -355,6 +355,40 @@
     fixtures.run(play)
 
 
+def test_a_planned_stop_does_not_move_a_stream_that_pauses() -> None:
+    """Guards against a stream that is given up for a place that is not there.
+
+    Its engine pauses for longer than is waited at most; the other one seems to
+    have room, and rejects it until no send is left.
+    """
+
+    async def play() -> None:
+        async with fixtures.running_fleet() as fleet:
+            holder = await _one_slow_and_one_full_engine(fleet, event_ms=10.0)
+            holder.event_count = 100
+            answers = []
+
+            async def call() -> None:
+                answers.append(
+                    await fleet.call("/long/x", adapter="a1", attempt="34")
+                )
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(call)
+                await fleet.until(lambda: "34" in holder.ran, "it runs")
+                fleet.stop.set()
+                await fleet.until(lambda: fleet.gateway.draining, "it drains")
+                holder.timing.event_ms = 1_300.0
+                # The pause has begun by the next event.
+                await anyio.sleep(0.1)
+                holder.timing.event_ms = 1.0
+            (answer,) = answers
+            assert answer.whole, answer
+            assert _run_counts(fleet)["34"] == 1
+
+    fixtures.run(play)
+
+
 def test_interrupted_stream_is_resumed_after_a_rejection() -> None:
     """An interrupted stream is resumed although one engine rejects it.
 
