--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -104,6 +104,14 @@
 _UPGRADE_TEST = _test("fleet.test_upgrade_requests")
 _UPGRADE_PROMISE = "a request that offers an upgrade is served whole"
 
+_POISON_TEST = _test("fleet.test_poison_entries")
+_UNTRUSTED_TEST = _test("fleet.test_untrusted_values")
+_POISON_PROMISE = "an entry that cannot be decoded hides no others"
+_STOP_TEST = _test("fleet.test_planned_stop")
+_STOP_PROMISE = "a planned stop answers what was read"
+_MISSED_TEST = _test("fleet.test_missed_changes")
+_MISSED_PROMISE = "a missed change is read again"
+
 _CLOSING_PATH = "radishd/request/closing_check.py"
 _LIVENESS_PATH = "radishd/connection/liveness_check.py"
 _DRAINED_PROMISE = "a whole answer of a draining target is complete"
@@ -865,9 +873,9 @@
     ),
     Mutant(
         _RESTORED_PROMISE,
-        "radishd/process/discovery.py",
-        "                    era=peer_position.era,\n",
-        "",
+        "radishd/process/peer_objects.py",
+        "            _record(name, raw, positions[kind].era)\n",
+        "            _record(name, raw, 0)\n",
         _test("fleet.test_store_restored"),
     ),
     Mutant(
@@ -1005,9 +1013,9 @@
     ),
     Mutant(
         "a key stays here",
-        "radishd/platform/store.py",
-        '    spec = wire.without_secrets(raw.get("spec"))\n',
-        '    spec = raw.get("spec")\n',
+        "radishd/platform/entries.py",
+        "        spec = wire.without_secrets(spec)\n",
+        "        pass\n",
         _test("fleet.test_accounts"),
     ),
     Mutant(
@@ -1197,7 +1205,7 @@
     Mutant(
         "each event once",
         "radishstack/request/event_stream.py",
-        "            if int(number) <= int(self.last_id):",
+        "            if _magnitude(number) <= _magnitude(self.last_id):",
         "            if False:",
         _test("fleet.test_forwarding_decisions"),
     ),
@@ -1478,18 +1486,149 @@
     Mutant(
         "foreign entries are not used",
         "radishd/process/discovery.py",
-        "        if self._roster.drop(record.name):",
+        "        if kind == wire.KIND_TARGETS and "
+        "self._roster.drop(record.name):",
         "        if False:",
         _test("fleet.test_foreign_entries"),
     ),
     Mutant(
         "one bad entry does not lose the list",
-        "radishd/platform/store.py",
-        "    except (KeyError, TypeError, ValueError, AttributeError):\n"
-        "        return None",
-        "    except KeyError:\n        return None",
+        "radishd/platform/entries.py",
+        '    metadata = raw.get("metadata") if isinstance(raw, dict) '
+        "else None\n",
+        '    metadata = raw["metadata"]\n',
         _test("fleet.test_foreign_entries"),
     ),
+    Mutant(
+        _POISON_PROMISE,
+        "radishd/process/untrusted_json.py",
+        '            if isolated_levels and opening == "{":\n',
+        "            if False:\n",
+        _POISON_TEST,
+    ),
+    Mutant(
+        _POISON_PROMISE,
+        "radishd/process/untrusted_json.py",
+        "    for _ in range(MAX_DEPTH + 1):\n        deeper",
+        "    for _ in range(10**6):\n        deeper",
+        _POISON_TEST,
+    ),
+    Mutant(
+        _POISON_PROMISE,
+        "radishd/process/untrusted_json.py",
+        "                    if member not in INTEGERS:\n",
+        "                    if False:\n",
+        _UNTRUSTED_TEST,
+    ),
+    Mutant(
+        _POISON_PROMISE,
+        "radishd/process/untrusted_json.py",
+        "            elif brackets[0] != '\"':\n",
+        "            else:\n",
+        _POISON_TEST,
+    ),
+    Mutant(
+        _POISON_PROMISE,
+        "radishd/platform/entries.py",
+        '    return urllib.parse.quote(name, safe="", '
+        'errors="surrogatepass")\n',
+        "    return name\n",
+        _POISON_TEST,
+    ),
+    Mutant(
+        _POISON_PROMISE,
+        "radishd/platform/store.py",
+        "                [entries.name(raw) for raw in items],\n",
+        "                [one.name for raw in items if (one := entries.record("
+        "raw, 1)) and one.spec and not hasattr(one.spec, 'reason')],\n",
+        _POISON_TEST,
+    ),
+    Mutant(
+        _POISON_PROMISE,
+        "radishd/platform/store.py",
+        "            if body.code is result.STORE_CORRUPT:\n",
+        "            if False:\n",
+        _POISON_TEST,
+    ),
+    Mutant(
+        _POISON_PROMISE,
+        "radishd/platform/wire.py",
+        "    if not _TARGET_NAME.fullmatch(name):\n",
+        "    if False:\n",
+        _POISON_TEST,
+    ),
+    Mutant(
+        _POISON_PROMISE,
+        "radishd/process/peer_objects.py",
+        "            if is_valid and not untrusted_json.find_problem(spec):\n",
+        "            if is_valid:\n",
+        _UNTRUSTED_TEST,
+    ),
+    Mutant(
+        _POISON_PROMISE,
+        "radishd/process/checked.py",
+        "MAX_VERSION = 2**32 - 1\n",
+        "MAX_VERSION = 2**63 - 1\n",
+        _UNTRUSTED_TEST,
+    ),
+    Mutant(
+        _STOP_PROMISE,
+        "radishd/request/connection_draining.py",
+        "            scope.deadline = min(scope.deadline, due_s)\n",
+        "            pass\n",
+        _STOP_TEST,
+    ),
+    Mutant(
+        _STOP_PROMISE,
+        "radishstack/process/graceful_shutdown.py",
+        "        return is_listed or deadline_at_ms <= "
+        "self.answers_due_at_ms\n",
+        "        return True\n",
+        _STOP_TEST,
+    ),
+    Mutant(
+        _STOP_PROMISE,
+        "radishstack/process/graceful_shutdown.py",
+        "        return is_listed or deadline_at_ms <= "
+        "self.answers_due_at_ms\n",
+        "        return is_listed\n",
+        _STOP_TEST,
+    ),
+    Mutant(
+        _STOP_PROMISE,
+        "radishd/request/response_reader.py",
+        "                and not self._gateway.draining\n",
+        "",
+        _test("fleet.test_forwarding_path"),
+    ),
+    Mutant(
+        _MISSED_PROMISE,
+        "radishd/process/change_gossip.py",
+        "                self._followers[kind].renew()\n",
+        "                pass\n",
+        _MISSED_TEST,
+    ),
+    Mutant(
+        _MISSED_PROMISE,
+        "radishstack/process/change_lag.py",
+        "                and claim.read_count < MAX_READS\n",
+        "",
+        _MISSED_TEST,
+    ),
+    Mutant(
+        _MISSED_PROMISE,
+        "radishstack/process/change_lag.py",
+        "        (one for one in positions if one <= read_position),",
+        "        positions,",
+        _MISSED_TEST,
+    ),
+    Mutant(
+        "a status that is none is no answer",
+        _BOUNDS_PATH,
+        "    if status not in STATUSES:\n",
+        "    if False:\n",
+        _test("fleet.test_early_responses"),
+    ),
     Mutant(
         "control follows use",
         "radishstack/process/audience.py",
--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -135,7 +135,7 @@
         "radishd/process/discovery.py",
         "            else:\n"
         "                known[record.name] = record\n"
-        "            self._apply(record)",
+        "            self._discovery.apply(self._kind, record)",
         "            else:\n                known[record.name] = record",
         _seeds(370, Kind.TARGET_RESTART),
     ),
@@ -252,6 +252,13 @@
         "        request = front.decode(scope)\n",
         _seeds(550, Kind.CONNECTIONS_SKEWED),
     ),
+    mutants.Mutant(
+        "served again after all faults",
+        "radishd/process/untrusted_json.py",
+        "    except (ValueError, RecursionError):\n        value, end",
+        "    except ValueError:\n        value, end",
+        _seeds(820, Kind.FOREIGN_ENTRIES, Kind.ALL_KILL),
+    ),
     mutants.Mutant(
         "a graceful stop cuts nothing",
         GATEWAY,
