Carry versions of adapters beyond 32 bits

What callers saw: after an adapter's version was named by date and time, or one of 2**32 was announced, requests for adapters failed at each gateway.

Cause: datagrams hold versions in 32 bits, and one that does not fit raised in the task that sends all demand.

Change: versions of up to 63 bits are valid everywhere, and those beyond 32 bits have a field of their own in each datagram. A process one version older reads 0 there, an unknown version.

--- a/packages/radishd/src/radishd/process/checked.py
+++ b/packages/radishd/src/radishd/process/checked.py
@@ -13,8 +13,8 @@
 StartTimeMs = Annotated[int, pydantic.Field(ge=0, lt=2**63)]
 Count = Annotated[int, pydantic.Field(ge=0, lt=2**63)]
 TimeMs = Annotated[float, pydantic.Field(ge=0, lt=2**63, allow_inf_nan=False)]
-# Versions of adapters are forwarded in 32 bits.
-MAX_VERSION = 2**32 - 1
+# Some name versions by date and time.
+MAX_VERSION = 2**63 - 1
 Version = Annotated[int, pydantic.Field(ge=0, le=MAX_VERSION)]
 # A longer text would not fit into a datagram beside others.
 Text = Annotated[
@@ -22,7 +22,7 @@
 ]
 _TEXT_VALIDATOR = pydantic.TypeAdapter(Text)
 _COUNT_VALIDATOR = pydantic.TypeAdapter(Count)
-_VERSION_DIGITS = re.compile(r"[0-9]{1,10}")
+_VERSION_DIGITS = re.compile(r"[0-9]{1,19}")
 MAX_PORT = 65_535
 _MAX_PORT_DIGITS = 5
 
@@ -65,7 +65,7 @@
     """
     is_number = not digits or _VERSION_DIGITS.fullmatch(digits)
     if not is_number or int(digits or 0) > MAX_VERSION:
-        raise ValueError("a version is no 32-bit number")
+        raise ValueError("a version is no 64-bit number")
     return int(digits or 0)
 
 
--- a/packages/radishstack/src/radishstack/connection/fleet.capnp
+++ b/packages/radishstack/src/radishstack/connection/fleet.capnp
@@ -26,6 +26,8 @@
 struct Versioned {
   adapter @0 :Text;
   version @1 :UInt32;
+  # A version that does not fit the field above, which is then 0.
+  longVersion @2 :UInt64;
 }
 
 struct Want {
@@ -34,6 +36,7 @@
   waiting @2 :UInt16;
   firstDueMs @3 :Int32;
   lastDueMs @4 :Int32;
+  longVersion @5 :UInt64;
 }
 
 struct Holding {
@@ -45,6 +48,9 @@
   version @2 :UInt32;
   adapters @3 :List(Text);
   versions @4 :List(UInt32);
+  # Empty unless one of the versions needs it.
+  longVersion @5 :UInt64;
+  longVersions @6 :List(UInt64);
 }
 
 struct Demand {
--- a/packages/radishstack/src/radishstack/connection/fleet_wire.py
+++ b/packages/radishstack/src/radishstack/connection/fleet_wire.py
@@ -31,6 +31,8 @@
 MAX_SOLE_FOR_MS = 0xFFFFFFFF
 # The largest count or time that fits in a 16-bit field.
 MAX_COUNT = 0xFFFF
+# The largest version that fits in a 32-bit field; longer ones have another.
+MAX_SHORT_VERSION = 0xFFFFFFFF
 
 _wire = capnp.load(str(pathlib.Path(__file__).with_name("fleet.capnp")))
 
@@ -270,7 +272,7 @@
         "wants": [
             {
                 "adapter": load_request.adapter,
-                "version": load_request.version,
+                **_encode_version(load_request.version),
                 "waiting": min(load_request.waiting, MAX_COUNT),
                 "firstDueMs": load_request.first_due_ms,
                 "lastDueMs": load_request.last_due_ms,
@@ -278,7 +280,7 @@
             for load_request in demand.wants[:MAX_ENTRIES]
         ],
         "announced": [
-            {"adapter": adapter, "version": version}
+            {"adapter": adapter, **_encode_version(version)}
             for adapter, version in list(demand.announced.items())[:MAX_ENTRIES]
         ],
         "peerAddress": datagram.peer_address,
@@ -419,17 +421,33 @@
             holding["versions"].append(version)
         else:
             holding["isResident"] = True
-            holding["version"] = version
+            holding.update(_encode_version(version))
+    for holding in by_base.values():
+        adapter_versions = holding["versions"]
+        if max(adapter_versions, default=0) > MAX_SHORT_VERSION:
+            holding["longVersions"] = adapter_versions
+            holding["versions"] = [0] * len(adapter_versions)
     return list(by_base.values())
 
 
+def _encode_version(version: int) -> dict[str, int]:
+    if version <= MAX_SHORT_VERSION:
+        return {"version": version}
+    return {"longVersion": version}
+
+
+def _decode_version(body: Any) -> int:
+    return body.longVersion or body.version
+
+
 def _decode_holdings(holdings: Any) -> dict[str, int]:
     versions = {}
     for holding in holdings:
         if holding.isResident:
-            versions[holding.base] = holding.version
+            versions[holding.base] = _decode_version(holding)
+        adapter_versions = holding.longVersions or holding.versions
         for adapter, version in zip(
-            holding.adapters, holding.versions, strict=True
+            holding.adapters, adapter_versions, strict=True
         ):
             versions[f"{holding.base}/{adapter}"] = version
     return versions
@@ -485,14 +503,14 @@
         wants=tuple(
             adapter_keeper.LoadRequest(
                 want.adapter,
-                want.version,
+                _decode_version(want),
                 want.waiting,
                 want.firstDueMs,
                 want.lastDueMs,
             )
             for want in body.wants
         ),
-        announced={one.adapter: one.version for one in body.announced},
+        announced={one.adapter: _decode_version(one) for one in body.announced},
     )
     return DemandDatagram(demand, body.peerAddress)
 
