--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -1497,7 +1497,7 @@
         '    metadata = raw.get("metadata") if isinstance(raw, dict) '
         "else None\n",
         '    metadata = raw["metadata"]\n',
-        _test("fleet.test_foreign_entries"),
+        _POISON_TEST,
     ),
     Mutant(
         _POISON_PROMISE,
--- a/tests/fleet/test_poison_entries.py
+++ b/tests/fleet/test_poison_entries.py
@@ -239,6 +239,25 @@
     fixtures.run(play)
 
 
+def test_an_entry_of_any_type_has_no_name() -> None:
+    """Guards against an entry without a name that loses its page."""
+    for raw in (
+        None,
+        7,
+        "x",
+        [],
+        {},
+        {"metadata": 7},
+        {"metadata": {}},
+        {"metadata": {"name": 7}},
+        {"spec": SPEC},
+    ):
+        assert entries.name(raw) == "", raw
+        assert entries.record(raw, era=1) is None, raw
+        assert entries.change(raw, era=1) is None, raw
+        assert entries.change({"object": raw}, era=1) is None, raw
+
+
 def test_a_position_out_of_range_is_not_taken() -> None:
     """Guards against a revision or an era that no later one can exceed."""
     for text in ("9" * 30, "true", "1.5", '"7"', "-1", "null", "9" * 5_000):
