Pause between lists that replace unreadable watches

Found by reading the change: a store whose watches can't be read, and whose lists can, would be listed again without a pause, as an unreadable watch counts as one whose history has gone.

--- a/packages/radishd/src/radishd/process/follow.py
+++ b/packages/radishd/src/radishd/process/follow.py
@@ -89,6 +89,9 @@
         self.read_position = store_position.StorePosition()
         self._probe_requested = False
         self._is_call_short = False
+        # Whether the last watch could not be continued. If the next one cannot
+        # either, lists without a pause between them would load the store.
+        self._expired_last = False
         # Time since the last answer that was spent coalescing changes.
         self._coalesced_ms = 0
 
@@ -145,10 +148,15 @@
         if isinstance(answer, stored.Expired):
             self._log.must("store_history_gone", kind=self._kind)
             self.revision = 0
+            if self._expired_last:
+                await self._pause()
+            self._expired_last = True
             return
         if isinstance(answer, result.Failure):
             await self._handle_failure(answer)
             return
+        if not listed:
+            self._expired_last = False
         if not listed and answer.era != self.era:
             # The store was restored during the watch; read a new list.
             self.revision = 0
@@ -178,6 +186,10 @@
                 "store_lost", kind=self._kind, reason=failure.message
             )
             self._on_lost(self._kind)
+        await self._pause()
+
+    async def _pause(self) -> None:
+        """Waits before the next call; longer each time in a row."""
         pause_ms = self._retry_ms * self._random.uniform(0.5, 1.5)
         self._retry_ms = min(self._retry_ms * 2, RETRY_MAX_MS)
         await anyio.sleep(pause_ms / MS_PER_S)
@@ -187,7 +199,8 @@
         self.era = answer.era
         self.read_position = max(self.read_position, answer.position)
         self._probe_requested = False
-        self._retry_ms = RETRY_FIRST_MS
+        if not self._expired_last:
+            self._retry_ms = RETRY_FIRST_MS
         if not self.failing_since_ms:
             return
         lost_ms = clock.boot_ms() - self.failing_since_ms
--- a/tests/fleet/test_poison_entries.py
+++ b/tests/fleet/test_poison_entries.py
@@ -6,6 +6,7 @@
 import functools
 import json
 from typing import Any
+from unittest import mock
 
 import anyio
 import hypothesis
@@ -15,6 +16,7 @@
 from radishd.platform import entries
 from radishd.platform import store as store_lib
 from radishd.platform import wire
+from radishd.process import follow
 from radishd.process import metrics as metrics_lib
 from radishd.process import stored
 from radishd.process import untrusted_json
@@ -239,6 +241,55 @@
     fixtures.run(play)
 
 
+class _UnwatchableStore:
+    """A store whose lists can be read, and whose watches cannot.
+
+    Attributes:
+        list_count: Number of lists.
+    """
+
+    def __init__(self) -> None:
+        self.list_count = 0
+
+    async def list(self, kind: str) -> stored.Batch:
+        del kind
+        self.list_count += 1
+        return stored.Batch((), 7, era=1)
+
+    async def watch(self, *args: Any) -> stored.Expired:
+        del args
+        return stored.Expired()
+
+
+def test_watches_that_cannot_be_read_do_not_load_the_store() -> None:
+    """Guards against lists that follow each other without a pause."""
+
+    async def play() -> None:
+        store = _UnwatchableStore()
+        follower = follow.Follower(
+            store,
+            TARGETS,
+            mock.Mock(),
+            mock.Mock(),
+            wait_ms=2_000,
+            coalesce_ms=0,
+        )
+        pauses_s: list[float] = []
+
+        async def sleep(pause_s: float) -> None:
+            pauses_s.append(pause_s)
+
+        with mock.patch.object(follow.anyio, "sleep", sleep):
+            for _ in range(20):
+                await follower._poll_once()
+        assert store.list_count == 10
+        # The first list follows at once; the pauses between the others grow.
+        assert len(pauses_s) == 9 and min(pauses_s) >= 0.05, pauses_s
+        assert max(pauses_s) > 0.35, pauses_s
+
+    fixtures.run(play)
+
+
 def test_an_entry_of_any_type_has_no_name() -> None:
     """Guards against an entry without a name that loses its page."""
     for raw in (
