Count a backoff only if its response could arrive

Trace: the target wrote the 503 with Retry-After 150 ms into a link_slow of 2.2 s; gateway-1 had given that send up 300 ms after it (log: sends i-0-1:silent, i-2-1:ok, no response of i-0-1 read), so that it never read the answer and logged no target_backoff. A gateway is bound by an answer that it has passed on; this one wasn't received.

The check leaves out responses written while the link of their target had a fault, or up to 3 s after, as the other checks of links do. The test shows that a fault of another link excuses nothing.

--- a/soak/judge.py
+++ b/soak/judge.py
@@ -469,7 +469,11 @@
     until: dict[tuple[int, str], list[tuple[int, int]]] = {}
     for rest in evidence.history.rests:
         attempt = evidence.attempts.get(rest.attempt_id)
-        if attempt is None:
+        # On a faulty link, the gateway may have given the request up before
+        # the response arrived.
+        if attempt is None or not evidence.is_link_sound(
+            rest.target, rest.at_ms
+        ):
             continue
         spans = until.setdefault((attempt.gateway, rest.target), [])
         spans.append((rest.at_ms + BACKOFF_SLACK_MS, rest.at_ms + rest.rest_ms))
--- a/tests/fleet/test_soak.py
+++ b/tests/fleet/test_soak.py
@@ -313,6 +313,14 @@
     backed_off = _history()
     backed_off.rests.append(history_lib.BackoffResponse("b2", "i", -600, 1_000))
     assert _broken(backed_off) == {"a target that asks for rest gets it"}
+    # The response may not have arrived; one of another target's link has.
+    vm = history_lib.vm_of("i")
+    link_slow = history_lib.Event("link_slow", vm, -700, -500)
+    backed_off.events.append(link_slow)
+    assert not _broken(backed_off)
+    other_link = dataclasses.replace(link_slow, victim="target-99")
+    backed_off.events[-1] = other_link
+    assert _broken(backed_off) == {"a target that asks for rest gets it"}
 
 
 def test_the_judge_finds_a_rate_limit_that_is_exceeded() -> None:
