Keep the content of an entry only if it may be used

A relative of the poison entries, found by asking what many of them hold: 40 entries as large as the store takes, each a sound JSON list of 330,000 numbers, took a started gateway to 263 MiB, 120 texts of a megabyte to 173 MiB (300 MB is a gateway's memory); more of them end it, again at each start.

Cause: the content of each entry was kept, rejected or not, for gateways that ask and for a configuration that may come.

Change: an entry of more than 65,536 values and characters is unreadable, except the configuration itself; the content of a rejected entry is dropped, unless its service may still be configured; an answer of the store has at most 4 MiB.

--- a/packages/radishd/src/radishd/connection/pool.py
+++ b/packages/radishd/src/radishd/connection/pool.py
@@ -9,6 +9,7 @@
 
 from radishd.connection import http_client
 from radishd.process import clock
+from radishd.process import response_bounds
 
 # Connections idle for longer are not reused, unless the peer announced a
 # keep-alive timeout. Only a fraction of that timeout is used, because the
@@ -117,7 +118,11 @@
         idle.append(_IdleConnection(connection, now_ms, now_ms + idle_ms))
 
     async def exchange(
-        self, address: str, connection: http_client.Connection, data: bytes
+        self,
+        address: str,
+        connection: http_client.Connection,
+        data: bytes,
+        max_bytes: int = response_bounds.MAX_WHOLE_BYTES,
     ) -> http_client.Answer | http_client.Lost:
         """Sends a request and reads the complete response.
 
@@ -126,10 +131,11 @@
             connection: The connection. It is returned to the pool if it can be
                 reused and closed otherwise.
             data: The encoded request.
+            max_bytes: Maximum size of the response.
         """
         try:
             connection.send(data)
-            answer = await http_client.read_answer(connection)
+            answer = await http_client.read_answer(connection, max_bytes)
         except BaseException:
             connection.close()
             raise
--- a/packages/radishd/src/radishd/platform/store.py
+++ b/packages/radishd/src/radishd/platform/store.py
@@ -73,7 +73,7 @@
             if items is None or body.revision is None:
                 return result.Failure(result.STORE_CORRUPT, f"list of {kind}")
             return paged_read.Page(
-                [entries.record(raw, body.era) for raw in items],
+                [entries.record(kind, raw, body.era) for raw in items],
                 [entries.name(raw) for raw in items],
                 body.revision,
                 body.era,
@@ -112,9 +112,8 @@
             return body
         events = body.entries("events") or []
         at = revision if body.revision is None else body.revision
-        return stored.make_batch(
-            [entries.change(raw, body.era) for raw in events], at, body.era
-        )
+        changes = [entries.change(kind, raw, body.era) for raw in events]
+        return stored.make_batch(changes, at, body.era)
 
     async def create(
         self, kind: str, name: str, spec: dict[str, Any]
--- a/packages/radishd/src/radishd/platform/wire.py
+++ b/packages/radishd/src/radishd/platform/wire.py
@@ -25,6 +25,7 @@
 KIND_VERSIONS = "versions"
 # Name of the only object of the configuration kind.
 CONFIGURATION_NAME = "main"
+CONFIGURATION = (KIND_CONFIGURATION, CONFIGURATION_NAME)
 
 _IDEMPOTENT = "idempotent"
 _NON_IDEMPOTENT = "non_idempotent"
--- a/packages/radishd/src/radishd/process/discovery.py
+++ b/packages/radishd/src/radishd/process/discovery.py
@@ -8,6 +8,7 @@
 import collections
 from collections.abc import Callable
 from collections.abc import Iterable
+import dataclasses
 from typing import Any
 
 import anyio
@@ -293,7 +294,10 @@
         self._on_store_restored()
 
     def _apply_configuration(self, record: stored.Record) -> None:
-        if record.deleted or record.name != wire.CONFIGURATION_NAME:
+        if record.deleted:
+            return
+        if record.name != wire.CONFIGURATION_NAME:
+            self._reject(wire.KIND_CONFIGURATION, record, "no configuration")
             return
         table = wire.configuration(record.spec)
         if isinstance(table, result.Failure):
@@ -339,8 +343,21 @@
             self._metrics.broken.inc({"code": "object_failed"})
             self._reject(kind, record, repr(error))
 
-    def _reject(self, kind: str, record: stored.Record, reason: str) -> None:
+    def _reject(
+        self,
+        kind: str,
+        record: stored.Record,
+        reason: str,
+        *,
+        keep: bool = False,
+    ) -> None:
+        """Rejects an object; its content is kept if it may become valid."""
         self.rejected.add(kind, record, reason)
+        if not keep:
+            unreadable = untrusted_json.Unreadable(reason)
+            self.known[kind][record.name] = dataclasses.replace(
+                record, spec=unreadable
+            )
         # The earlier content of a target's entry is outdated, and the new
         # content is no valid target to send requests to.
         if kind == wire.KIND_TARGETS and self._roster.drop(record.name):
@@ -365,7 +382,10 @@
             # If applied, this entry would supersede another target at the same
             # address, which would get no more requests.
             self._reject(
-                wire.KIND_TARGETS, record, f"no service {listing.service!r}"
+                wire.KIND_TARGETS,
+                record,
+                f"no service {listing.service!r}",
+                keep=True,
             )
             return
         known = self._roster.members.get(record.name)
--- a/packages/radishd/src/radishd/process/untrusted_json.py
+++ b/packages/radishd/src/radishd/process/untrusted_json.py
@@ -74,13 +74,19 @@
     return True
 
 
-def find_problem(value: Any) -> str:
+def find_problem(value: Any, max_size: float = math.inf) -> str:
     """Returns why a decoded value cannot be used, empty if it can.
 
-    It may be nested too deeply, or contain a number that is out of range.
+    It may be nested too deeply, contain a number that is out of range, or be
+    too large to be kept.
+
+    Args:
+        value: The value.
+        max_size: Maximum number of values and characters in it.
     """
     if isinstance(value, Unreadable):
         return value.reason
+    size = 0
     containers = [[value]]
     for _ in range(MAX_DEPTH + 1):
         deeper: list[Any] = []
@@ -88,9 +94,12 @@
             members = (
                 container.values() if type(container) is dict else container
             )
+            size += len(members)
             for member in members:
                 kind = type(member)
-                if kind is dict or kind is list:
+                if kind is str:
+                    size += len(member)
+                elif kind is dict or kind is list:
                     deeper.append(member)
                 elif kind is int:
                     if member not in INTEGERS:
@@ -99,6 +108,8 @@
                     return "a number is not finite"
                 elif kind is Unreadable:
                     return member.reason
+        if size > max_size:
+            return f"more than {max_size} values and characters"
         if not deeper:
             return ""
         containers = deeper
--- a/packages/radishd/src/radishd/store_client.py
+++ b/packages/radishd/src/radishd/store_client.py
@@ -25,6 +25,10 @@
 # repeated, since its connection may have fallen silent.
 LATE_ANSWER_MARGIN_MS = 400
 
+# A page of a list has about a megabyte, and ends with an entry of another one.
+# Decoded, an answer takes up to 24 times its size.
+MAX_ANSWER_BYTES = 4 * 1024 * 1024
+
 T = TypeVar("T")
 
 
@@ -162,7 +166,7 @@
             lines.append(f"Content-Length: {len(body)}")
         head = "\r\n".join(lines) + "\r\n\r\n"
         answer = await self._pool.exchange(
-            self._address, connection, head.encode() + body
+            self._address, connection, head.encode() + body, MAX_ANSWER_BYTES
         )
         if isinstance(answer, http_client.Lost):
             if not answer.timed_out:
--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -1550,6 +1550,20 @@
         "            if False:\n",
         _POISON_TEST,
     ),
+    Mutant(
+        _POISON_PROMISE,
+        "radishd/process/untrusted_json.py",
+        "                    size += len(member)\n",
+        "                    pass\n",
+        _POISON_TEST,
+    ),
+    Mutant(
+        _POISON_PROMISE,
+        "radishd/process/discovery.py",
+        "        if not keep:\n",
+        "        if False:\n",
+        _POISON_TEST,
+    ),
     Mutant(
         _POISON_PROMISE,
         "radishd/platform/wire.py",
--- a/tests/fleet/test_poison_entries.py
+++ b/tests/fleet/test_poison_entries.py
@@ -261,6 +261,54 @@
         return stored.Expired()
 
 
+def test_the_content_of_a_large_entry_is_not_kept() -> None:
+    """Guards against entries that use up the memory of a process."""
+    large = {"x": ["a" * 1_000] * 100}
+    deep = {"x": [[[1] * 1_000] * 100]}
+    raw = {"metadata": {"name": "main", "revision": 1}}
+    for spec in (large, deep, "a" * 100_000):
+        for kind in KINDS:
+            record = entries.record(kind, {**raw, "spec": spec}, era=1)
+            is_kept = not isinstance(record.spec, untrusted_json.Unreadable)
+            assert is_kept is (kind == "config"), kind
+    adapters = [f"adapter-{number}@1" for number in range(1_000)]
+    models = [{"name": "base7", "version": 1, "adapters": adapters}]
+    record = entries.record(
+        TARGETS, {**raw, "spec": {**SPEC, "models": models}}, era=1
+    )
+    assert not isinstance(record.spec, untrusted_json.Unreadable)
+
+
+def test_the_content_of_a_rejected_entry_is_not_kept() -> None:
+    """Guards against entries that use up memory, each within its bound."""
+
+    async def play() -> None:
+        async with fixtures.running_fleet(engines=0, plain=1) as fleet:
+            spec = fleet.store.objects[TARGETS]["i-plain0"]["spec"]
+            later = dict(spec) | {"service": "later"}
+            for kind in (TARGETS, "versions", "config"):
+                fleet.store.put(kind, "i-other", {"x": ["a"] * 1_000})
+            fleet.store.put(TARGETS, "i-later", later)
+            known = fleet.gateway.discovery.known
+            await fleet.until(
+                lambda: (
+                    "i-later" in known[TARGETS]
+                    and all(
+                        "i-other" in known[kind]
+                        for kind in (TARGETS, "versions", "config")
+                    )
+                ),
+                "the entries are read",
+            )
+            for kind in (TARGETS, "versions", "config"):
+                rejected = known[kind]["i-other"].spec
+                assert isinstance(rejected, untrusted_json.Unreadable), kind
+            assert known[TARGETS]["i-later"].spec == later
+            assert known["config"]["main"].spec["version"] == 1
+
+    fixtures.run(play)
+
+
 def test_watches_that_cannot_be_read_do_not_load_the_store() -> None:
     """Guards against lists that follow each other without a pause."""
 
@@ -304,9 +352,10 @@
         {"spec": SPEC},
     ):
         assert entries.name(raw) == "", raw
-        assert entries.record(raw, era=1) is None, raw
-        assert entries.change(raw, era=1) is None, raw
-        assert entries.change({"object": raw}, era=1) is None, raw
+        assert entries.record(TARGETS, raw, era=1) is None, raw
+        assert entries.change(TARGETS, raw, era=1) is None, raw
+        event = {"object": raw}
+        assert entries.change(TARGETS, event, era=1) is None, raw
 
 
 def test_a_position_out_of_range_is_not_taken() -> None:
@@ -320,7 +369,7 @@
         entry = f'{{"metadata": {{"name": "i", "revision": {text}}}}}'
         raw = untrusted_json.decode(entry.encode(), isolated_levels=2)
         if text != "null":
-            assert entries.record(raw, era=1) is None, text
+            assert entries.record(TARGETS, raw, era=1) is None, text
     for value in (b"9" * 30, b"9" * 5_000, b"-1", b"x"):
         head = http_client.Head(200, ((b"store-era", value),))
         assert store_lib._era(head) == 0, value
