Run nothing behind an answer that closes its connection

While unsent bytes of that answer keep the connection open, the second request was parsed and run, and got no answer.

Evidence: a real connection whose client does not read, 200,000 bytes of answer with 'Connection: close': the application was called for /1 and /2 before, for /1 now. In memory: test_nothing_is_run_behind_an_answer_that_closes fails before, and the comparison reported 'the outcome depends on how bytes arrive'.

Change: once its connection is closing, what a client sent ahead isn't parsed any more; it is as if it had not been read.

--- a/packages/radishd/src/radishd/process/client_connection.py
+++ b/packages/radishd/src/radishd/process/client_connection.py
@@ -425,7 +425,7 @@
     def _begin_idle(self) -> None:
         self._begin(Phase.IDLE)
         self._surplus_bytes = 0
-        if self._unparsed:
+        if self._unparsed and not self.transport.is_closing():
             self._unset_keepalive_if_required()
             self._schedule_parsing()
         elif self._closes_when_idle:
--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -1608,6 +1608,13 @@
         "        return is_listed\n",
         _STOP_TEST,
     ),
+    Mutant(
+        _STOP_PROMISE,
+        "radishd/process/client_connection.py",
+        "        if self._unparsed and not self.transport.is_closing():\n",
+        "        if self._unparsed:\n",
+        _test("clients.test_parser_comparison"),
+    ),
     Mutant(
         _STOP_PROMISE,
         "radishd/request/response_reader.py",
