Show that a caller gets no response that was cut during its upload

The report at the gateway's level: a target answers an upload of 24 MiB at once with a 200 that has no length, sends a part, and resets the connection while the upload is being written. The caller gets 502. It held on the code as it was; the test stays.

--- a/tests/fleet/test_early_responses.py
+++ b/tests/fleet/test_early_responses.py
@@ -98,6 +98,34 @@
     fixtures.run(play)
 
 
+def test_a_caller_gets_no_response_that_was_cut_during_its_upload() -> None:
+    """Guards against a part of an answer that a caller takes for all of it."""
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        attempt = await _read_attempt_id(reader)
+        writer.write(_response(attempt, "200 OK", "", "only a part"))
+        await writer.drain()
+        await asyncio.sleep(0.1)
+        _reset(writer)
+
+    async def play() -> None:
+        async with fixtures.running_fleet(engines=0, plain=1) as fleet:
+            body = fixtures.configuration(version=2)
+            body["limits"]["maxBodyBytes"] = 2 * UPLOAD_BYTES
+            fleet.store.put("config", "main", body)
+            await fleet.until(
+                lambda: fleet.gateway.table.version == 2, "the limit is known"
+            )
+            answer, _ = await _call_raw_target(
+                fleet, serve, body=bytes(UPLOAD_BYTES)
+            )
+            assert answer.status == 502 and answer.whole, answer
+
+    fixtures.run(play)
+
+
 def test_a_whole_response_before_a_reset_counts() -> None:
     """Guards against a write error that hides the response read after it."""
     whole = _response("a", "503 Busy", "Content-Length: 4\r\n", "full")
@@ -147,22 +175,35 @@
     fixtures.run(play)
 
 
-async def _call_raw_target(
-    fleet: fixtures.Fleet, status: str, *, route: str = "/book/1"
-) -> tuple[fixtures.Answer, float]:
-    """Calls a target that answers with a status; returns how long it took."""
+def _answer(status: str) -> Serve:
+    """Returns a target that answers each request with a status."""
 
     async def serve(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        request = await reader.readuntil(b"\r\n\r\n")
-        lines = request.decode("latin-1").lower().split("\r\n")
-        ids = [one for one in lines if one.startswith("x-attempt-id")]
-        attempt = ids[0].partition(": ")[2] if ids else ""
+        attempt = await _read_attempt_id(reader)
         extra = "Content-Length: 2\r\n"
         writer.write(_response(attempt, status, extra, "ok"))
         await writer.drain()
 
+    return serve
+
+
+async def _read_attempt_id(reader: asyncio.StreamReader) -> str:
+    request = await reader.readuntil(b"\r\n\r\n")
+    lines = request.decode("latin-1").lower().split("\r\n")
+    ids = [one for one in lines if one.startswith("x-attempt-id")]
+    return ids[0].partition(": ")[2] if ids else ""
+
+
+async def _call_raw_target(
+    fleet: fixtures.Fleet,
+    serve: Serve,
+    *,
+    route: str = "/book/1",
+    body: bytes = b"",
+) -> tuple[fixtures.Answer, float]:
+    """Calls a raw target; returns the answer and how long it took."""
     host = fleet.host()
     async with _server(serve, host, fixtures.TARGET_PORT):
         listed = fleet.store.objects["servers"]
@@ -175,7 +216,7 @@
             "only the raw target is known",
         )
         began_s = time.monotonic()
-        answer = await fleet.call(route, left_ms=2_500)
+        answer = await fleet.call(route, body=body, left_ms=2_500)
         return answer, time.monotonic() - began_s
 
 
@@ -188,7 +229,7 @@
 
     async def play(status: str) -> None:
         async with fixtures.running_fleet(engines=0, plain=1) as fleet:
-            answer, took_s = await _call_raw_target(fleet, status)
+            answer, took_s = await _call_raw_target(fleet, _answer(status))
             assert answer.status == 502 and answer.whole, (status, answer)
             assert took_s < 1.0, status
             assert not fleet.gateway.metrics.broken.get_all(), status
@@ -205,7 +246,9 @@
 
     async def play(status: int) -> None:
         async with fixtures.running_fleet(engines=0, plain=1) as fleet:
-            answer, _ = await _call_raw_target(fleet, f"{status} Other")
+            answer, _ = await _call_raw_target(
+                fleet, _answer(f"{status} Other")
+            )
             assert answer.status == status and answer.whole, answer
 
     async def play_all() -> None:
@@ -220,7 +263,9 @@
 
     async def play() -> None:
         async with fixtures.running_fleet(engines=0, plain=1) as fleet:
-            answer, took_s = await _call_raw_target(fleet, "101 Switching")
+            answer, took_s = await _call_raw_target(
+                fleet, _answer("101 Switching")
+            )
             assert answer.status == 502 and answer.whole, answer
             assert took_s < 1.0
 
