--- a/tests/fleet/test_early_responses.py
+++ b/tests/fleet/test_early_responses.py
@@ -11,6 +11,7 @@
 
 import anyio
 from radishd.connection import http_client
+from standins import platform_site
 
 from tests.fleet import fixtures
 
@@ -196,6 +197,18 @@
     return ids[0].partition(": ")[2] if ids else ""
 
 
+async def _use_only(fleet: fixtures.Fleet, host: str) -> None:
+    """Lists a raw target in place of the only one."""
+    spec = dict(fleet.store.objects["servers"]["i-plain0"]["spec"])
+    spec["address"] = f"{host}:{fixtures.TARGET_PORT}"
+    fleet.store.put("servers", "i-raw", spec)
+    fleet.store.delete("servers", "i-plain0")
+    await fleet.until(
+        lambda: set(fleet.gateway.roster.members) == {"i-raw"},
+        "only the raw target is known",
+    )
+
+
 async def _call_raw_target(
     fleet: fixtures.Fleet,
     serve: Serve,
@@ -206,15 +219,7 @@
     """Calls a raw target; returns the answer and how long it took."""
     host = fleet.host()
     async with _server(serve, host, fixtures.TARGET_PORT):
-        listed = fleet.store.objects["servers"]
-        spec = dict(listed["i-plain0"]["spec"])
-        spec["address"] = f"{host}:{fixtures.TARGET_PORT}"
-        fleet.store.put("servers", "i-raw", spec)
-        fleet.store.delete("servers", "i-plain0")
-        await fleet.until(
-            lambda: set(fleet.gateway.roster.members) == {"i-raw"},
-            "only the raw target is known",
-        )
+        await _use_only(fleet, host)
         began_s = time.monotonic()
         answer = await fleet.call(route, body=body, left_ms=2_500)
         return answer, time.monotonic() - began_s
@@ -270,3 +275,34 @@
             assert took_s < 1.0
 
     fixtures.run(play)
+
+
+def test_a_response_to_head_has_no_body() -> None:
+    """Guards against a wait for a body that a response only describes."""
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        attempt = await _read_attempt_id(reader)
+        extra = "Content-Length: 2\r\n"
+        writer.write(_response(attempt, "200 OK", extra, ""))
+        await writer.drain()
+        await reader.read()
+
+    async def play() -> None:
+        async with fixtures.running_fleet(engines=0, plain=1) as fleet:
+            host = fleet.host()
+            async with _server(serve, host, fixtures.TARGET_PORT):
+                await _use_only(fleet, host)
+                front = fleet.gateway.own.listen.split(":")
+                reader, writer = await asyncio.open_connection(*front)
+                request = platform_site.request(
+                    "HEAD", "/look/1", "h1", left_ms=1_000
+                )
+                writer.write(request)
+                head = await reader.readuntil(b"\r\n\r\n")
+                writer.close()
+        assert head.startswith(b"HTTP/1.1 200"), head
+        assert b"content-length: 2\r\n" in head.lower(), head
+
+    fixtures.run(play)
