Let a report in progress end before bytes held are counted

Traced: in 2 of 12 runs of the module beside load 184 bytes were held at that moment, the size of an engine's report, and released 6 ms later; 40 runs of the test alone held none. A sidecar polls its engine all the while.

The test waits until nothing is held, and fails if that does not come: a leak fails as before. No other check changed.

--- a/tests/fleet/test_endless_bytes.py
+++ b/tests/fleet/test_endless_bytes.py
@@ -357,6 +357,9 @@
                 tasks.cancel_scope.cancel()
             assert set(statuses) == {200} and len(statuses) > 3, statuses
             assert most <= 2 * response_bounds.MAX_HELD_BYTES, most
-            assert response_bounds.HELD.count == 0
+            # A sidecar may be reading a report of its engine just now.
+            await fleet.until(
+                lambda: response_bounds.HELD.count == 0, "all is released"
+            )
 
     fixtures.run(play)
